--- /dev/null
+++ b/Makefile
@@ -0,0 +1,26 @@
+MODULES := $(shell go list -m -f '{{.Dir}}')
+KNOWN_RED := $(shell sed -n 's/^test: *\([^ ]*\).*/\1/p' KNOWN-RED.txt | paste -sd'|' -)
+SKIP := $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$',)
+RACE ?= -race
+
+.PHONY: build test format lint unit known-red
+
+build:
+	@mkdir -p bin
+	@for module in $(MODULES); do (cd $$module && go build -o $(CURDIR)/bin/ ./...) || exit 1; done
+
+test: format lint unit known-red
+
+format:
+	@unformatted=$$(gofmt -l .); test -z "$$unformatted" || { echo "not formatted: $$unformatted"; exit 1; }
+
+lint:
+	@for module in $(MODULES); do \
+		(cd $$module && go vet ./... && go tool staticcheck ./...) || exit 1; \
+	done
+
+unit:
+	@for module in $(MODULES); do (cd $$module && go test $(RACE) $(SKIP) ./...) || exit 1; done
+
+known-red:
+	@if grep -q '^test:' KNOWN-RED.txt; then echo "known red:"; cat KNOWN-RED.txt; fi
--- /dev/null
+++ b/publisher/set.go
@@ -0,0 +1,142 @@
+package publisher
+
+import (
+	"cmp"
+	"slices"
+)
+
+// SetConfig holds the objects of a Set.
+type SetConfig struct {
+	// Version counts the published sets; it only grows.
+	Version uint64
+	// HomeRegions are the regions.
+	HomeRegions []HomeRegion
+	// AvailabilityZones are the zones of the regions.
+	AvailabilityZones []AvailabilityZone
+	// Services are the services.
+	Services []Service
+	// Workspaces are the name spaces of keys.
+	Workspaces []Workspace
+	// Tenants are the customers.
+	Tenants []Tenant
+	// Classes group the requests.
+	Classes []Class
+	// Routes map requests to services.
+	Routes []Route
+}
+
+// Set is the whole of the published objects, which takes effect at once or not at all.
+type Set struct {
+	config     SetConfig
+	regions    map[string]HomeRegion
+	zones      map[string]AvailabilityZone
+	services   map[string]Service
+	workspaces map[string]Workspace
+	tenants    map[string]Tenant
+	classes    map[string]Class
+}
+
+type named interface{ Name() string }
+
+// NewSet returns the set of the objects, each kind ordered by name; it does not check them.
+func NewSet(config SetConfig) *Set {
+	return &Set{
+		config: SetConfig{
+			Version:           config.Version,
+			HomeRegions:       ordered(config.HomeRegions),
+			AvailabilityZones: ordered(config.AvailabilityZones),
+			Services:          ordered(config.Services),
+			Workspaces:        ordered(config.Workspaces),
+			Tenants:           ordered(config.Tenants),
+			Classes:           ordered(config.Classes),
+			Routes:            ordered(config.Routes),
+		},
+		regions:    byName(config.HomeRegions),
+		zones:      byName(config.AvailabilityZones),
+		services:   byName(config.Services),
+		workspaces: byName(config.Workspaces),
+		tenants:    byName(config.Tenants),
+		classes:    byName(config.Classes),
+	}
+}
+
+func ordered[T named](objects []T) []T {
+	sorted := slices.Clone(objects)
+	slices.SortFunc(sorted, func(a, b T) int { return cmp.Compare(a.Name(), b.Name()) })
+	return sorted
+}
+
+func byName[T named](objects []T) map[string]T {
+	index := make(map[string]T, len(objects))
+	for _, object := range objects {
+		index[object.Name()] = object
+	}
+	return index
+}
+
+// Version returns the count of the published sets, zero before the first.
+func (set *Set) Version() uint64 { return set.config.Version }
+
+// WithVersion returns the same objects under another version.
+func (set *Set) WithVersion(version uint64) *Set {
+	config := set.config
+	config.Version = version
+	return NewSet(config)
+}
+
+// HomeRegions returns the regions ordered by name.
+func (set *Set) HomeRegions() []HomeRegion { return set.config.HomeRegions }
+
+// AvailabilityZones returns the zones ordered by name.
+func (set *Set) AvailabilityZones() []AvailabilityZone { return set.config.AvailabilityZones }
+
+// Services returns the services ordered by name.
+func (set *Set) Services() []Service { return set.config.Services }
+
+// Workspaces returns the workspaces ordered by name.
+func (set *Set) Workspaces() []Workspace { return set.config.Workspaces }
+
+// Tenants returns the tenants ordered by name.
+func (set *Set) Tenants() []Tenant { return set.config.Tenants }
+
+// Classes returns the classes ordered by name.
+func (set *Set) Classes() []Class { return set.config.Classes }
+
+// Routes returns the routes ordered by name.
+func (set *Set) Routes() []Route { return set.config.Routes }
+
+// HomeRegion returns the region with the name.
+func (set *Set) HomeRegion(name string) (HomeRegion, bool) {
+	region, ok := set.regions[name]
+	return region, ok
+}
+
+// AvailabilityZone returns the zone with the name.
+func (set *Set) AvailabilityZone(name string) (AvailabilityZone, bool) {
+	zone, ok := set.zones[name]
+	return zone, ok
+}
+
+// Service returns the service with the name.
+func (set *Set) Service(name string) (Service, bool) {
+	service, ok := set.services[name]
+	return service, ok
+}
+
+// Workspace returns the workspace with the name.
+func (set *Set) Workspace(name string) (Workspace, bool) {
+	workspace, ok := set.workspaces[name]
+	return workspace, ok
+}
+
+// Tenant returns the tenant with the name.
+func (set *Set) Tenant(name string) (Tenant, bool) {
+	tenant, ok := set.tenants[name]
+	return tenant, ok
+}
+
+// Class returns the class with the name.
+func (set *Set) Class(name string) (Class, bool) {
+	class, ok := set.classes[name]
+	return class, ok
+}
