Place shards by rendezvous hashing with a bounded load

Cause: the owner of a shard must be a pure function of the layout that moves few shards and keeps members even.

Change: shards and members rank one another by one score; the stable assignment under each member's share is unique, so it depends on no order. Only names count, so a restarted daemon gets its shards again. Pins count against the share.

--- /dev/null
+++ b/placer/placer.go
@@ -0,0 +1,141 @@
+package placer
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"lagoonlanding.example/lagoonlanding"
+)
+
+// Rendezvous is a lagoonlanding.Placer by rendezvous hashing with a bounded load.
+//
+// Shards and members rank one another by the same score, and each member keeps at most its share of the shards.
+// The result is the only stable assignment, so it does not depend on the order of shards or members.
+type Rendezvous struct{}
+
+// NewRendezvous returns the placer.
+func NewRendezvous() Rendezvous { return Rendezvous{} }
+
+// Place returns the owner of each shard, the zero identity for all shards if no member may own any.
+func (rendezvous Rendezvous) Place(layout lagoonlanding.Layout) lagoonlanding.Placement {
+	assignment := newAssignment(layout)
+	if len(assignment.members) > 0 {
+		assignment.pin(layout.Pins())
+		assignment.fill()
+	}
+	return lagoonlanding.NewPlacement(assignment.owners())
+}
+
+// unowned is the index of the owner of a shard that has none.
+const unowned = -1
+
+type member struct {
+	id       lagoonlanding.InstanceID
+	seed     uint64
+	capacity int
+	kept     keptShards
+}
+
+type assignment struct {
+	members []member
+	owner   []int
+}
+
+func newAssignment(layout lagoonlanding.Layout) *assignment {
+	assignment := &assignment{owner: make([]int, layout.Shards())}
+	total := 0
+	for _, candidate := range layout.Members() {
+		if isOwner(candidate) {
+			total += candidate.Weight()
+		}
+	}
+	for _, candidate := range layout.Members() {
+		if isOwner(candidate) {
+			assignment.members = append(assignment.members, member{
+				id:       candidate.ID(),
+				seed:     xxhash.Sum64String(candidate.ID().Name()),
+				capacity: share(layout.Shards(), candidate.Weight(), total),
+			})
+		}
+	}
+	for shard := range assignment.owner {
+		assignment.owner[shard] = unowned
+	}
+	return assignment
+}
+
+func isOwner(candidate lagoonlanding.Member) bool {
+	return candidate.State() == lagoonlanding.MemberActive && candidate.Weight() > 0
+}
+
+func share(shards, weight, total int) int { return (shards*weight + total - 1) / total }
+
+// pin places the exceptions; they count against the capacity of their owners.
+func (assignment *assignment) pin(pins []lagoonlanding.Pin) {
+	for _, pin := range pins {
+		index := assignment.index(pin.Owner())
+		if index == unowned || pin.Shard() < 0 || pin.Shard() >= len(assignment.owner) {
+			continue
+		}
+		if assignment.owner[pin.Shard()] != unowned {
+			continue
+		}
+		assignment.owner[pin.Shard()] = index
+		if assignment.members[index].capacity > 0 {
+			assignment.members[index].capacity--
+		}
+	}
+}
+
+func (assignment *assignment) index(id lagoonlanding.InstanceID) int {
+	for index, member := range assignment.members {
+		if member.id == id {
+			return index
+		}
+	}
+	return unowned
+}
+
+// fill lets each shard ask the members from its best score down; a full member drops the shard with its lowest score.
+func (assignment *assignment) fill() {
+	for shard := range assignment.owner {
+		if assignment.owner[shard] != unowned {
+			continue
+		}
+		bid := firstBid(shard)
+		for !bid.isSettled() {
+			bid = assignment.next(bid)
+			bid = assignment.members[bid.member].offer(bid)
+		}
+	}
+	for index, member := range assignment.members {
+		for _, bid := range member.kept {
+			assignment.owner[bid.shard] = index
+		}
+	}
+}
+
+// next returns the shard's bid to the member with the highest score below that of the last bid.
+func (assignment *assignment) next(last bid) bid {
+	best, score := unowned, uint64(0)
+	seed := shardSeed(last.shard)
+	for index := range assignment.members {
+		candidate := mix(assignment.members[index].seed ^ seed)
+		if candidate > last.score || candidate == last.score && index <= last.member {
+			continue
+		}
+		if best == unowned || candidate > score {
+			best, score = index, candidate
+		}
+	}
+	return bid{shard: last.shard, member: best, score: score}
+}
+
+func (assignment *assignment) owners() []lagoonlanding.InstanceID {
+	owners := make([]lagoonlanding.InstanceID, len(assignment.owner))
+	for shard, index := range assignment.owner {
+		if index != unowned {
+			owners[shard] = assignment.members[index].id
+		}
+	}
+	return owners
+}
