--- /dev/null
+++ b/grouper/tally.go
@@ -0,0 +1,74 @@
+package grouper
+
+import "lagoonlanding.example/lagoonlanding"
+
+// Tally counts the witnesses of a record's prior layout that have cleared its members.
+type Tally struct {
+	record  lagoonlanding.Record
+	cleared map[lagoonlanding.InstanceID]map[lagoonlanding.InstanceID]bool
+	gone    map[lagoonlanding.InstanceID]bool
+}
+
+// NewTally returns an empty count for the record's current layout.
+func NewTally(record lagoonlanding.Record) *Tally {
+	return &Tally{
+		record:  record,
+		cleared: make(map[lagoonlanding.InstanceID]map[lagoonlanding.InstanceID]bool),
+		gone:    make(map[lagoonlanding.InstanceID]bool),
+	}
+}
+
+// Version returns the layout version that the tally counts for.
+func (tally *Tally) Version() uint64 { return tally.record.Version() }
+
+// Add counts the answer of a witness and reports whether the answer was about this layout.
+func (tally *Tally) Add(witness lagoonlanding.InstanceID, reply lagoonlanding.ClearanceReply) bool {
+	switch reply.Status() {
+	case lagoonlanding.ClearanceGone:
+		tally.gone[witness] = true
+		return true
+	case lagoonlanding.ClearanceGiven:
+		if reply.Version() != tally.record.Version() {
+			return false
+		}
+		for _, member := range reply.Cleared() {
+			tally.add(witness, member)
+		}
+		return true
+	}
+	return false
+}
+
+func (tally *Tally) add(witness, member lagoonlanding.InstanceID) {
+	witnesses := tally.cleared[member]
+	if witnesses == nil {
+		witnesses = make(map[lagoonlanding.InstanceID]bool)
+		tally.cleared[member] = witnesses
+	}
+	witnesses[witness] = true
+}
+
+// IsCleared reports whether a majority of the prior witnesses has cleared the member of the prior layout.
+func (tally *Tally) IsCleared(member lagoonlanding.InstanceID) bool {
+	prior := tally.record.Prior()
+	if len(prior.Witnesses()) == 0 {
+		return true
+	}
+	count := 0
+	for _, witness := range prior.Witnesses() {
+		if tally.gone[witness.ID()] || tally.cleared[member][witness.ID()] {
+			count++
+		}
+	}
+	return count >= prior.Majority()
+}
+
+// IsSettled reports whether every member of the prior layout is cleared, so that the next layout may be written.
+func (tally *Tally) IsSettled() bool {
+	for _, member := range tally.record.Prior().Members() {
+		if !tally.IsCleared(member.ID()) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/grouper/witness.go
@@ -0,0 +1,119 @@
+package grouper
+
+import (
+	"slices"
+
+	"lagoonlanding.example/lagoonlanding"
+)
+
+// nextWitnesses keeps the current witnesses that are fit and fills up with instances of other zones.
+//
+// At most one witness is replaced by one layout, so that a member's lease keeps its majority across the change.
+func nextWitnesses(config ProposalConfig, members []lagoonlanding.Member) []lagoonlanding.Instance {
+	current := config.Record.Current().Witnesses()
+	candidates := candidatesOf(config, members)
+	unfit := firstUnfit(config, current, candidates)
+	if unfit >= 0 {
+		kept := slices.Delete(slices.Clone(current), unfit, unfit+1)
+		return fill(kept, candidates, len(current))
+	}
+	if len(current) < WitnessCount {
+		// An even number of witnesses tolerates no more losses than one fewer does.
+		grown := fill(current, candidates, WitnessCount)
+		if len(grown) == WitnessCount {
+			return grown
+		}
+		return current
+	}
+	return spread(current, candidates)
+}
+
+// candidatesOf returns the fit instances, those of the group before others.
+func candidatesOf(config ProposalConfig, members []lagoonlanding.Member) []lagoonlanding.Instance {
+	var candidates []lagoonlanding.Instance
+	for _, member := range members {
+		if member.State() == lagoonlanding.MemberActive && !config.Unreachable[member.ID()] {
+			candidates = append(candidates, member.Instance())
+		}
+	}
+	for _, instance := range config.Candidates {
+		if isFit(config, instance) && !slices.ContainsFunc(candidates, sameAddress(instance)) {
+			candidates = append(candidates, instance)
+		}
+	}
+	return candidates
+}
+
+func sameAddress(instance lagoonlanding.Instance) func(lagoonlanding.Instance) bool {
+	return func(other lagoonlanding.Instance) bool { return other.PeerAddress() == instance.PeerAddress() }
+}
+
+func isFit(config ProposalConfig, instance lagoonlanding.Instance) bool {
+	return !config.Unreachable[instance.ID()] && !config.Lost[instance.ID()] && !config.Leaving[instance.ID()] &&
+		!config.ZonesOut[instance.AvailabilityZone()]
+}
+
+// firstUnfit returns the index of a witness to replace; lost ones come first, ones that leave only if there is a replacement.
+func firstUnfit(config ProposalConfig, current, candidates []lagoonlanding.Instance) int {
+	for i, witness := range current {
+		if config.Unreachable[witness.ID()] || config.Lost[witness.ID()] {
+			return i
+		}
+	}
+	for i, witness := range current {
+		if !isFit(config, witness) && hasOther(current, candidates) {
+			return i
+		}
+	}
+	return -1
+}
+
+func hasOther(current, candidates []lagoonlanding.Instance) bool {
+	return slices.ContainsFunc(candidates, func(candidate lagoonlanding.Instance) bool {
+		return !slices.ContainsFunc(current, sameAddress(candidate))
+	})
+}
+
+// fill adds candidates up to the count, those in zones without a witness first.
+func fill(kept, candidates []lagoonlanding.Instance, count int) []lagoonlanding.Instance {
+	chosen := slices.Clone(kept)
+	for _, freshZone := range []bool{true, false} {
+		for _, candidate := range candidates {
+			if len(chosen) >= count || slices.ContainsFunc(chosen, sameAddress(candidate)) {
+				continue
+			}
+			if freshZone && zoneCount(chosen, candidate.AvailabilityZone()) > 0 {
+				continue
+			}
+			chosen = append(chosen, candidate)
+		}
+	}
+	return chosen
+}
+
+func zoneCount(instances []lagoonlanding.Instance, zone string) int {
+	count := 0
+	for _, instance := range instances {
+		if instance.AvailabilityZone() == zone {
+			count++
+		}
+	}
+	return count
+}
+
+// spread replaces one witness that shares its zone with another by a candidate of a zone without one.
+func spread(current, candidates []lagoonlanding.Instance) []lagoonlanding.Instance {
+	for i, witness := range slices.Backward(current) {
+		if zoneCount(current, witness.AvailabilityZone()) < 2 {
+			continue
+		}
+		for _, candidate := range candidates {
+			if zoneCount(current, candidate.AvailabilityZone()) == 0 {
+				replaced := slices.Clone(current)
+				replaced[i] = candidate
+				return replaced
+			}
+		}
+	}
+	return current
+}
--- a/lease.go
+++ b/lease.go
@@ -9,7 +9,7 @@
 	// RenewInterval is the time between two renewals of a lease.
 	RenewInterval = 300 * time.Millisecond
 	// DrainTerm is how long a member may finish work on shards that a newer layout takes from it.
-	DrainTerm = 4 * time.Second
+	DrainTerm = time.Second
 	// DriftPermille bounds how far two monotonic clocks drift apart, in thousandths of the elapsed time.
 	DriftPermille = 10
 )
