--- /dev/null
+++ b/balancer/doc.go
@@ -0,0 +1,2 @@
+// Package balancer decides which shards move away from a member that a hot shard keeps busy.
+package balancer
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -19,8 +19,8 @@
 func (rendezvous Rendezvous) Place(layout lagoonlanding.Layout) lagoonlanding.Placement {
 	assignment := newAssignment(layout)
 	if len(assignment.members) > 0 {
-		assignment.pin(layout.Pins())
 		assignment.fill()
+		assignment.pin(layout.Pins())
 	}
 	return lagoonlanding.NewPlacement(assignment.owners())
 }
@@ -69,19 +69,12 @@
 
 func share(shards, weight, total int) int { return (shards*weight + total - 1) / total }
 
-// pin places the exceptions; they count against the capacity of their owners.
+// pin applies the exceptions last, so that each moves its own shard and no other; their owners hold them beyond their share.
 func (assignment *assignment) pin(pins []lagoonlanding.Pin) {
 	for _, pin := range pins {
 		index := assignment.index(pin.Owner())
-		if index == unowned || pin.Shard() < 0 || pin.Shard() >= len(assignment.owner) {
-			continue
-		}
-		if assignment.owner[pin.Shard()] != unowned {
-			continue
-		}
-		assignment.owner[pin.Shard()] = index
-		if assignment.members[index].capacity > 0 {
-			assignment.members[index].capacity--
+		if index != unowned && pin.Shard() >= 0 && pin.Shard() < len(assignment.owner) {
+			assignment.owner[pin.Shard()] = index
 		}
 	}
 }
@@ -98,9 +91,6 @@
 // fill lets each shard ask the members from its best score down; a full member drops the shard with its lowest score.
 func (assignment *assignment) fill() {
 	for shard := range assignment.owner {
-		if assignment.owner[shard] != unowned {
-			continue
-		}
 		bid := firstBid(shard)
 		for !bid.isSettled() {
 			bid = assignment.next(bid)
