Build the control thread: one state machine without input and output, and the runner that owns it

Cause: the soak must run the real control code without goroutines, the daemon must run it on one thread. A zone that is out and a member that leaves are different states, because a new coordinator would otherwise take a leaving member for a returned one.

--- /dev/null
+++ b/controller/coordinate.go
@@ -0,0 +1,135 @@
+package controller
+
+import (
+	"errors"
+	"time"
+
+	"lagoonlanding.example/lagoonlanding"
+	"lagoonlanding.example/lagoonlanding/grouper"
+)
+
+// isActing reports whether this instance coordinates the group: no witness before it is alive.
+func (controller *Controller) isActing(now time.Time, group *group) bool {
+	record, ok := controller.directory.record(group.id)
+	if !ok || !group.isWitness() {
+		return false
+	}
+	for _, witness := range record.Current().Witnesses() {
+		if witness.ID() == controller.id() {
+			return true
+		}
+		if group.isAlive(now, witness.ID()) {
+			return false
+		}
+	}
+	return false
+}
+
+// coordinate writes the next layout of a group once the current one is settled and something must change.
+func (controller *Controller) coordinate(now time.Time, group *group) {
+	if group.swapping || controller.blind || !group.tally.IsSettled() {
+		return
+	}
+	record, _ := controller.directory.record(group.id)
+	layout, ok := grouper.Propose(controller.proposal(now, group, record))
+	if ok {
+		controller.swap(group, grouper.Succeed(record, layout), record.Revision())
+	}
+}
+
+func (controller *Controller) proposal(now time.Time, group *group, record lagoonlanding.Record) grouper.ProposalConfig {
+	config := grouper.ProposalConfig{
+		Record: record, Lost: group.granter.Lost(now), Released: group.granter.Released(), Leaving: group.leaving,
+		ZonesOut: controller.zonesOut(), Unreachable: make(map[lagoonlanding.InstanceID]bool),
+		Candidates: controller.directory.instances(),
+	}
+	for _, witness := range record.Current().Witnesses() {
+		if witness.ID() != controller.id() && group.isSilent(now, witness.ID()) {
+			config.Unreachable[witness.ID()] = true
+		}
+	}
+	for _, instance := range group.joining {
+		config.Joining = append(config.Joining, instance)
+	}
+	return config
+}
+
+func (controller *Controller) zonesOut() map[string]bool {
+	out := make(map[string]bool)
+	if controller.directory.set == nil {
+		return out
+	}
+	for _, zone := range controller.directory.set.AvailabilityZones() {
+		if zone.IsOut() {
+			out[zone.Name()] = true
+		}
+	}
+	return out
+}
+
+func (controller *Controller) swap(group *group, record lagoonlanding.Record, expected uint64) {
+	value, err := controller.config.Records.Encode(record)
+	if err != nil {
+		controller.fail(err)
+		return
+	}
+	group.swapping = true
+	controller.outbox.swaps = append(controller.outbox.swaps, Swap{record: record, value: value, expected: expected})
+}
+
+// Swapped takes the store's answer to a write; a failed or lost one is read back before anything is concluded.
+func (controller *Controller) Swapped(now time.Time, swap Swap, revision uint64, err error) {
+	group := controller.group(swap.record.Group())
+	if err != nil {
+		controller.outbox.reads = append(controller.outbox.reads, swap.Key())
+		return
+	}
+	group.swapping = false
+	controller.learn(now, lagoonlanding.NewEntry(swap.Key(), swap.value, revision))
+	controller.tellRecord(group)
+}
+
+// ReadBack takes the entry of a record whose write failed or whose answer was lost.
+func (controller *Controller) ReadBack(now time.Time, key string, entry lagoonlanding.Entry, err error) {
+	id, ok := lagoonlanding.ParseGroupKey(key)
+	if !ok {
+		return
+	}
+	group := controller.group(id)
+	group.swapping = false
+	if errors.Is(err, lagoonlanding.ErrNotFound) {
+		return
+	}
+	if err != nil {
+		controller.blind = true
+		controller.nextWatch = now.Add(storeRetryInterval)
+		return
+	}
+	controller.learn(now, entry)
+	controller.tellRecord(group)
+}
+
+// tellRecord tells the members and witnesses of the current and the prior layout of the newest record.
+func (controller *Controller) tellRecord(group *group) {
+	record, ok := controller.directory.record(group.id)
+	if !ok {
+		return
+	}
+	told := map[lagoonlanding.InstanceID]bool{controller.id(): true}
+	for _, layout := range []lagoonlanding.Layout{record.Current(), record.Prior()} {
+		for _, member := range layout.Members() {
+			controller.tellOnce(told, member.Instance(), record)
+		}
+		for _, witness := range layout.Witnesses() {
+			controller.tellOnce(told, witness, record)
+		}
+	}
+}
+
+func (controller *Controller) tellOnce(told map[lagoonlanding.InstanceID]bool, to lagoonlanding.Instance, record lagoonlanding.Record) {
+	if told[to.ID()] {
+		return
+	}
+	told[to.ID()] = true
+	controller.notify(to, record)
+}
--- /dev/null
+++ b/controller/effect.go
@@ -0,0 +1,112 @@
+package controller
+
+import (
+	"context"
+	"time"
+
+	"lagoonlanding.example/lagoonlanding"
+)
+
+// send starts the messages to other instances; each answer comes back as an event.
+func (runner *Runner) send(ctx context.Context, outbox Outbox) {
+	controller, peers := runner.config.Controller, runner.config.Peers
+	for _, renewal := range outbox.Renewals() {
+		runner.start(func() {
+			reply, err := timed(ctx, renewal.To(), renewal.Request(), peers.Renew)
+			runner.Do(func(now time.Time) { controller.Renewed(now, renewal, reply, err) })
+		})
+	}
+	for _, clearance := range outbox.Clearances() {
+		runner.start(func() {
+			reply, err := timed(ctx, clearance.To(), clearance.Request(), peers.Clear)
+			runner.Do(func(now time.Time) { controller.Cleared(now, clearance, reply, err) })
+		})
+	}
+	for _, fetch := range outbox.Fetches() {
+		runner.start(func() {
+			reply, err := timed(ctx, fetch.To(), fetch.Request(), peers.Directory)
+			runner.Do(func(now time.Time) { controller.Fetched(now, reply, err) })
+		})
+	}
+	for _, join := range outbox.Joins() {
+		// An answer that is lost is asked for again.
+		runner.start(func() { _, _ = timed(ctx, join.To(), join.Request(), peers.Join) })
+	}
+	for _, notice := range outbox.Notices() {
+		runner.start(func() {
+			_, _ = timed(ctx, notice.To(), notice.Notice(),
+				func(ctx context.Context, to lagoonlanding.Instance, notice lagoonlanding.RecordNotice) (struct{}, error) {
+					return struct{}{}, peers.Notify(ctx, to, notice)
+				})
+		})
+	}
+}
+
+// timed makes one call to another instance within the call timeout.
+func timed[Request, Reply any](
+	ctx context.Context, to lagoonlanding.Instance, request Request,
+	call func(context.Context, lagoonlanding.Instance, Request) (Reply, error),
+) (Reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return call(ctx, to, request)
+}
+
+// useStore starts the calls to the store; each answer comes back as an event.
+func (runner *Runner) useStore(ctx context.Context, outbox Outbox) {
+	controller, store := runner.config.Controller, runner.config.Store
+	for _, swap := range outbox.Swaps() {
+		runner.start(func() {
+			ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+			defer cancel()
+			revision, err := store.Swap(ctx, swap.Key(), swap.Expected(), swap.Value())
+			runner.Do(func(now time.Time) { controller.Swapped(now, swap, revision, err) })
+		})
+	}
+	for _, key := range outbox.Reads() {
+		runner.start(func() {
+			ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+			defer cancel()
+			entry, err := store.Get(ctx, key)
+			runner.Do(func(now time.Time) { controller.ReadBack(now, key, entry, err) })
+		})
+	}
+	if outbox.WantsWatch() {
+		after := controller.Revision()
+		runner.start(func() {
+			listing, err := store.Watch(ctx, lagoonlanding.StorePrefix, after)
+			runner.Do(func(now time.Time) { controller.Watched(now, listing, err) })
+		})
+	}
+}
+
+// handOver waits until the shard's requests have ended, gives the shard to its new owner and tells the control state.
+func (runner *Runner) handOver(ctx context.Context, drain Drain) {
+	traffic := runner.config.Traffic
+	ctx, cancel := context.WithDeadline(ctx, drain.Deadline())
+	defer cancel()
+	if traffic.AwaitIdle(ctx, drain.Group(), drain.Shard()) == nil {
+		request := lagoonlanding.NewHandoverRequest(lagoonlanding.HandoverConfig{
+			Group: drain.Group(), Version: drain.Version(), Shard: drain.Shard(),
+			From: runner.Current().Self().ID(), To: drain.To().ID(),
+			Since: drain.Since(), Attempts: traffic.Export(drain.Group(), drain.Shard()),
+		})
+		runner.offer(ctx, drain, request)
+	}
+	runner.Do(func(now time.Time) { runner.config.Controller.HandedOver(now, drain) })
+}
+
+// offer repeats the handover until the new owner answers or the drain is given up.
+func (runner *Runner) offer(ctx context.Context, drain Drain, request lagoonlanding.HandoverRequest) {
+	for {
+		reply, err := timed(ctx, drain.To(), request, runner.config.Peers.HandOver)
+		if err == nil && (reply.Status() == lagoonlanding.HandoverTaken || reply.Status() == lagoonlanding.HandoverLate) {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-runner.config.Clock.Until(runner.config.Clock.Now().Add(handoverRetryInterval)):
+		}
+	}
+}
--- /dev/null
+++ b/controller/lease.go
@@ -0,0 +1,169 @@
+package controller
+
+import (
+	"time"
+
+	"lagoonlanding.example/lagoonlanding"
+)
+
+// renew asks all witnesses of the group's newest layout to keep this instance's lease.
+//
+// A witness that is no member asks too, since the answers tell which of its fellow witnesses live.
+func (controller *Controller) renew(now time.Time, group *group) {
+	record, ok := controller.directory.record(group.id)
+	if !ok || group.holder == nil && !group.isWitness() {
+		return
+	}
+	group.nextRenew = now.Add(lagoonlanding.RenewInterval)
+	request := controller.renewRequest(group, record)
+	for _, witness := range record.Current().Witnesses() {
+		if witness.ID() == controller.id() {
+			controller.renewOwn(now, group, request)
+			continue
+		}
+		controller.outbox.renewals = append(controller.outbox.renewals, Renewal{to: witness, request: request, asked: now})
+	}
+}
+
+func (controller *Controller) renewRequest(group *group, record lagoonlanding.Record) lagoonlanding.RenewRequest {
+	config := lagoonlanding.RenewRequestConfig{Group: group.id, Member: controller.id(), Adopted: record.Version()}
+	if group.holder != nil {
+		config.Released = group.holder.Released()
+	}
+	if controller.directory.set != nil {
+		config.Set = controller.directory.set.Version()
+	}
+	if controller.config.Loads != nil {
+		config.Loads = controller.config.Loads(group.id)
+	}
+	return lagoonlanding.NewRenewRequest(config)
+}
+
+// renewOwn asks the witness within this instance.
+func (controller *Controller) renewOwn(now time.Time, group *group, request lagoonlanding.RenewRequest) {
+	group.heard[controller.id()] = now
+	if group.granter == nil || group.holder == nil {
+		return
+	}
+	if group.granter.Renew(now, request) == lagoonlanding.RenewGranted {
+		group.holder.Promised(controller.id(), now)
+	}
+}
+
+// Renewed takes a witness's answer to a renewal.
+func (controller *Controller) Renewed(now time.Time, renewal Renewal, reply lagoonlanding.RenewReply, err error) {
+	if err != nil {
+		return
+	}
+	group := controller.group(renewal.request.Group())
+	witness := renewal.to.ID()
+	if reply.Status() == lagoonlanding.RenewNotWitness {
+		controller.fetchIfNewer(now, renewal.to, group, reply)
+		return
+	}
+	group.heard[witness] = now
+	group.blind[witness] = reply.Directory() == 0
+	if reply.Status() == lagoonlanding.RenewGranted && group.holder != nil {
+		group.holder.Promised(witness, renewal.asked)
+	}
+	if reply.Status() == lagoonlanding.RenewBehind {
+		controller.tellBehind(renewal, group)
+	}
+	controller.fetchIfNewer(now, renewal.to, group, reply)
+}
+
+func (controller *Controller) tellBehind(renewal Renewal, group *group) {
+	if record, ok := controller.directory.record(group.id); ok {
+		controller.notify(renewal.to, record)
+	}
+}
+
+func (controller *Controller) notify(to lagoonlanding.Instance, record lagoonlanding.Record) {
+	controller.outbox.notices = append(controller.outbox.notices, Notice{to: to, notice: lagoonlanding.NewRecordNotice(record)})
+}
+
+// fetchIfNewer asks a witness that knows more than this instance for the news.
+func (controller *Controller) fetchIfNewer(now time.Time, from lagoonlanding.Instance, group *group, reply lagoonlanding.RenewReply) {
+	record, _ := controller.directory.record(group.id)
+	if reply.Version() <= record.Version() && reply.Directory() <= controller.directory.revision {
+		return
+	}
+	if now.Before(controller.fetchEnds) {
+		return
+	}
+	controller.fetchEnds = now.Add(fetchTimeout)
+	controller.outbox.fetches = append(controller.outbox.fetches, Fetch{
+		to: from, request: lagoonlanding.NewDirectoryRequest(controller.directory.revision),
+	})
+}
+
+// askClearances asks the prior witnesses which members can no longer serve the prior layout.
+func (controller *Controller) askClearances(now time.Time, group *group) {
+	record, ok := controller.directory.record(group.id)
+	if !ok || !controller.needsClearances(now, group) {
+		return
+	}
+	for _, witness := range record.Prior().Witnesses() {
+		if witness.ID() == controller.id() && group.granter != nil {
+			controller.cleared(now, group, witness.ID(), group.granter.Clear(now, record.Version()))
+			continue
+		}
+		controller.askClearance(witness, record)
+	}
+}
+
+func (controller *Controller) askClearance(witness lagoonlanding.Instance, record lagoonlanding.Record) {
+	controller.outbox.clearances = append(controller.outbox.clearances, Clearance{
+		to: witness, request: lagoonlanding.NewClearanceRequest(record.Group(), record.Version(), witness.ID()),
+	})
+}
+
+func (controller *Controller) needsClearances(now time.Time, group *group) bool {
+	if group.holder != nil && group.holder.IsAcquiring() {
+		return true
+	}
+	return group.tally != nil && !group.tally.IsSettled() && (controller.isActing(now, group) || len(group.ended) > 0)
+}
+
+// Cleared takes a witness's answer to a clearance request.
+func (controller *Controller) Cleared(now time.Time, clearance Clearance, reply lagoonlanding.ClearanceReply, err error) {
+	if err != nil {
+		return
+	}
+	group := controller.group(clearance.request.Group())
+	witness := clearance.request.Witness()
+	if reply.Status() == lagoonlanding.ClearanceGone {
+		group.ended[witness] = true
+	}
+	if reply.Status() == lagoonlanding.ClearanceBehind {
+		if record, ok := controller.directory.record(group.id); ok && record.Version() > reply.Version() {
+			controller.notify(clearance.to, record)
+		}
+		return
+	}
+	controller.cleared(now, group, witness, reply)
+}
+
+func (controller *Controller) cleared(now time.Time, group *group, witness lagoonlanding.InstanceID, reply lagoonlanding.ClearanceReply) {
+	if group.tally != nil {
+		group.tally.Add(witness, reply)
+	}
+	if group.holder != nil {
+		group.holder.Cleared(now, witness, reply, controller.rules(group.id))
+	}
+}
+
+// HandedOver takes the end of a drain, whatever the new owner answered.
+func (controller *Controller) HandedOver(now time.Time, drain Drain) {
+	group := controller.group(drain.group)
+	if group.holder == nil {
+		return
+	}
+	before := group.holder.Released()
+	if group.holder.HandedOver(drain.shard, drain.version) {
+		controller.outbox.drops = append(controller.outbox.drops, Drop{group: group.id, shard: drain.shard})
+	}
+	if group.holder.Released() != before {
+		controller.renew(now, group)
+	}
+}
--- /dev/null
+++ b/controller/outbox.go
@@ -0,0 +1,178 @@
+package controller
+
+import (
+	"time"
+
+	"lagoonlanding.example/lagoonlanding"
+)
+
+// Renewal is a renewal to send to a witness.
+type Renewal struct {
+	to      lagoonlanding.Instance
+	request lagoonlanding.RenewRequest
+	asked   time.Time
+}
+
+// To returns the witness.
+func (renewal Renewal) To() lagoonlanding.Instance { return renewal.to }
+
+// Request returns the message.
+func (renewal Renewal) Request() lagoonlanding.RenewRequest { return renewal.request }
+
+// Asked returns when the renewal was decided, from which on its promise counts.
+func (renewal Renewal) Asked() time.Time { return renewal.asked }
+
+// Clearance is a clearance request to send to a witness.
+type Clearance struct {
+	to      lagoonlanding.Instance
+	request lagoonlanding.ClearanceRequest
+}
+
+// To returns the witness.
+func (clearance Clearance) To() lagoonlanding.Instance { return clearance.to }
+
+// Request returns the message.
+func (clearance Clearance) Request() lagoonlanding.ClearanceRequest { return clearance.request }
+
+// Join is a join request to send to a witness.
+type Join struct {
+	to      lagoonlanding.Instance
+	request lagoonlanding.JoinRequest
+}
+
+// To returns the witness.
+func (join Join) To() lagoonlanding.Instance { return join.to }
+
+// Request returns the message.
+func (join Join) Request() lagoonlanding.JoinRequest { return join.request }
+
+// Fetch is a directory request to send to another instance.
+type Fetch struct {
+	to      lagoonlanding.Instance
+	request lagoonlanding.DirectoryRequest
+}
+
+// To returns the instance.
+func (fetch Fetch) To() lagoonlanding.Instance { return fetch.to }
+
+// Request returns the message.
+func (fetch Fetch) Request() lagoonlanding.DirectoryRequest { return fetch.request }
+
+// Notice is a record to tell to another instance.
+type Notice struct {
+	to     lagoonlanding.Instance
+	notice lagoonlanding.RecordNotice
+}
+
+// To returns the instance.
+func (notice Notice) To() lagoonlanding.Instance { return notice.to }
+
+// Notice returns the message.
+func (notice Notice) Notice() lagoonlanding.RecordNotice { return notice.notice }
+
+// Swap is a record to write if the store still has the expected revision.
+type Swap struct {
+	record   lagoonlanding.Record
+	value    []byte
+	expected uint64
+}
+
+// Record returns the record to write.
+func (swap Swap) Record() lagoonlanding.Record { return swap.record }
+
+// Key returns the store's key of the record.
+func (swap Swap) Key() string { return lagoonlanding.GroupKey(swap.record.Group()) }
+
+// Value returns the encoded record.
+func (swap Swap) Value() []byte { return swap.value }
+
+// Expected returns the revision that the store must have, zero for an absent entry.
+func (swap Swap) Expected() uint64 { return swap.expected }
+
+// Drain is a shard to hand over once its running requests have ended.
+type Drain struct {
+	group    lagoonlanding.GroupID
+	version  uint64
+	shard    int
+	to       lagoonlanding.Instance
+	since    uint64
+	deadline time.Time
+}
+
+// Group returns the group of the shard.
+func (drain Drain) Group() lagoonlanding.GroupID { return drain.group }
+
+// Version returns the layout that moves the shard.
+func (drain Drain) Version() uint64 { return drain.version }
+
+// Shard returns the number of the shard.
+func (drain Drain) Shard() int { return drain.shard }
+
+// To returns the new owner.
+func (drain Drain) To() lagoonlanding.Instance { return drain.to }
+
+// Since returns the store revision from which on the shard's ledger is complete.
+func (drain Drain) Since() uint64 { return drain.since }
+
+// Deadline returns when the drain is given up.
+func (drain Drain) Deadline() time.Time { return drain.deadline }
+
+// Drop is a shard whose ledger no longer counts.
+type Drop struct {
+	group lagoonlanding.GroupID
+	shard int
+}
+
+// Group returns the group of the shard.
+func (drop Drop) Group() lagoonlanding.GroupID { return drop.group }
+
+// Shard returns the number of the shard.
+func (drop Drop) Shard() int { return drop.shard }
+
+// Outbox holds what the control state asks its surroundings to do, in the order of its decisions.
+type Outbox struct {
+	drops      []Drop
+	imports    []lagoonlanding.HandoverRequest
+	renewals   []Renewal
+	clearances []Clearance
+	joins      []Join
+	fetches    []Fetch
+	notices    []Notice
+	swaps      []Swap
+	reads      []string
+	drains     []Drain
+	watch      bool
+}
+
+// Drops returns the ledgers to forget before the next snapshot is published.
+func (outbox Outbox) Drops() []Drop { return outbox.drops }
+
+// Imports returns the handed over attempts to take in before the next snapshot is published.
+func (outbox Outbox) Imports() []lagoonlanding.HandoverRequest { return outbox.imports }
+
+// Renewals returns the renewals to send.
+func (outbox Outbox) Renewals() []Renewal { return outbox.renewals }
+
+// Clearances returns the clearance requests to send.
+func (outbox Outbox) Clearances() []Clearance { return outbox.clearances }
+
+// Joins returns the join requests to send.
+func (outbox Outbox) Joins() []Join { return outbox.joins }
+
+// Fetches returns the directory requests to send.
+func (outbox Outbox) Fetches() []Fetch { return outbox.fetches }
+
+// Notices returns the records to tell.
+func (outbox Outbox) Notices() []Notice { return outbox.notices }
+
+// Swaps returns the records to write.
+func (outbox Outbox) Swaps() []Swap { return outbox.swaps }
+
+// Reads returns the keys of the entries to read from the store.
+func (outbox Outbox) Reads() []string { return outbox.reads }
+
+// Drains returns the shards to hand over.
+func (outbox Outbox) Drains() []Drain { return outbox.drains }
+
+// WantsWatch reports whether the store must be watched for entries newer than the directory's revision.
+func (outbox Outbox) WantsWatch() bool { return outbox.watch }
--- /dev/null
+++ b/controller/tick.go
@@ -0,0 +1,107 @@
+package controller
+
+import (
+	"fmt"
+	"time"
+
+	"lagoonlanding.example/lagoonlanding"
+)
+
+// TickInterval is the time between two calls of Tick.
+const TickInterval = 100 * time.Millisecond
+
+// Tick does what time alone makes due.
+func (controller *Controller) Tick(now time.Time) {
+	for _, id := range controller.groupIDs() {
+		controller.tickGroup(now, controller.groups[id])
+	}
+	controller.tendMembership(now)
+	controller.tendWatch(now)
+}
+
+func (controller *Controller) tickGroup(now time.Time, group *group) {
+	if !now.Before(group.nextRenew) {
+		controller.renew(now, group)
+	}
+	if group.holder != nil {
+		before := group.holder.Released()
+		group.holder.Advance(now)
+		if group.holder.Released() != before {
+			controller.renew(now, group)
+		}
+	}
+	controller.askClearances(now, group)
+	if controller.isActing(now, group) {
+		controller.coordinate(now, group)
+	}
+}
+
+// tendWatch keeps one read of the store waiting if this instance must learn from the store itself.
+func (controller *Controller) tendWatch(now time.Time) {
+	if controller.watching || now.Before(controller.nextWatch) || !controller.mustWatch(now) {
+		return
+	}
+	controller.watching = true
+	controller.outbox.watch = true
+}
+
+// mustWatch reports whether no other instance tells this one the news of the store.
+func (controller *Controller) mustWatch(now time.Time) bool {
+	isMember := false
+	for _, group := range controller.groups {
+		if controller.isActing(now, group) {
+			return true
+		}
+		isMember = isMember || group.holder != nil || group.isWitness()
+	}
+	return !isMember
+}
+
+// Revision returns the store revision up to which this instance knows the directory.
+func (controller *Controller) Revision() uint64 { return controller.directory.revision }
+
+// Watched takes the end of a read of the store.
+func (controller *Controller) Watched(now time.Time, listing lagoonlanding.Listing, err error) {
+	controller.watching = false
+	if err != nil {
+		if !controller.blind {
+			controller.fail(fmt.Errorf("read the store: %w", err))
+		}
+		controller.blind = true
+		controller.nextWatch = now.Add(storeRetryInterval)
+		return
+	}
+	controller.blind = false
+	controller.learnListing(now, listing)
+	controller.tendWatch(now)
+}
+
+// IsBlind reports whether the last read of the store failed.
+func (controller *Controller) IsBlind() bool { return controller.blind }
+
+// Fetched takes another instance's answer to a directory request.
+func (controller *Controller) Fetched(now time.Time, reply lagoonlanding.DirectoryReply, err error) {
+	controller.fetchEnds = time.Time{}
+	if err != nil {
+		return
+	}
+	controller.learnListing(now, reply.Listing())
+}
+
+func (controller *Controller) learnListing(now time.Time, listing lagoonlanding.Listing) {
+	for _, entry := range listing.Entries() {
+		controller.learn(now, entry)
+	}
+	controller.directory.revision = max(controller.directory.revision, listing.Revision())
+}
+
+func (controller *Controller) learn(now time.Time, entry lagoonlanding.Entry) {
+	news, err := controller.directory.learn(entry)
+	if err != nil {
+		controller.fail(err)
+		return
+	}
+	if news.isGroup {
+		controller.learnRecord(now, news.record.WithRevision(entry.Revision()))
+	}
+}
--- a/group.go
+++ b/group.go
@@ -31,7 +31,9 @@
 const (
 	// MemberActive may own shards and take new work.
 	MemberActive MemberState = iota + 1
-	// MemberLeaving hands over its shards and takes no new work.
+	// MemberOut is in an availability zone that operators have taken out; it may become active again.
+	MemberOut
+	// MemberLeaving hands over its shards and leaves the group for good.
 	MemberLeaving
 )
 
--- a/grouper/proposal.go
+++ b/grouper/proposal.go
@@ -70,7 +70,7 @@
 func sole(instance lagoonlanding.Instance, version uint64, shards int, zoneOut bool) lagoonlanding.Layout {
 	return lagoonlanding.NewLayout(lagoonlanding.LayoutConfig{
 		Version: version, Shards: shards,
-		Members:   []lagoonlanding.Member{lagoonlanding.NewMember(instance, stateOf(zoneOut), PlainWeight)},
+		Members:   []lagoonlanding.Member{lagoonlanding.NewMember(instance, stateOf(false, zoneOut), PlainWeight)},
 		Witnesses: []lagoonlanding.Instance{instance},
 	})
 }
@@ -80,10 +80,13 @@
 	return lagoonlanding.NewRecord(record.Group(), layout, record.Current(), 0)
 }
 
-func stateOf(leaving bool) lagoonlanding.MemberState {
+func stateOf(leaving, zoneOut bool) lagoonlanding.MemberState {
 	if leaving {
 		return lagoonlanding.MemberLeaving
 	}
+	if zoneOut {
+		return lagoonlanding.MemberOut
+	}
 	return lagoonlanding.MemberActive
 }
 
@@ -91,11 +94,11 @@
 	var members []lagoonlanding.Member
 	for _, member := range config.Record.Current().Members() {
 		id := member.ID()
-		leaving := config.Leaving[id]
-		if config.Lost[id] || leaving && member.State() == lagoonlanding.MemberLeaving && config.Released[id] {
+		wasLeaving := member.State() == lagoonlanding.MemberLeaving
+		if config.Lost[id] || wasLeaving && config.Released[id] {
 			continue
 		}
-		state := stateOf(leaving || config.ZonesOut[member.Instance().AvailabilityZone()])
+		state := stateOf(wasLeaving || config.Leaving[id], config.ZonesOut[member.Instance().AvailabilityZone()])
 		members = append(members, lagoonlanding.NewMember(member.Instance(), state, member.Weight()))
 	}
 	for _, instance := range config.Joining {
@@ -117,15 +120,16 @@
 	if known {
 		return members
 	}
-	state := stateOf(config.ZonesOut[instance.AvailabilityZone()])
+	state := stateOf(false, config.ZonesOut[instance.AvailabilityZone()])
 	return append(members, lagoonlanding.NewMember(instance, state, PlainWeight))
 }
 
 func compareMembers(a, b lagoonlanding.Member) int {
-	return compareIDs(a.ID(), b.ID())
+	return CompareIDs(a.ID(), b.ID())
 }
 
-func compareIDs(a, b lagoonlanding.InstanceID) int {
+// CompareIDs orders identities by name and incarnation.
+func CompareIDs(a, b lagoonlanding.InstanceID) int {
 	return cmp.Or(cmp.Compare(a.Name(), b.Name()), cmp.Compare(a.Incarnation(), b.Incarnation()))
 }
 
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -138,13 +138,14 @@
 	return lagoonlanding.HandoverTaken, true
 }
 
-// HandedOver ends the drain of a shard that its new owner has taken, or no longer needs.
-func (holder *Holder) HandedOver(index int, version uint64) {
+// HandedOver ends the drain of a shard that its new owner has taken, or no longer needs, and reports whether it still drained.
+func (holder *Holder) HandedOver(index int, version uint64) bool {
 	if version != holder.record.Version() || index >= len(holder.shards) || holder.shards[index].state != stateDraining {
-		return
+		return false
 	}
 	holder.shards[index].drop()
 	holder.updateReleased()
+	return true
 }
 
 func (holder *Holder) updateReleased() {
--- a/instance.go
+++ b/instance.go
@@ -68,3 +68,9 @@
 
 // Service returns the name of the service beside the daemon.
 func (instance Instance) Service() string { return instance.config.Service }
+
+// WithService returns the instance with the service that its backend server runs.
+func (instance Instance) WithService(service string) Instance {
+	instance.config.Service = service
+	return instance
+}
