--- /dev/null
+++ b/storer/client_test.go
@@ -0,0 +1,92 @@
+package storer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"lagoonlanding.example/lagoonlanding"
+)
+
+func TestErrorsOfSwap(t *testing.T) {
+	cases := []struct {
+		name    string
+		handler http.HandlerFunc
+		want    error
+	}{
+		{name: "conflict", handler: status(http.StatusConflict), want: lagoonlanding.ErrConflict},
+		{name: "too many calls", handler: status(http.StatusTooManyRequests), want: lagoonlanding.ErrUnavailable},
+		{name: "down", handler: status(http.StatusServiceUnavailable), want: lagoonlanding.ErrUnavailable},
+		{name: "fault", handler: status(http.StatusInternalServerError), want: lagoonlanding.ErrUnknown},
+		{name: "cut", handler: func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, want: lagoonlanding.ErrUnknown},
+		{name: "truncated", handler: truncated, want: lagoonlanding.ErrUnknown},
+		{name: "no revision", handler: status(http.StatusOK), want: lagoonlanding.ErrUnknown},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			server := httptest.NewServer(test.handler)
+			defer server.Close()
+			_, err := New(Config{URL: server.URL}).Swap(t.Context(), "a", 0, []byte("1"))
+			if !errors.Is(err, test.want) {
+				t.Errorf("got %v, want %v", err, test.want)
+			}
+		})
+	}
+}
+
+func TestSwapThatTimesOutIsUnknown(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	release := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		cancel()
+		<-release
+	}))
+	defer server.Close()
+	defer close(release)
+	_, err := New(Config{URL: server.URL}).Swap(ctx, "a", 0, []byte("1"))
+	if !errors.Is(err, lagoonlanding.ErrUnknown) || !errors.Is(err, context.Canceled) {
+		t.Errorf("got %v", err)
+	}
+}
+
+func TestSwapWithoutConnectionIsUnavailable(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	_ = listener.Close()
+	_, err = New(Config{URL: "http://" + address}).Swap(t.Context(), "a", 0, nil)
+	if !errors.Is(err, lagoonlanding.ErrUnavailable) || errors.Is(err, lagoonlanding.ErrUnknown) {
+		t.Errorf("got %v", err)
+	}
+}
+
+func TestWatchAsksAgainWhileNothingChanges(t *testing.T) {
+	calls := 0
+	server := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		calls++
+		if calls < 3 {
+			_, _ = writer.Write([]byte(`{"entries":[],"revision":7}`))
+			return
+		}
+		_, _ = writer.Write([]byte(`{"entries":[{"key":"a","value":"MQ==","revision":8}],"revision":8}`))
+	}))
+	defer server.Close()
+	listing, err := New(Config{URL: server.URL}).Watch(t.Context(), "a", 7)
+	if err != nil || calls != 3 || listing.Revision() != 8 || len(listing.Entries()) != 1 {
+		t.Errorf("after %d calls: %v, %v", calls, listing, err)
+	}
+}
+
+func status(code int) http.HandlerFunc {
+	return func(writer http.ResponseWriter, _ *http.Request) { writer.WriteHeader(code) }
+}
+
+func truncated(writer http.ResponseWriter, _ *http.Request) {
+	writer.Header().Set("Content-Length", "100")
+	_, _ = writer.Write([]byte(`{"revision":`))
+}
