--- /dev/null
+++ b/encoder/forward.go
@@ -0,0 +1,131 @@
+package encoder
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"lagoonlanding.example/lagoonlanding"
+)
+
+// Header is the form of a field that is passed through.
+type Header struct {
+	Name  string
+	Value string
+}
+
+// Request is the form of a forwarded request.
+type Request struct {
+	ID             string
+	Tenant         string
+	Class          string
+	Service        string
+	Workspace      string
+	Key            string
+	Method         string
+	Path           string
+	Headers        []Header
+	Body           []byte
+	Left           time.Duration
+	Idempotent     bool
+	IdempotencyKey string
+	TicketRevision uint64
+	// TicketIssued is in milliseconds of wall time since 1970, zero for no ticket.
+	TicketIssued int64
+	Hops         int
+	SetVersion   uint64
+}
+
+// FromRequest returns the form of the request that is sent now.
+func FromRequest(request lagoonlanding.Request, now time.Time) Request {
+	form := Request{
+		ID: request.ID(), Tenant: request.Tenant(), Class: request.Class(),
+		Service: request.Key().Service(), Workspace: request.Key().Workspace(), Key: request.Key().Name(),
+		Method: request.Method(), Path: request.Path(), Headers: fromHeaders(request.Headers()), Body: request.Body(),
+		Left: remaining(request.Deadline(), now), Idempotent: request.IsIdempotent(), IdempotencyKey: request.IdempotencyKey(),
+		Hops: request.Hops(), SetVersion: request.SetVersion(),
+	}
+	if ticket := request.Ticket(); !ticket.IsZero() {
+		form.TicketRevision = ticket.Revision()
+		form.TicketIssued = ticket.Issued().UnixMilli()
+	}
+	return form
+}
+
+// Value returns the request.
+func (request Request) Value(now time.Time) (lagoonlanding.Request, error) {
+	if request.ID == "" || request.Service == "" || request.Method == "" {
+		return lagoonlanding.Request{}, errors.New("a forwarded request lacks its ID, service or method")
+	}
+	if request.Hops < 0 {
+		return lagoonlanding.Request{}, fmt.Errorf("forwarded request %s has %d hops", request.ID, request.Hops)
+	}
+	config := lagoonlanding.RequestConfig{
+		ID: request.ID, Tenant: request.Tenant, Class: request.Class,
+		Key:    lagoonlanding.NewKey(request.Service, request.Workspace, request.Key),
+		Method: request.Method, Path: request.Path, Headers: headersOf(request.Headers), Body: request.Body,
+		Deadline: deadlineOf(request.Left, now), Idempotent: request.Idempotent, IdempotencyKey: request.IdempotencyKey,
+		Hops: request.Hops, SetVersion: request.SetVersion,
+	}
+	if request.TicketRevision != 0 {
+		config.Ticket = lagoonlanding.NewTicket(request.TicketRevision, time.UnixMilli(request.TicketIssued))
+	}
+	return lagoonlanding.NewRequest(config), nil
+}
+
+// Reply is the form of the reply to a forwarded request.
+type Reply struct {
+	RequestID string
+	Outcome   uint8
+	Reason    string
+	Status    int
+	Headers   []Header
+	Body      []byte
+	RetryIn   time.Duration
+	Owner     Instance
+	Repeated  bool
+}
+
+// FromReply returns the form of the reply that is sent now.
+func FromReply(reply lagoonlanding.Reply, now time.Time) Reply {
+	return Reply{
+		RequestID: reply.RequestID(), Outcome: uint8(reply.Outcome()), Reason: string(reply.Reason()),
+		Status: reply.Status(), Headers: fromHeaders(reply.Headers()), Body: reply.Body(),
+		RetryIn: remaining(reply.RetryAfter(), now), Owner: FromInstance(reply.Owner()), Repeated: reply.IsRepeated(),
+	}
+}
+
+// Value returns the reply.
+func (reply Reply) Value(now time.Time) (lagoonlanding.Reply, error) {
+	outcome, err := statusOf(reply.Outcome, lagoonlanding.OutcomeAnswered, lagoonlanding.OutcomeUnknown)
+	if err != nil {
+		return lagoonlanding.Reply{}, fmt.Errorf("outcome of request %s: %w", reply.RequestID, err)
+	}
+	return lagoonlanding.NewReply(lagoonlanding.ReplyConfig{
+		RequestID: reply.RequestID, Outcome: outcome, Reason: lagoonlanding.Reason(reply.Reason),
+		Status: reply.Status, Headers: headersOf(reply.Headers), Body: reply.Body,
+		RetryAfter: deadlineOf(reply.RetryIn, now), Owner: reply.Owner.Value(), Repeated: reply.Repeated,
+	}), nil
+}
+
+func fromHeaders(headers []lagoonlanding.Header) []Header {
+	if len(headers) == 0 {
+		return nil
+	}
+	forms := make([]Header, len(headers))
+	for i, header := range headers {
+		forms[i] = Header{Name: header.Name(), Value: header.Value()}
+	}
+	return forms
+}
+
+func headersOf(forms []Header) []lagoonlanding.Header {
+	if len(forms) == 0 {
+		return nil
+	}
+	headers := make([]lagoonlanding.Header, len(forms))
+	for i, form := range forms {
+		headers[i] = lagoonlanding.NewHeader(form.Name, form.Value)
+	}
+	return headers
+}
