Keep a ledger of non-idempotent requests

Cause: an owner must tell a later try of a request from a first one, also after a move or a loss of the shard. Weighed: refusing an expired ticket as not run. Its request may have run under an entry that has expired, so the outcome is unknown, unless the entry is still there. A reused idempotency key with another method, path or body is refused, for which Attempt gets a digest.

--- /dev/null
+++ b/deduplicator/entry.go
@@ -0,0 +1,85 @@
+package deduplicator
+
+import (
+	"container/heap"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"lagoonlanding.example/lagoonlanding"
+)
+
+type entry struct {
+	shard    lagoonlanding.ShardID
+	key      string
+	digest   uint64
+	expires  time.Time
+	done     bool
+	reply    lagoonlanding.Reply
+	finished chan struct{}
+	index    int
+}
+
+// size returns the bytes that the kept answer occupies.
+func (entry *entry) size() int {
+	size := len(entry.reply.Body())
+	for _, header := range entry.reply.Headers() {
+		size += len(header.Name()) + len(header.Value())
+	}
+	return size
+}
+
+func (entry *entry) finish(reply lagoonlanding.Reply) {
+	entry.done = true
+	entry.reply = reply
+	close(entry.finished)
+}
+
+// attemptKey tells the attempts of all callers apart, whose idempotency keys are their own.
+func attemptKey(request lagoonlanding.Request) string {
+	return request.Tenant() + "\x00" + request.Key().Workspace() + "\x00" + request.IdempotencyKey()
+}
+
+func digest(request lagoonlanding.Request) uint64 {
+	hash := xxhash.New()
+	for _, part := range []string{request.Method(), request.Path()} {
+		_, _ = hash.WriteString(part)
+		_, _ = hash.Write([]byte{0})
+	}
+	_, _ = hash.Write(request.Body())
+	return max(hash.Sum64(), 1)
+}
+
+// expiry orders the entries by the time at which they expire.
+type expiry []*entry
+
+var _ heap.Interface = (*expiry)(nil)
+
+// Len returns the number of entries.
+func (expiry expiry) Len() int { return len(expiry) }
+
+// Less reports whether an entry expires before another.
+func (expiry expiry) Less(i, j int) bool { return expiry[i].expires.Before(expiry[j].expires) }
+
+// Swap exchanges two entries.
+func (expiry expiry) Swap(i, j int) {
+	expiry[i], expiry[j] = expiry[j], expiry[i]
+	expiry[i].index = i
+	expiry[j].index = j
+}
+
+// Push appends an entry.
+func (expiry *expiry) Push(added any) {
+	entry := added.(*entry)
+	entry.index = len(*expiry)
+	*expiry = append(*expiry, entry)
+}
+
+// Pop removes the last entry.
+func (expiry *expiry) Pop() any {
+	last := len(*expiry) - 1
+	entry := (*expiry)[last]
+	(*expiry)[last] = nil
+	*expiry = (*expiry)[:last]
+	return entry
+}
--- a/handover.go
+++ b/handover.go
@@ -8,6 +8,7 @@
 	expires time.Time
 	done    bool
 	reply   Reply
+	digest  uint64
 }
 
 // NewAttempt returns the account of the request with the idempotency key; reply is set once it is done.
@@ -24,6 +25,15 @@
 // IsDone reports whether the reply is known.
 func (attempt Attempt) IsDone() bool { return attempt.done }
 
+// WithDigest returns the account with the digest of the request's method, path and body.
+func (attempt Attempt) WithDigest(digest uint64) Attempt {
+	attempt.digest = digest
+	return attempt
+}
+
+// Digest returns the digest of the request's method, path and body, zero if it is not known.
+func (attempt Attempt) Digest() uint64 { return attempt.digest }
+
 // Reply returns the outcome of the request.
 func (attempt Attempt) Reply() Reply { return attempt.reply }
 
--- a/reply.go
+++ b/reply.go
@@ -55,6 +55,8 @@
 	ReasonTicketPredates   Reason = "ticket-predates-owner"
 	ReasonKeyMissing       Reason = "idempotency-key-missing"
 	ReasonInProgress       Reason = "first-try-in-progress"
+	ReasonKeyReused        Reason = "idempotency-key-reused"
+	ReasonAnswerNotKept    Reason = "answer-not-kept"
 	ReasonQuarantined      Reason = "quarantined"
 	ReasonUpstreamRefused  Reason = "upstream-refused"
 	ReasonUpstreamFailed   Reason = "upstream-failed"
