--- a/controller/answer.go
+++ b/controller/answer.go
@@ -91,3 +91,10 @@
 	}
 	return lagoonlanding.NewHandoverReply(status)
 }
+
+// LoseAttempts notes that the ledger of a taken shard starts anew, since the attempts of its prior owner did not fit.
+func (controller *Controller) LoseAttempts(id lagoonlanding.GroupID, shard int) {
+	if group, ok := controller.groups[id]; ok && group.holder != nil {
+		group.holder.LoseAttempts(shard)
+	}
+}
--- a/controller/coordinate.go
+++ b/controller/coordinate.go
@@ -91,22 +91,23 @@
 
 // ReadBack takes the entry of a record whose write failed or whose answer was lost.
 func (controller *Controller) ReadBack(now time.Time, key string, entry lagoonlanding.Entry, err error) {
-	id, ok := lagoonlanding.ParseGroupKey(key)
-	if !ok {
-		return
+	id, isGroup := lagoonlanding.ParseGroupKey(key)
+	if isGroup {
+		controller.group(id).swapping = false
 	}
-	group := controller.group(id)
-	group.swapping = false
 	if errors.Is(err, lagoonlanding.ErrNotFound) {
+		controller.sawStore()
 		return
 	}
 	if err != nil {
-		controller.blind = true
-		controller.nextWatch = now.Add(storeRetryInterval)
+		controller.missedStore(now, err)
 		return
 	}
+	controller.sawStore()
 	controller.learn(now, entry)
-	controller.tellRecord(group)
+	if isGroup {
+		controller.tellRecord(controller.group(id))
+	}
 }
 
 // tellRecord tells the members and witnesses of the current and the prior layout of the newest record.
--- a/controller/runner.go
+++ b/controller/runner.go
@@ -120,7 +120,9 @@
 		runner.config.Traffic.Drop(drop.Group(), drop.Shard())
 	}
 	for _, handover := range outbox.Imports() {
-		runner.config.Traffic.Import(handover.Group(), handover.Shard(), handover.Attempts())
+		if !runner.config.Traffic.Import(handover.Group(), handover.Shard(), handover.Attempts()) {
+			runner.config.Controller.LoseAttempts(handover.Group(), handover.Shard())
+		}
 	}
 	runner.publish()
 	runner.send(ctx, outbox)
--- a/controller/tick.go
+++ b/controller/tick.go
@@ -38,13 +38,37 @@
 
 // tendWatch keeps one read of the store waiting if this instance must learn from the store itself.
 func (controller *Controller) tendWatch(now time.Time) {
-	if controller.watching || now.Before(controller.nextWatch) || !controller.mustWatch(now) {
+	if now.Before(controller.nextWatch) || !controller.mustWatch(now) {
+		return
+	}
+	if controller.watching {
+		controller.probe(now)
 		return
 	}
 	controller.watching = true
 	controller.outbox.watch = true
 }
 
+// probe reads an entry of a store that failed a call while a watch goes on waiting.
+func (controller *Controller) probe(now time.Time) {
+	if controller.blind {
+		controller.nextWatch = now.Add(storeRetryInterval)
+		controller.outbox.reads = append(controller.outbox.reads, lagoonlanding.SetKey)
+	}
+}
+
+// sawStore notes that the store answered.
+func (controller *Controller) sawStore() { controller.blind = false }
+
+// missedStore notes that the store did not answer.
+func (controller *Controller) missedStore(now time.Time, err error) {
+	if !controller.blind {
+		controller.fail(fmt.Errorf("reach the store: %w", err))
+	}
+	controller.blind = true
+	controller.nextWatch = now.Add(storeRetryInterval)
+}
+
 // mustWatch reports whether no other instance tells this one the news of the store.
 func (controller *Controller) mustWatch(now time.Time) bool {
 	isMember := false
@@ -64,14 +88,10 @@
 func (controller *Controller) Watched(now time.Time, listing lagoonlanding.Listing, err error) {
 	controller.watching = false
 	if err != nil {
-		if !controller.blind {
-			controller.fail(fmt.Errorf("read the store: %w", err))
-		}
-		controller.blind = true
-		controller.nextWatch = now.Add(storeRetryInterval)
+		controller.missedStore(now, err)
 		return
 	}
-	controller.blind = false
+	controller.sawStore()
 	controller.learnListing(now, listing)
 	controller.tendWatch(now)
 }
--- /dev/null
+++ b/dispatcher/dispatcher.go
@@ -0,0 +1,149 @@
+package dispatcher
+
+import (
+	"context"
+	"time"
+
+	"lagoonlanding.example/lagoonlanding"
+	"lagoonlanding.example/lagoonlanding/deduplicator"
+	"lagoonlanding.example/lagoonlanding/router"
+)
+
+// retryInterval is the time between two tries to reach an owner.
+const retryInterval = 25 * time.Millisecond
+
+// Config holds what a Dispatcher works with.
+type Config struct {
+	// Snapshots gives the newest snapshot of the control state.
+	Snapshots lagoonlanding.Source[*router.Snapshot]
+	// Clock tells the time.
+	Clock lagoonlanding.Clock
+	// Peers carries requests to other instances.
+	Peers lagoonlanding.Peers
+	// Upstream is the backend server beside this instance.
+	Upstream lagoonlanding.Upstream
+	// Ledger holds the recent non-idempotent requests.
+	Ledger *deduplicator.Ledger
+}
+
+// Dispatcher is the traffic path of one instance; it is safe for use by many goroutines.
+type Dispatcher struct {
+	config  Config
+	counter *counter
+}
+
+// New returns a dispatcher that has admitted no request yet.
+func New(config Config) *Dispatcher {
+	return &Dispatcher{config: config, counter: newCounter()}
+}
+
+// Dispatch returns what became of the request; ctx ends at the request's deadline or when its caller goes away.
+func (dispatcher *Dispatcher) Dispatch(ctx context.Context, request lagoonlanding.Request) lagoonlanding.Reply {
+	for {
+		// The channel is taken before the snapshot that it follows, so that no change is missed.
+		changed := dispatcher.config.Snapshots.Changed()
+		step := dispatcher.Attempt(ctx, request)
+		if !step.isRetry() {
+			return step.reply
+		}
+		if !dispatcher.await(ctx, step, changed) {
+			return step.reply
+		}
+	}
+}
+
+// OnForward serves a request that another instance has forwarded.
+func (dispatcher *Dispatcher) OnForward(ctx context.Context, request lagoonlanding.Request) lagoonlanding.Reply {
+	return dispatcher.Dispatch(ctx, request)
+}
+
+// Step is the result of one attempt at a request.
+type Step struct {
+	reply lagoonlanding.Reply
+	retry retry
+	// finished is closed when an earlier try of the same request has ended.
+	finished <-chan struct{}
+}
+
+// retry says what a further attempt waits for.
+type retry uint8
+
+const (
+	retryNever retry = iota
+	retryAtChange
+	retryLater
+	retryAtFinish
+)
+
+// Reply returns what became of the request, or its refusal if it is not attempted again.
+func (step Step) Reply() lagoonlanding.Reply { return step.reply }
+
+func (step Step) isRetry() bool { return step.retry != retryNever }
+
+func final(reply lagoonlanding.Reply) Step { return Step{reply: reply} }
+
+// await waits for what the step needs and reports whether a further attempt makes sense.
+func (dispatcher *Dispatcher) await(ctx context.Context, step Step, changed <-chan struct{}) bool {
+	switch step.retry {
+	case retryAtFinish:
+		changed = step.finished
+	case retryLater:
+		changed = nil
+	}
+	var later <-chan time.Time
+	if step.retry == retryLater {
+		later = dispatcher.config.Clock.Until(dispatcher.config.Clock.Now().Add(retryInterval))
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-changed:
+		return true
+	case <-later:
+		return true
+	}
+}
+
+// Attempt makes one attempt at the request without waiting for a change of ownership.
+func (dispatcher *Dispatcher) Attempt(ctx context.Context, request lagoonlanding.Request) Step {
+	snapshot := dispatcher.config.Snapshots.Current()
+	now := dispatcher.config.Clock.Now()
+	if !now.Before(request.Deadline()) {
+		return final(lagoonlanding.Refuse(request, lagoonlanding.ReasonDeadline).By(snapshot.Self()))
+	}
+	decision := snapshot.Decide(now, request)
+	switch decision.Kind() {
+	case router.KindServe:
+		return dispatcher.serveOwned(ctx, snapshot, decision, request)
+	case router.KindForward:
+		return dispatcher.forward(ctx, snapshot, decision.To(), request)
+	case router.KindPick:
+		return dispatcher.servePicked(ctx, snapshot, decision, request)
+	case router.KindWait:
+		return Step{reply: lagoonlanding.Refuse(request, decision.Reason()).By(snapshot.Self()), retry: retryAtChange}
+	}
+	return final(lagoonlanding.Refuse(request, decision.Reason()).By(snapshot.Self()))
+}
+
+// AwaitIdle waits until no admitted request of the shard is left, or ctx ends.
+func (dispatcher *Dispatcher) AwaitIdle(ctx context.Context, group lagoonlanding.GroupID, shard int) error {
+	return dispatcher.counter.awaitIdle(ctx, lagoonlanding.NewShardID(group, shard))
+}
+
+// Export returns the recent attempts of the shard.
+func (dispatcher *Dispatcher) Export(group lagoonlanding.GroupID, shard int) []lagoonlanding.Attempt {
+	return dispatcher.config.Ledger.Export(dispatcher.config.Clock.Now(), lagoonlanding.NewShardID(group, shard))
+}
+
+// Import takes the attempts of a shard over and reports whether they fit.
+func (dispatcher *Dispatcher) Import(group lagoonlanding.GroupID, shard int, attempts []lagoonlanding.Attempt) bool {
+	return dispatcher.config.Ledger.Import(dispatcher.config.Clock.Now(), lagoonlanding.NewShardID(group, shard), attempts)
+}
+
+// Drop forgets the attempts of a shard.
+func (dispatcher *Dispatcher) Drop(group lagoonlanding.GroupID, shard int) {
+	dispatcher.config.Ledger.Drop(lagoonlanding.NewShardID(group, shard))
+}
+
+// Loads returns the busiest shards of the group.
+func (dispatcher *Dispatcher) Loads(lagoonlanding.GroupID) []lagoonlanding.ShardLoad { return nil }
--- /dev/null
+++ b/dispatcher/serve.go
@@ -0,0 +1,65 @@
+package dispatcher
+
+import (
+	"context"
+	"errors"
+
+	"lagoonlanding.example/lagoonlanding"
+	"lagoonlanding.example/lagoonlanding/deduplicator"
+	"lagoonlanding.example/lagoonlanding/router"
+)
+
+// serveOwned runs a request whose shard this instance owns.
+func (dispatcher *Dispatcher) serveOwned(
+	ctx context.Context, snapshot *router.Snapshot, decision router.Decision, request lagoonlanding.Request,
+) Step {
+	self := snapshot.Self()
+	if request.Ticket().Revision() > snapshot.Revision() {
+		// A newer layout that this instance has not heard of may have moved the shard.
+		return Step{reply: lagoonlanding.Refuse(request, lagoonlanding.ReasonTicketAhead).By(self), retry: retryAtChange}
+	}
+	shard := lagoonlanding.NewShardID(decision.Fence().Group(), decision.Fence().Shard())
+	dispatcher.counter.enter(shard)
+	defer dispatcher.counter.leave(shard)
+	// A drain that began before the request was counted does not wait for it.
+	if !dispatcher.owns(decision.Fence()) {
+		return Step{reply: lagoonlanding.Refuse(request, lagoonlanding.ReasonMoving).By(self), retry: retryAtChange}
+	}
+	verdict := dispatcher.config.Ledger.Begin(dispatcher.config.Clock.Now(), shard, request, decision.Since())
+	switch verdict.Kind() {
+	case deduplicator.Run:
+		reply := dispatcher.run(ctx, request, decision.Fence()).By(self)
+		dispatcher.config.Ledger.Finish(verdict, reply)
+		return final(reply)
+	case deduplicator.Wait:
+		return Step{reply: verdict.Reply().By(self), retry: retryAtFinish, finished: verdict.Finished()}
+	}
+	return final(verdict.Reply().By(self))
+}
+
+// owns reports whether the lease over the fence's shard holds now under the fence's token.
+func (dispatcher *Dispatcher) owns(fence lagoonlanding.Fence) bool {
+	holding, ok := dispatcher.config.Snapshots.Current().Holding(fence.Group())
+	return ok && holding.Token(fence.Shard()) == fence.Token() && dispatcher.config.Clock.Now().Before(holding.Deadline())
+}
+
+// run passes the request to the backend server beside this instance.
+func (dispatcher *Dispatcher) run(ctx context.Context, request lagoonlanding.Request, fence lagoonlanding.Fence) lagoonlanding.Reply {
+	if !dispatcher.config.Clock.Now().Before(request.Deadline()) {
+		return lagoonlanding.Refuse(request, lagoonlanding.ReasonDeadline)
+	}
+	if !fence.IsZero() && !dispatcher.owns(fence) {
+		return lagoonlanding.Refuse(request, lagoonlanding.ReasonLeaseLapsed)
+	}
+	reply, err := dispatcher.config.Upstream.Serve(ctx, request, fence)
+	if errors.Is(err, lagoonlanding.ErrNotSent) {
+		return lagoonlanding.Refuse(request, lagoonlanding.ReasonUpstreamFailed)
+	}
+	if err != nil {
+		return lagoonlanding.Unknown(request, lagoonlanding.ReasonConnectionLost)
+	}
+	if reply.RequestID() != request.ID() {
+		return lagoonlanding.Unknown(request, lagoonlanding.ReasonMismatchedAnswer)
+	}
+	return reply
+}
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -189,5 +189,9 @@
 	return since
 }
 
-// SinceOf returns the store revision from which on the shard's ledger is complete.
-func (holder *Holder) SinceOf(index int) uint64 { return holder.shards[index].since }
+// LoseAttempts dates the shard's ledger from the adopted layout on.
+func (holder *Holder) LoseAttempts(index int) {
+	if index < len(holder.shards) {
+		holder.shards[index].since = holder.record.Revision()
+	}
+}
--- a/traffic.go
+++ b/traffic.go
@@ -8,8 +8,8 @@
 	AwaitIdle(ctx context.Context, group GroupID, shard int) error
 	// Export returns the recent attempts of the shard.
 	Export(group GroupID, shard int) []Attempt
-	// Import takes the attempts of a shard over from its prior owner.
-	Import(group GroupID, shard int, attempts []Attempt)
+	// Import takes the attempts of a shard over from its prior owner; it is false, and the shard forgotten, if they do not fit.
+	Import(group GroupID, shard int, attempts []Attempt) bool
 	// Drop forgets the attempts of a shard.
 	Drop(group GroupID, shard int)
 	// Loads returns the busiest shards of the group.
