Add the stand-in for the platform's store

The demo and the fault runs need the platform's key-value service, which is not shipped with the router.

--- /dev/null
+++ b/storestandin/receiver/doc.go
@@ -0,0 +1,2 @@
+// Package receiver answers the HTTP calls to the stand-in for the platform's store.
+package receiver
