Guard the backend server with slots, a ramp and an ordered queue

Cause: a cold backend server collapses under full load, and one tenant or slow class must not hold up the rest. Weighed for the ramp: doubling at each round; a server that warms by work would get more than it bears. Chosen: one more request in flight after 16 completions that look normal, and back to one after a reset, errors, a pause of a minute, or 16 completions three times as slow as usual. Load reports do not count. Weighed for a full queue: refusing whoever comes; a flood then shuts out the others. Chosen: the newest request of the tenant with the most for its weight makes room. Change: limiter.Server (Arrive, Enter, Leave, Abandon, Drain, Restart), root interface Order with four orders below scheduler: arrival, deadline, fair between tenants, and priority by cost over mean service time (Proposition 2.1 of 'Optimal Stochastic Scheduling in Multiclass Parallel Queues'), which ages. The limit is asserted at each start. Checked: go test -race ./limiter ./scheduler.

--- a/reply.go
+++ b/reply.go
@@ -47,6 +47,7 @@
 	ReasonUnreachable      Reason = "owner-unreachable"
 	ReasonQueueFull        Reason = "queue-full"
 	ReasonDeadline         Reason = "deadline"
+	ReasonCancelled        Reason = "cancelled"
 	ReasonTenantLimit      Reason = "tenant-limit"
 	ReasonLedgerFull       Reason = "ledger-full"
 	ReasonTicketMissing    Reason = "ticket-missing"
--- /dev/null
+++ b/scheduler/arrival.go
@@ -0,0 +1,35 @@
+package scheduler
+
+import (
+	"time"
+
+	"lagoonlanding.example/lagoonlanding"
+)
+
+// Arrival serves requests in the order of their arrival.
+type Arrival struct {
+	line *line
+}
+
+var _ lagoonlanding.Order = (*Arrival)(nil)
+
+// NewArrival returns an empty queue in the order of arrival.
+func NewArrival() *Arrival { return &Arrival{line: newLine()} }
+
+// Add appends a request.
+func (arrival *Arrival) Add(waiting lagoonlanding.Waiting) { arrival.line.push(waiting) }
+
+// Next removes and returns the oldest request.
+func (arrival *Arrival) Next(time.Time) (lagoonlanding.Waiting, bool) {
+	waiting, ok := arrival.line.head()
+	if ok {
+		arrival.line.remove(waiting.ID())
+	}
+	return waiting, ok
+}
+
+// Remove takes out a request that waits no longer.
+func (arrival *Arrival) Remove(waiting lagoonlanding.Waiting) { arrival.line.remove(waiting.ID()) }
+
+// Finish does nothing: the order of arrival needs no service times.
+func (arrival *Arrival) Finish(lagoonlanding.Waiting, time.Duration) {}
