Parse, check and encode the published set

Cause: the daemons and operators need one whole set, refused with every fault in one pass. Ruled out: a line scanner for the places of faults; the TOML library knows the lines and tells them in errors. Change: parser (TOML to set and back), publisher.Check and CheckChange, encoder.Sets (compressed JSON), Publication in the set, so that a lost answer can be read back. Conclusion: one path from files to the store's bytes.

--- /dev/null
+++ b/encoder/set_test.go
@@ -0,0 +1,96 @@
+package encoder
+
+import (
+	"errors"
+	"fmt"
+	"math/rand"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"lagoonlanding.example/lagoonlanding"
+	"lagoonlanding.example/lagoonlanding/publisher"
+)
+
+var compareSets = cmp.AllowUnexported(
+	publisher.Set{}, publisher.Publication{}, publisher.HomeRegion{}, publisher.AvailabilityZone{}, publisher.Service{},
+	publisher.Partition{}, publisher.Workspace{}, publisher.Tenant{}, publisher.Class{}, publisher.Route{},
+)
+
+func sampleSet(tenants int) *publisher.Set {
+	config := publisher.SetConfig{
+		Version:     7,
+		Publication: publisher.NewPublication(publisher.PublicationConfig{ID: "a1", Operator: "ops", Note: "why", Issued: time.Unix(5, 0).UTC()}),
+		HomeRegions: []publisher.HomeRegion{publisher.NewHomeRegion(publisher.HomeRegionConfig{Name: "doto"})},
+		AvailabilityZones: []publisher.AvailabilityZone{
+			publisher.NewAvailabilityZone(publisher.AvailabilityZoneConfig{Name: "kushiro", Region: "doto", Out: true}),
+		},
+		Services: []publisher.Service{publisher.NewService(publisher.ServiceConfig{
+			Name: "catalogue", Divided: true, ChecksFence: true, LongestDeadline: time.Second, Slots: 6, Connections: 60, Queue: 9,
+			Partitions: []publisher.Partition{publisher.NewPartition(publisher.PartitionConfig{Name: "all", Regions: []string{"doto"}, Shards: 8})},
+		})},
+		Workspaces: []publisher.Workspace{publisher.NewWorkspace(publisher.WorkspaceConfig{Name: "ezo", HomeRegions: []string{"doto"}})},
+		Classes:    []publisher.Class{publisher.NewClass(publisher.ClassConfig{Name: "lookup", Cost: 3})},
+		Routes: []publisher.Route{publisher.NewRoute(publisher.RouteConfig{
+			Name: "script", Path: "/scripts/{key}", Methods: []string{"GET"}, Service: "catalogue", Class: "lookup", Idempotent: true,
+		})},
+	}
+	random := rand.New(rand.NewSource(1))
+	for i := range tenants {
+		name := fmt.Sprintf("tenant-%x-%d", random.Uint64(), i)
+		config.Tenants = append(config.Tenants, publisher.NewTenant(publisher.TenantConfig{Name: name, Workspace: "ezo", Weight: 1, Limit: i}))
+	}
+	return publisher.NewSet(config)
+}
+
+func TestSetsRoundTrip(t *testing.T) {
+	set := sampleSet(2)
+	value, err := Sets{}.Encode(set)
+	if err != nil {
+		t.Fatal(err)
+	}
+	decoded, err := Sets{}.Decode(lagoonlanding.NewEntry(lagoonlanding.SetKey, value, 3))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(set, decoded, compareSets); diff != "" {
+		t.Fatal(diff)
+	}
+}
+
+func TestSetsRefuse(t *testing.T) {
+	value, err := Sets{}.Encode(sampleSet(1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	cases := map[string][]byte{
+		"empty": nil, "format": {9, 1}, "cut": value[:len(value)/2], "large": append([]byte{setFormat}, make([]byte, MaxSetSize)...),
+	}
+	for name, value := range cases {
+		if set, err := (Sets{}).Decode(lagoonlanding.NewEntry(lagoonlanding.SetKey, value, 3)); err == nil {
+			t.Errorf("%s: decoded %v", name, set)
+		}
+	}
+	if _, err := (Sets{}).Encode(sampleSet(100000)); !errors.Is(err, ErrSetTooLarge) {
+		t.Errorf("encoded 100000 tenants: %v", err)
+	}
+}
+
+func FuzzSetsDecode(f *testing.F) {
+	value, err := Sets{}.Encode(sampleSet(1))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(value)
+	f.Add([]byte{setFormat})
+	f.Fuzz(func(t *testing.T, value []byte) {
+		set, err := Sets{}.Decode(lagoonlanding.NewEntry("fuzz", value, 1))
+		if err != nil {
+			return
+		}
+		if _, err := (Sets{}).Encode(set); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
--- /dev/null
+++ b/parser/doc.go
@@ -0,0 +1,2 @@
+// Package parser reads the published set from the operators' TOML files, and writes it as TOML.
+package parser
--- /dev/null
+++ b/parser/fault.go
@@ -0,0 +1,50 @@
+package parser
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"lagoonlanding.example/lagoonlanding/publisher"
+)
+
+// Fault is one reason why a source is refused, with its place.
+type Fault struct {
+	file  string
+	line  int
+	fault publisher.Fault
+}
+
+// NewFault returns the fault at a line of a file; line is zero if no line is to blame.
+func NewFault(file string, line int, fault publisher.Fault) Fault {
+	return Fault{file: file, line: line, fault: fault}
+}
+
+// File returns the name of the source.
+func (fault Fault) File() string { return fault.file }
+
+// Line returns the number of the line, counted from one, or zero.
+func (fault Fault) Line() int { return fault.line }
+
+// Object returns the kind and name of the object.
+func (fault Fault) Object() string { return fault.fault.Object() }
+
+// Field returns the name of the field.
+func (fault Fault) Field() string { return fault.fault.Field() }
+
+// Problem returns what is wrong.
+func (fault Fault) Problem() string { return fault.fault.Problem() }
+
+// Error returns the place and the problem.
+func (fault Fault) Error() string {
+	if fault.file == "" {
+		return fault.fault.Error()
+	}
+	return fmt.Sprintf("%s:%d: %s", fault.file, fault.line, fault.fault.Error())
+}
+
+func sortFaults(faults []Fault) {
+	slices.SortStableFunc(faults, func(a, b Fault) int {
+		return cmp.Or(cmp.Compare(a.file, b.file), cmp.Compare(a.line, b.line), cmp.Compare(a.Error(), b.Error()))
+	})
+}
--- /dev/null
+++ b/publisher/change.go
@@ -0,0 +1,78 @@
+package publisher
+
+import (
+	"fmt"
+	"slices"
+)
+
+const separately = "remove it in one publish and add it under another name in a later one"
+
+// CheckChange returns every fault in replacing the old set by the new one; old is nil before the first publish.
+//
+// The partition and the shard of a key are a function of its workspace and service, so what they depend on stays as it is
+// while owners live by it.
+func CheckChange(old, new *Set) []Fault {
+	if old == nil {
+		return nil
+	}
+	var faults []Fault
+	if new.Version() <= old.Version() {
+		problem := fmt.Sprintf("version %d does not follow version %d", new.Version(), old.Version())
+		faults = append(faults, NewFault("set", "version", problem))
+	}
+	for _, workspace := range new.Workspaces() {
+		before, ok := old.Workspace(workspace.Name())
+		if ok && !sameNames(before.HomeRegions(), workspace.HomeRegions()) {
+			problem := fmt.Sprintf("the home regions %v of a workspace in force cannot change; %s", before.HomeRegions(), separately)
+			faults = append(faults, NewFault("workspace."+workspace.Name(), "home-regions", problem))
+		}
+	}
+	for _, service := range new.Services() {
+		before, ok := old.Service(service.Name())
+		if ok && (before.IsDivided() || service.IsDivided()) {
+			faults = append(faults, checkServiceChange(before, service)...)
+		}
+	}
+	return faults
+}
+
+func checkServiceChange(before, service Service) []Fault {
+	object := "service." + service.Name()
+	if before.IsDivided() != service.IsDivided() {
+		return []Fault{NewFault(object, "divided", "it cannot change for a service in force; "+separately)}
+	}
+	var faults []Fault
+	for _, partition := range before.Partitions() {
+		after, ok := service.partition(partition.Name())
+		part := object + ".partition." + partition.Name()
+		switch {
+		case !ok:
+			faults = append(faults, NewFault(object, "partition", fmt.Sprintf("partition %q of a divided service in force cannot go; %s", partition.Name(), separately)))
+		case !sameNames(partition.Regions(), after.Regions()):
+			faults = append(faults, NewFault(part, "regions", "the regions of a partition in force cannot change; "+separately))
+		case partition.Shards() != after.Shards():
+			faults = append(faults, NewFault(part, "shards", "the shards of a partition in force cannot change; "+separately))
+		}
+	}
+	for _, partition := range service.Partitions() {
+		if _, ok := before.partition(partition.Name()); !ok {
+			faults = append(faults, NewFault(object+".partition."+partition.Name(), "", "a divided service in force cannot get another partition; "+separately))
+		}
+	}
+	return faults
+}
+
+func (service Service) partition(name string) (Partition, bool) {
+	for _, partition := range service.Partitions() {
+		if partition.Name() == name {
+			return partition, true
+		}
+	}
+	return Partition{}, false
+}
+
+func sameNames(first, second []string) bool {
+	left := slices.Sorted(slices.Values(first))
+	right := slices.Sorted(slices.Values(second))
+	return slices.Equal(left, right)
+}
--- a/publisher/set.go
+++ b/publisher/set.go
@@ -9,6 +9,8 @@
 type SetConfig struct {
 	// Version counts the published sets; it only grows.
 	Version uint64
+	// Publication says who published the set, when and why.
+	Publication Publication
 	// HomeRegions are the regions.
 	HomeRegions []HomeRegion
 	// AvailabilityZones are the zones of the regions.
@@ -43,6 +45,7 @@
 	return &Set{
 		config: SetConfig{
 			Version:           config.Version,
+			Publication:       config.Publication,
 			HomeRegions:       ordered(config.HomeRegions),
 			AvailabilityZones: ordered(config.AvailabilityZones),
 			Services:          ordered(config.Services),
@@ -77,6 +80,16 @@
 // Version returns the count of the published sets, zero before the first.
 func (set *Set) Version() uint64 { return set.config.Version }
 
+// Publication says who published the set, when and why.
+func (set *Set) Publication() Publication { return set.config.Publication }
+
+// WithPublication returns the same objects under another publication.
+func (set *Set) WithPublication(publication Publication) *Set {
+	config := set.config
+	config.Publication = publication
+	return NewSet(config)
+}
+
 // WithVersion returns the same objects under another version.
 func (set *Set) WithVersion(version uint64) *Set {
 	config := set.config
