Play long randomised runs of the real control and traffic code over fakes

Ruled out: goroutines with a fake clock, whose order no seed fixes. Requests are coroutines, and the control state's outbox is carried out in one thread.

Change: module soak with drifting clocks, a lossy network, a store with outages and lost answers, callers that resend, and a checker that knows the truth.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SKIP := $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$',)
 RACE ?= -race
 
-.PHONY: build test format lint unit known-red
+.PHONY: build test format lint unit known-red soak
 
 build:
 	@mkdir -p bin
@@ -26,3 +26,12 @@
 
 known-red:
 	@if grep -q '^test:' KNOWN-RED.txt; then echo "known red:"; cat KNOWN-RED.txt; fi
+
+SEED ?= 1
+STEPS ?= 4000
+
+# soak plays one seed, or with SEEDS="1 2 3" several.
+SEEDS ?= $(SEED)
+soak:
+	@cd soak && go build -o $(CURDIR)/bin/soak .
+	@for seed in $(SEEDS); do bin/soak -seed $$seed -steps $(STEPS) || exit 1; done
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -43,7 +43,7 @@
 		// The channel is taken before the snapshot that it follows, so that no change is missed.
 		changed := dispatcher.config.Snapshots.Changed()
 		step := dispatcher.Attempt(ctx, request)
-		if !step.isRetry() {
+		if !step.IsRetry() {
 			return step.reply
 		}
 		if !dispatcher.await(ctx, step, changed) {
@@ -78,7 +78,8 @@
 // Reply returns what became of the request, or its refusal if it is not attempted again.
 func (step Step) Reply() lagoonlanding.Reply { return step.reply }
 
-func (step Step) isRetry() bool { return step.retry != retryNever }
+// IsRetry reports whether a further attempt may have another result.
+func (step Step) IsRetry() bool { return step.retry != retryNever }
 
 func final(reply lagoonlanding.Reply) Step { return Step{reply: reply} }
 
