--- a/encoder/forward.go
+++ b/encoder/forward.go
@@ -129,3 +129,14 @@
 	}
 	return headers
 }
+
+// ForwardCall is a forwarded request with the number by which its sender may cancel it.
+type ForwardCall struct {
+	Number  uint64
+	Request Request
+}
+
+// Cancellation takes back the forwarded request of a number.
+type Cancellation struct {
+	Number uint64
+}
--- a/encoder/message.go
+++ b/encoder/message.go
@@ -15,9 +15,6 @@
 // Empty is the form of an answer without content.
 type Empty struct{}
 
-// Value returns nothing.
-func (empty Empty) Value(time.Time) (struct{}, error) { return struct{}{}, nil }
-
 // remaining returns the time until a deadline, never zero, which stands for no deadline.
 func remaining(deadline, now time.Time) time.Duration {
 	if deadline.IsZero() {
--- a/upstream.go
+++ b/upstream.go
@@ -5,8 +5,13 @@
 	"errors"
 )
 
-// ErrNotSent says that no byte of a request has left this process.
-var ErrNotSent = errors.New("the request was not sent")
+// Errors of those who pass a request on.
+var (
+	// ErrNotSent says that no byte of a request has left this process.
+	ErrNotSent = errors.New("the request was not sent")
+	// ErrMismatched says that the answer that came belongs to another request.
+	ErrMismatched = errors.New("the answer belongs to another request")
+)
 
 // Fence proves to a backend server that the sender owns the shard.
 type Fence struct {
