--- a/controller/cluster_test.go
+++ b/controller/cluster_test.go
@@ -35,7 +35,7 @@
 var testGroup = lagoonlanding.NewGroupID("status-app", "mesh")
 
 // fixedSet is a codec that always yields the same set.
-type fixedSet struct{ zonesOut map[string]bool }
+type fixedSet struct{}
 
 func (fixedset fixedSet) Encode(*publisher.Set) ([]byte, error) { return []byte{1}, nil }
 
