Let the dispatcher send requests through the limiter of the backend server

Cause: a cold backend server must never receive more than it bears, so each request needs a slot. Ruled out: a new limiter for each published change of bounds; the slots of two limiters would add up. Change: the dispatcher waits for a slot, checks lease and deadline again and reports how the slot was left. Conclusion: the request path is whole but for the choice of upstream and retries.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -30,6 +30,7 @@
 type Dispatcher struct {
 	config  Config
 	counter *counter
+	guard   guard
 }
 
 // New returns a dispatcher that has admitted no request yet.
--- a/dispatcher/serve.go
+++ b/dispatcher/serve.go
@@ -43,8 +43,19 @@
 	return ok && holding.Token(fence.Shard()) == fence.Token() && dispatcher.config.Clock.Now().Before(holding.Deadline())
 }
 
-// run passes the request to the backend server beside this instance.
+// run waits for a slot and passes the request to the backend server beside this instance.
 func (dispatcher *Dispatcher) run(ctx context.Context, request lagoonlanding.Request, fence lagoonlanding.Fence) lagoonlanding.Reply {
+	server, place, refusal := dispatcher.admit(ctx, request)
+	if place == nil {
+		return refusal
+	}
+	reply := dispatcher.send(ctx, request, fence)
+	server.Leave(dispatcher.config.Clock.Now(), place, result(ctx, reply))
+	return reply
+}
+
+// send passes the request to the backend server, if the lease still holds after the wait for the slot.
+func (dispatcher *Dispatcher) send(ctx context.Context, request lagoonlanding.Request, fence lagoonlanding.Fence) lagoonlanding.Reply {
 	if !dispatcher.config.Clock.Now().Before(request.Deadline()) {
 		return lagoonlanding.Refuse(request, lagoonlanding.ReasonDeadline)
 	}
--- a/limiter/server.go
+++ b/limiter/server.go
@@ -226,3 +226,13 @@
 		close(server.drained)
 	}
 }
+
+// Resize changes the bounds; a smaller one holds as soon as enough requests have left.
+func (server *Server) Resize(now time.Time, slots, connections, queue int) {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	server.config.Slots, server.config.Connections, server.config.Queue = slots, connections, queue
+	server.ramp.top = max(min(slots, connections), 1)
+	server.ramp.limit = min(server.ramp.limit, server.ramp.top)
+	server.dispatch(now)
+}
