--- a/encoder/handover.go
+++ b/encoder/handover.go
@@ -45,10 +45,11 @@
 
 // Attempt is the form of the account of a request.
 type Attempt struct {
-	Key   string
-	Left  time.Duration
-	Done  bool
-	Reply Reply
+	Key    string
+	Left   time.Duration
+	Done   bool
+	Reply  Reply
+	Digest uint64
 }
 
 // HandoverRequest is the form of a handover.
@@ -69,7 +70,7 @@
 		From: FromInstanceID(request.From()), To: FromInstanceID(request.To()), Since: request.Since(),
 	}
 	for _, attempt := range request.Attempts() {
-		one := Attempt{Key: attempt.Key(), Left: remaining(attempt.Expires(), now), Done: attempt.IsDone()}
+		one := Attempt{Key: attempt.Key(), Left: remaining(attempt.Expires(), now), Done: attempt.IsDone(), Digest: attempt.Digest()}
 		if attempt.IsDone() {
 			one.Reply = FromReply(attempt.Reply(), now)
 		}
@@ -103,14 +104,14 @@
 
 func (attempt Attempt) value(now time.Time) (lagoonlanding.Attempt, error) {
 	expires := deadlineOf(attempt.Left, now)
-	if !attempt.Done {
-		return lagoonlanding.NewAttempt(attempt.Key, expires, false, lagoonlanding.Reply{}), nil
-	}
-	reply, err := attempt.Reply.Value(now)
-	if err != nil {
-		return lagoonlanding.Attempt{}, err
+	var reply lagoonlanding.Reply
+	if attempt.Done {
+		var err error
+		if reply, err = attempt.Reply.Value(now); err != nil {
+			return lagoonlanding.Attempt{}, err
+		}
 	}
-	return lagoonlanding.NewAttempt(attempt.Key, expires, true, reply), nil
+	return lagoonlanding.NewAttempt(attempt.Key, expires, attempt.Done, reply).WithDigest(attempt.Digest), nil
 }
 
 // HandoverReply is the form of the answer to a handover.
--- a/encoder/message_test.go
+++ b/encoder/message_test.go
@@ -38,7 +38,7 @@
 		Group: lagoonlanding.NewGroupID("s", "p"), Version: 3, Shard: 2,
 		From: lagoonlanding.NewInstanceID("a", 1), To: lagoonlanding.NewInstanceID("b", 2), Since: 8,
 		Attempts: []lagoonlanding.Attempt{
-			lagoonlanding.NewAttempt("i", now.Add(time.Minute), true, sampleReply(now)),
+			lagoonlanding.NewAttempt("i", now.Add(time.Minute), true, sampleReply(now)).WithDigest(77),
 			lagoonlanding.NewAttempt("j", now.Add(time.Hour), false, lagoonlanding.Reply{}),
 		},
 	})
--- /dev/null
+++ b/loader/doc.go
@@ -0,0 +1,2 @@
+// Package loader reads the settings of the daemon and checks them as a whole.
+package loader
--- /dev/null
+++ b/router/table.go
@@ -0,0 +1,161 @@
+package router
+
+import (
+	"net/url"
+	"slices"
+	"strings"
+	"unicode/utf8"
+
+	"lagoonlanding.example/lagoonlanding"
+	"lagoonlanding.example/lagoonlanding/publisher"
+)
+
+const (
+	keySegment = "{key}"
+	// maxSegments bounds the segments of a path.
+	maxSegments = 64
+	// maxKeyBytes bounds a key.
+	maxKeyBytes = 1024
+)
+
+// Table finds the route of a request; it is built once for each published set.
+type Table struct {
+	root *node
+}
+
+// node is a place in the tree of all patterns.
+type node struct {
+	literals map[string]*node
+	key      *node
+	routes   []publisher.Route
+}
+
+// Match is the route of a request with the key that its path names.
+type Match struct {
+	route publisher.Route
+	key   string
+}
+
+// Route returns the route.
+func (match Match) Route() publisher.Route { return match.route }
+
+// Key returns the decoded key, empty if the pattern has none.
+func (match Match) Key() string { return match.key }
+
+// NewTable returns the table of the set's routes.
+func NewTable(set *publisher.Set) *Table {
+	table := &Table{root: &node{}}
+	for _, route := range set.Routes() {
+		table.add(route)
+	}
+	return table
+}
+
+func (table *Table) add(route publisher.Route) {
+	place := table.root
+	for segment := range strings.SplitSeq(strings.TrimPrefix(route.Path(), "/"), "/") {
+		place = place.child(segment)
+	}
+	place.routes = append(place.routes, route)
+}
+
+func (place *node) child(segment string) *node {
+	if segment == keySegment {
+		if place.key == nil {
+			place.key = &node{}
+		}
+		return place.key
+	}
+	if place.literals == nil {
+		place.literals = make(map[string]*node)
+	}
+	next, ok := place.literals[segment]
+	if !ok {
+		next = &node{}
+		place.literals[segment] = next
+	}
+	return next
+}
+
+// Match returns the route whose pattern covers the most segments of the escaped path; the reason tells why there is none.
+//
+// A pattern also covers longer paths that begin with it. Escaped bytes are decoded once, so a key may hold a slash.
+func (table *Table) Match(method, path string) (Match, lagoonlanding.Reason) {
+	segments, ok := split(path)
+	if !ok {
+		return Match{}, lagoonlanding.ReasonMalformed
+	}
+	search := search{method: method, segments: segments}
+	search.visit(table.root, 0, "", false)
+	if search.depth == 0 {
+		return Match{}, lagoonlanding.ReasonNoRoute
+	}
+	if search.hasKey && !isKey(search.found.key) {
+		return Match{}, lagoonlanding.ReasonMalformed
+	}
+	return search.found, lagoonlanding.ReasonNone
+}
+
+// search walks the tree along the segments of a path.
+type search struct {
+	method   string
+	segments []string
+	found    Match
+	hasKey   bool
+	depth    int
+}
+
+func (search *search) visit(place *node, depth int, key string, hasKey bool) {
+	if depth > search.depth {
+		if route, ok := place.route(search.method); ok {
+			search.found, search.hasKey, search.depth = Match{route: route, key: key}, hasKey, depth
+		}
+	}
+	if depth == len(search.segments) {
+		return
+	}
+	segment := search.segments[depth]
+	if next, ok := place.literals[segment]; ok {
+		search.visit(next, depth+1, key, hasKey)
+	}
+	if place.key != nil {
+		search.visit(place.key, depth+1, segment, true)
+	}
+}
+
+func (place *node) route(method string) (publisher.Route, bool) {
+	for _, route := range place.routes {
+		if len(route.Methods()) == 0 || slices.Contains(route.Methods(), method) {
+			return route, true
+		}
+	}
+	return publisher.Route{}, false
+}
+
+// split returns the decoded segments of a path; dot segments are refused, as backend servers may resolve them.
+func split(path string) ([]string, bool) {
+	rest, ok := strings.CutPrefix(path, "/")
+	if !ok {
+		return nil, false
+	}
+	segments := strings.SplitN(rest, "/", maxSegments+1)
+	if len(segments) > maxSegments {
+		return nil, false
+	}
+	for i, segment := range segments {
+		decoded, err := url.PathUnescape(segment)
+		if err != nil || decoded == "." || decoded == ".." {
+			return nil, false
+		}
+		segments[i] = decoded
+	}
+	return segments, true
+}
+
+// isKey reports whether the text can name a key in logs and header fields.
+func isKey(text string) bool {
+	if text == "" || len(text) > maxKeyBytes || !utf8.ValidString(text) {
+		return false
+	}
+	return !strings.ContainsFunc(text, func(char rune) bool { return char < ' ' || char == '\x7f' })
+}
--- /dev/null
+++ b/timekeeper/doc.go
@@ -0,0 +1,2 @@
+// Package timekeeper tells the time of this process.
+package timekeeper
