Tell operators what each instance knows of its groups, and withdraw when the backend server is gone

Cause: acceptance of a published set needs the versions that members apply, and a dead backend server must not own keys. Ruled out: trusting the load report of the backend server for health; only a missing answer or a stated drain counts.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -50,7 +50,9 @@
 	blind     bool
 	nextWatch time.Time
 	fetchEnds time.Time
-	leaving   bool
+	// withdrawn says that the backend server is gone, stopping that the process ends.
+	withdrawn bool
+	stopping  bool
 }
 
 // New returns the control state of an instance that knows nothing yet.
@@ -67,23 +69,39 @@
 
 func (controller *Controller) id() lagoonlanding.InstanceID { return controller.config.Self.ID() }
 
-// Announce notes that the backend server beside this instance runs the service.
+// Announce notes that the backend server beside this instance runs the service and takes work.
 func (controller *Controller) Announce(now time.Time, service string) {
 	self := controller.config.Self
-	if self.Service() == service {
+	if self.Service() == service && !controller.withdrawn {
 		return
 	}
 	controller.config.Self = self.WithService(service)
+	controller.withdrawn = false
 	controller.Tick(now)
 }
 
-// Leave starts to hand over all shards and to give up all roles.
+// Withdraw hands all shards over until the backend server announces itself again.
+func (controller *Controller) Withdraw(now time.Time) {
+	if !controller.withdrawn {
+		controller.withdrawn = true
+		controller.leaveSoon()
+		controller.Tick(now)
+	}
+}
+
+// Leave hands all shards over and gives up all roles for good.
 func (controller *Controller) Leave(now time.Time) {
-	controller.leaving = true
+	controller.stopping = true
+	controller.leaveSoon()
+	controller.Tick(now)
+}
+
+func (controller *Controller) isLeaving() bool { return controller.stopping || controller.withdrawn }
+
+func (controller *Controller) leaveSoon() {
 	for _, group := range controller.groups {
 		group.nextJoin = time.Time{}
 	}
-	controller.Tick(now)
 }
 
 // HasLeft reports whether no group's newest layout names this instance.
@@ -128,7 +146,7 @@
 	}
 	return router.NewSnapshot(router.SnapshotConfig{
 		Self: controller.config.Self, Set: controller.directory.set, Revision: controller.directory.revision,
-		Groups: controller.directory.groups, Holdings: holdings, Leaving: controller.leaving,
+		Groups: controller.directory.groups, Holdings: holdings, Leaving: controller.isLeaving(),
 	})
 }
 
@@ -171,7 +189,7 @@
 		known.granter = granter.New(granter.Config{Self: controller.id(), Record: record, Now: now})
 	}
 	known.noteRecord(now, record)
-	if controller.leaving {
+	if controller.isLeaving() {
 		// Another witness may coordinate now, and does not know yet.
 		known.nextJoin = time.Time{}
 	}
--- a/controller/membership.go
+++ b/controller/membership.go
@@ -18,7 +18,7 @@
 
 // tendMembership joins the groups that this instance should be in, or leaves all of them.
 func (controller *Controller) tendMembership(now time.Time) {
-	if controller.leaving {
+	if controller.isLeaving() {
 		controller.leaveAll(now)
 		return
 	}
--- a/controller/runner.go
+++ b/controller/runner.go
@@ -164,3 +164,8 @@
 func (runner *Runner) Announce(service string) {
 	runner.Do(func(now time.Time) { runner.config.Controller.Announce(now, service) })
 }
+
+// Withdraw hands all shards over until the backend server announces itself again.
+func (runner *Runner) Withdraw() {
+	runner.Do(func(now time.Time) { runner.config.Controller.Withdraw(now) })
+}
--- /dev/null
+++ b/controller/status.go
@@ -0,0 +1,62 @@
+package controller
+
+import (
+	"time"
+
+	"lagoonlanding.example/lagoonlanding"
+)
+
+// Status returns what this instance knows of itself and its groups.
+func (controller *Controller) Status(now time.Time) lagoonlanding.InstanceStatus {
+	config := lagoonlanding.InstanceStatusConfig{
+		Instance: controller.config.Self, Revision: controller.directory.revision,
+		Blind: controller.blind, Leaving: controller.isLeaving(),
+	}
+	if controller.directory.set != nil {
+		config.Set = controller.directory.set.Version()
+	}
+	for _, id := range controller.groupIDs() {
+		config.Groups = append(config.Groups, controller.groupStatus(now, id))
+	}
+	return lagoonlanding.NewInstanceStatus(config)
+}
+
+// OnStatus answers with what this instance knows of a group.
+func (controller *Controller) OnStatus(now time.Time, request lagoonlanding.StatusRequest) lagoonlanding.GroupStatus {
+	return controller.groupStatus(now, request.Group())
+}
+
+func (controller *Controller) groupStatus(now time.Time, id lagoonlanding.GroupID) lagoonlanding.GroupStatus {
+	record, _ := controller.directory.record(id)
+	config := lagoonlanding.GroupStatusConfig{Group: id, Version: record.Version(), Blind: controller.blind}
+	group, ok := controller.groups[id]
+	if !ok {
+		return lagoonlanding.NewGroupStatus(config)
+	}
+	config.Acting = controller.isActing(now, group)
+	config.Settled = group.tally != nil && group.tally.IsSettled()
+	if group.isWitness() {
+		for _, member := range record.Current().Members() {
+			config.Members = append(config.Members, lagoonlanding.NewMemberStatus(
+				member.ID(), member.State(), group.granter.Deadline(member.ID()), group.granter.Set(member.ID()),
+			))
+		}
+	}
+	if group.holder != nil {
+		config.Serving, config.Acquiring, config.Draining = group.holder.Counts()
+		config.Deadline = group.holder.Deadline()
+	}
+	return lagoonlanding.NewGroupStatus(config)
+}
+
+// Status returns what this instance knows of itself and its groups.
+func (runner *Runner) Status() lagoonlanding.InstanceStatus {
+	return answer(runner, func(now time.Time) lagoonlanding.InstanceStatus { return runner.config.Controller.Status(now) })
+}
+
+// OnStatus answers with what this instance knows of a group.
+func (runner *Runner) OnStatus(request lagoonlanding.StatusRequest) lagoonlanding.GroupStatus {
+	return answer(runner, func(now time.Time) lagoonlanding.GroupStatus {
+		return runner.config.Controller.OnStatus(now, request)
+	})
+}
--- a/encoder/message_test.go
+++ b/encoder/message_test.go
@@ -96,6 +96,17 @@
 	check(t, carry(t, FromClearanceRequest(clear)), clear)
 	given := lagoonlanding.NewClearanceReply(lagoonlanding.ClearanceGiven, 6, []lagoonlanding.InstanceID{a})
 	check(t, carry(t, FromClearanceReply(given)), given)
+	status := func(now time.Time) lagoonlanding.GroupStatus {
+		return lagoonlanding.NewGroupStatus(lagoonlanding.GroupStatusConfig{
+			Group: group, Version: 3, Acting: true, Settled: true, Blind: true, Serving: 1, Acquiring: 2, Draining: 3,
+			Deadline: now.Add(time.Second),
+			Members: []lagoonlanding.MemberStatus{
+				lagoonlanding.NewMemberStatus(instance("a", 1).ID(), lagoonlanding.MemberOut, now.Add(-time.Second), 7),
+				lagoonlanding.NewMemberStatus(instance("b", 2).ID(), lagoonlanding.MemberActive, time.Time{}, 0),
+			},
+		})
+	}
+	check(t, carry(t, FromGroupStatus(status(senderNow), senderNow)), status(receiverNow))
 	join := lagoonlanding.NewJoinRequest(group, instance("a", 1), true)
 	check(t, carry(t, FromJoinRequest(join)), join)
 	check(t, carry(t, FromJoinReply(lagoonlanding.NewJoinReply(true))), lagoonlanding.NewJoinReply(true))
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -195,3 +195,18 @@
 		holder.shards[index].since = holder.record.Revision()
 	}
 }
+
+// Counts returns how many shards the member serves, waits for and hands over.
+func (holder *Holder) Counts() (serving, acquiring, draining int) {
+	for _, shard := range holder.shards {
+		switch shard.state {
+		case stateServing:
+			serving++
+		case stateAcquiring:
+			acquiring++
+		case stateDraining:
+			draining++
+		}
+	}
+	return serving, acquiring, draining
+}
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -94,6 +94,12 @@
 	return ask[lagoonlanding.HandoverReply, encoder.HandoverReply](ctx, messenger, to, LaneTransfer, methodHandOver, form)
 }
 
+// Status asks for what the instance knows of a group.
+func (messenger *Messenger) Status(ctx context.Context, to lagoonlanding.Instance, request lagoonlanding.StatusRequest) (lagoonlanding.GroupStatus, error) {
+	form := encoder.FromStatusRequest(request)
+	return ask[lagoonlanding.GroupStatus, encoder.GroupStatus](ctx, messenger, to, LaneTransfer, methodStatus, form)
+}
+
 // Forward passes a caller's request on and cancels it at the peer once ctx ends.
 func (messenger *Messenger) Forward(ctx context.Context, to lagoonlanding.Instance, request lagoonlanding.Request) (lagoonlanding.Reply, error) {
 	number := messenger.number.Add(1)
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -41,6 +41,10 @@
 	return lagoonlanding.NewJoinReply(request.IsLeaving())
 }
 
+func (handler *handler) OnStatus(request lagoonlanding.StatusRequest) lagoonlanding.GroupStatus {
+	return lagoonlanding.NewGroupStatus(lagoonlanding.GroupStatusConfig{Group: request.Group(), Version: 4, Acting: true})
+}
+
 func (handler *handler) OnDirectory(request lagoonlanding.DirectoryRequest) lagoonlanding.DirectoryReply {
 	return lagoonlanding.NewDirectoryReply(lagoonlanding.NewListing(nil, request.After()+1))
 }
@@ -128,6 +132,8 @@
 	expect(t, cleared, lagoonlanding.NewClearanceReply(lagoonlanding.ClearanceGiven, 3, []lagoonlanding.InstanceID{id}), err)
 	joined, err := messenger.Join(ctx, to, lagoonlanding.NewJoinRequest(group, to, true))
 	expect(t, joined, lagoonlanding.NewJoinReply(true), err)
+	status, err := messenger.Status(ctx, to, lagoonlanding.NewStatusRequest(group))
+	expect(t, status, lagoonlanding.NewGroupStatus(lagoonlanding.GroupStatusConfig{Group: group, Version: 4, Acting: true}), err)
 	directory, err := messenger.Directory(ctx, to, lagoonlanding.NewDirectoryRequest(6))
 	expect(t, directory, lagoonlanding.NewDirectoryReply(lagoonlanding.NewListing(nil, 7)), err)
 	taken, err := messenger.HandOver(ctx, to, lagoonlanding.NewHandoverRequest(lagoonlanding.HandoverConfig{Group: group}))
--- a/messenger/session.go
+++ b/messenger/session.go
@@ -17,6 +17,7 @@
 	methodRenew     = "Renew"
 	methodClear     = "Clear"
 	methodJoin      = "Join"
+	methodStatus    = "Status"
 	methodDirectory = "Directory"
 	methodNotify    = "Notify"
 	methodHandOver  = "HandOver"
@@ -100,6 +101,14 @@
 	return respond(session.now(), form, answer, session.server.handler.OnJoin, encoder.FromJoinReply)
 }
 
+// Status answers with what this instance knows of a group.
+func (session *session) Status(form encoder.StatusRequest, answer *encoder.GroupStatus) error {
+	now := session.now()
+	return respond(now, form, answer, session.server.handler.OnStatus, func(status lagoonlanding.GroupStatus) encoder.GroupStatus {
+		return encoder.FromGroupStatus(status, now)
+	})
+}
+
 // Directory answers with newer entries of the store.
 func (session *session) Directory(form encoder.DirectoryRequest, answer *encoder.DirectoryReply) error {
 	return respond(session.now(), form, answer, session.server.handler.OnDirectory, encoder.FromDirectoryReply)
--- a/peer.go
+++ b/peer.go
@@ -16,6 +16,8 @@
 	Notify(ctx context.Context, to Instance, notice RecordNotice) error
 	// HandOver gives a shard to its new owner.
 	HandOver(ctx context.Context, to Instance, request HandoverRequest) (HandoverReply, error)
+	// Status asks for what the instance knows of a group.
+	Status(ctx context.Context, to Instance, request StatusRequest) (GroupStatus, error)
 	// Forward passes a caller's request on; ErrNotSent says that no byte of it has left.
 	Forward(ctx context.Context, to Instance, request Request) (Reply, error)
 }
@@ -34,6 +36,8 @@
 	OnNotice(notice RecordNotice)
 	// OnHandover takes over a shard.
 	OnHandover(request HandoverRequest) HandoverReply
+	// OnStatus answers with what the instance knows of a group.
+	OnStatus(request StatusRequest) GroupStatus
 	// OnForward serves a forwarded request.
 	OnForward(ctx context.Context, request Request) Reply
 }
