--- a/deduplicator/ledger.go
+++ b/deduplicator/ledger.go
@@ -45,6 +45,7 @@
 
 	mutex   sync.Mutex
 	shards  map[lagoonlanding.ShardID]map[string]*entry
+	lost    map[lagoonlanding.ShardID]time.Time
 	expiry  expiry
 	kept    int
 	running int
@@ -61,7 +62,7 @@
 	if config.MaxAnswer == 0 {
 		config.MaxAnswer = DefaultMaxAnswer
 	}
-	return &Ledger{config: config, shards: map[lagoonlanding.ShardID]map[string]*entry{}}
+	return &Ledger{config: config, shards: map[lagoonlanding.ShardID]map[string]*entry{}, lost: map[lagoonlanding.ShardID]time.Time{}}
 }
 
 // Begin decides on a try of a request to a shard whose ledger is complete from the store revision since on.
@@ -86,6 +87,9 @@
 	if verdict, ok := date(now, request, since); !ok {
 		return verdict
 	}
+	if lost, ok := ledger.lost[shard]; ok && !request.Ticket().Issued().After(lost) {
+		return unknown(request, lagoonlanding.ReasonTicketPredates)
+	}
 	if len(ledger.expiry) >= ledger.config.MaxEntries {
 		reply := lagoonlanding.Refuse(request, lagoonlanding.ReasonLedgerFull)
 		return Verdict{kind: Refuse, reply: reply.RetryAt(ledger.expiry[0].expires)}
--- a/deduplicator/ledger_test.go
+++ b/deduplicator/ledger_test.go
@@ -128,9 +128,19 @@
 	if verdict := to.Begin(start, shard, running, since); verdict.Kind() != Repeat || verdict.Reply().Outcome() != lagoonlanding.OutcomeUnknown {
 		t.Errorf("running: %v", verdict.Kind())
 	}
-	if NewLedger(Config{MaxEntries: 1}).Import(start, shard, attempts) {
+	small := NewLedger(Config{MaxEntries: 1})
+	if small.Import(start, shard, attempts) {
 		t.Errorf("a table that does not fit was imported")
 	}
+	if verdict := small.Begin(start, shard, done, since); verdict.Reply().Reason() != lagoonlanding.ReasonTicketPredates {
+		t.Errorf("after the loss of the table: %v %q", verdict.Kind(), verdict.Reply().Reason())
+	}
+	fresh := reservation("fresh", func(config *lagoonlanding.RequestConfig) {
+		config.Ticket = lagoonlanding.NewTicket(since, start.Add(SkewBound+1))
+	})
+	if verdict := small.Begin(start.Add(SkewBound), shard, fresh, since); verdict.Kind() != Run {
+		t.Errorf("a ticket after the loss of the table: %v", verdict.Kind())
+	}
 	to.Drop(shard)
 	if to.Len() != 0 || to.kept != 0 {
 		t.Errorf("%d entries and %d bytes left", to.Len(), to.kept)
--- a/deduplicator/transfer.go
+++ b/deduplicator/transfer.go
@@ -24,13 +24,15 @@
 
 // Import takes over the entries of the shard's owner before this one, in place of any that it still holds.
 //
-// It is false, and the shard left empty, if they do not fit: the caller must then date the shard from its own acquisition.
+// It is false, and the shard left empty, if they do not fit: tickets that the owner before this one may have seen are
+// then answered as unknown.
 func (ledger *Ledger) Import(now time.Time, shard lagoonlanding.ShardID, attempts []lagoonlanding.Attempt) bool {
 	ledger.mutex.Lock()
 	defer ledger.mutex.Unlock()
 	ledger.expire(now)
 	ledger.drop(shard)
 	if len(ledger.expiry)+len(attempts) > ledger.config.MaxEntries {
+		ledger.lost[shard] = now.Round(0).Add(SkewBound)
 		return false
 	}
 	for _, attempt := range attempts {
@@ -71,6 +73,7 @@
 }
 
 func (ledger *Ledger) drop(shard lagoonlanding.ShardID) {
+	delete(ledger.lost, shard)
 	for _, entry := range ledger.shards[shard] {
 		ledger.remove(entry)
 	}
--- /dev/null
+++ b/hedger/doc.go
@@ -0,0 +1,2 @@
+// Package hedger decides when a slow idempotent read is sent to a second instance.
+package hedger
--- /dev/null
+++ b/quarantiner/fingerprint.go
@@ -0,0 +1,27 @@
+package quarantiner
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+
+	"lagoonlanding.example/lagoonlanding"
+)
+
+// Fingerprint tells requests with the same contents from others without holding the contents.
+type Fingerprint [16]byte
+
+// FingerprintOf returns the fingerprint of a request; its idempotency key and ID do not count, since a caller may renew them.
+func FingerprintOf(request lagoonlanding.Request) Fingerprint {
+	hash := sha256.New()
+	parts := [][]byte{
+		[]byte(request.Key().Service()), []byte(request.Key().Workspace()), []byte(request.Key().Name()),
+		[]byte(request.Method()), []byte(request.Path()), request.Body(),
+	}
+	var length [8]byte
+	for _, part := range parts {
+		binary.BigEndian.PutUint64(length[:], uint64(len(part)))
+		_, _ = hash.Write(length[:])
+		_, _ = hash.Write(part)
+	}
+	return Fingerprint(hash.Sum(nil)[:16])
+}
--- /dev/null
+++ b/retrier/doc.go
@@ -0,0 +1,2 @@
+// Package retrier decides whether and when a request is tried again, within a budget.
+package retrier
--- /dev/null
+++ b/retrier/retrier_test.go
@@ -0,0 +1,65 @@
+package retrier
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"lagoonlanding.example/lagoonlanding"
+)
+
+var start = time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)
+
+func newRetrier(share, burst float64) *Retrier {
+	return NewRetrier(Config{Budget: NewBudget(BudgetConfig{Share: share, Burst: burst}), Random: rand.New(rand.NewPCG(1, 7))})
+}
+
+func TestRetry(t *testing.T) {
+	const deadline = 200 * time.Millisecond
+	read := lagoonlanding.NewRequest(lagoonlanding.RequestConfig{Idempotent: true, Deadline: start.Add(deadline)})
+	write := lagoonlanding.NewRequest(lagoonlanding.RequestConfig{Deadline: start.Add(deadline)})
+	cases := []struct {
+		name    string
+		request lagoonlanding.Request
+		reply   lagoonlanding.Reply
+		tries   int
+		want    bool
+	}{
+		{"refused write", write, lagoonlanding.Refuse(write, lagoonlanding.ReasonMoving), 1, true},
+		{"write that may have run", write, lagoonlanding.Unknown(write, lagoonlanding.ReasonUpstreamFailed), 1, false},
+		{"read that may have run", read, lagoonlanding.Unknown(read, lagoonlanding.ReasonUpstreamFailed), 1, true},
+		{"read that may have crashed its server", read, lagoonlanding.Unknown(read, lagoonlanding.ReasonConnectionLost), 1, false},
+		{"lasting reason", read, lagoonlanding.Refuse(read, lagoonlanding.ReasonQuarantined), 1, false},
+		{"answered", read, lagoonlanding.NewReply(lagoonlanding.ReplyConfig{Outcome: lagoonlanding.OutcomeAnswered}), 1, false},
+		{"too many tries", read, lagoonlanding.Refuse(read, lagoonlanding.ReasonMoving), DefaultTries, false},
+		{"after the deadline", read, lagoonlanding.Refuse(read, lagoonlanding.ReasonQueueFull).RetryAt(start.Add(deadline)), 1, false},
+	}
+	for _, test := range cases {
+		at, ok := newRetrier(0.1, 10).Retry(start, test.request, test.reply, test.tries)
+		if ok != test.want {
+			t.Errorf("%s: got %v", test.name, ok)
+		}
+		if ok && (at.Before(start) || !at.Before(start.Add(DefaultPause))) {
+			t.Errorf("%s: retry after %v", test.name, at.Sub(start))
+		}
+	}
+}
+
+func TestBudgetIsAShareOfFirstTries(t *testing.T) {
+	retrier := newRetrier(0.1, 10)
+	request := lagoonlanding.NewRequest(lagoonlanding.RequestConfig{Idempotent: true})
+	reply := lagoonlanding.Refuse(request, lagoonlanding.ReasonUnreachable)
+	const first = 10_000
+	retries := 0
+	for range first {
+		retrier.Start()
+		for tries := 1; tries < DefaultTries; tries++ {
+			if _, ok := retrier.Retry(start, request, reply, tries); ok {
+				retries++
+			}
+		}
+	}
+	if bound := int(0.1*first) + 10; retries > bound || retries < bound/2 {
+		t.Errorf("%d retries for %d first tries", retries, first)
+	}
+}
