Report the busiest shards with the renewals and let the coordinator move their neighbours

Cause: hot shards must be found without state for each key, and moved with a cap on churn. Change: dispatcher counts shards in a decaying top-k, renewals carry it every 3 s, proposals take the balancer's pins.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -16,6 +16,8 @@
 	storeRetryInterval = 500 * time.Millisecond
 	// joinInterval is the time between two requests to join or to leave a group.
 	joinInterval = 500 * time.Millisecond
+	// loadInterval is the time between two reports of the busiest shards.
+	loadInterval = 3 * time.Second
 	// fetchTimeout is when a directory request is taken for lost.
 	fetchTimeout = time.Second
 	// defaultLongestRun bounds a request's run while the published set is not known.
@@ -153,7 +155,7 @@
 func (controller *Controller) group(id lagoonlanding.GroupID) *group {
 	known, ok := controller.groups[id]
 	if !ok {
-		known = newGroup(id)
+		known = newGroup(id, controller.config.Placer)
 		if record, ok := controller.directory.record(id); ok {
 			known.tally = grouper.NewTally(record)
 		}
--- a/controller/coordinate.go
+++ b/controller/coordinate.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lagoonlanding.example/lagoonlanding"
+	"lagoonlanding.example/lagoonlanding/balancer"
 	"lagoonlanding.example/lagoonlanding/grouper"
 )
 
@@ -48,12 +49,24 @@
 			config.Unreachable[witness.ID()] = true
 		}
 	}
+	if pins, ok := group.balancer.Decide(now, record.Current(), loadsOf(group, record)); ok {
+		config.Pins = pins
+	}
 	for _, instance := range group.joining {
 		config.Joining = append(config.Joining, instance)
 	}
 	return config
 }
 
+// loadsOf returns the busiest shards that the members reported last.
+func loadsOf(group *group, record lagoonlanding.Record) balancer.Loads {
+	loads := make(balancer.Loads)
+	for _, member := range record.Current().Members() {
+		loads[member.ID()] = group.granter.Loads(member.ID())
+	}
+	return loads
+}
+
 func (controller *Controller) zonesOut() map[string]bool {
 	out := make(map[string]bool)
 	if controller.directory.set == nil {
--- a/controller/group.go
+++ b/controller/group.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"lagoonlanding.example/lagoonlanding"
+	"lagoonlanding.example/lagoonlanding/balancer"
 	"lagoonlanding.example/lagoonlanding/granter"
 	"lagoonlanding.example/lagoonlanding/grouper"
 	"lagoonlanding.example/lagoonlanding/holder"
@@ -26,16 +27,19 @@
 	swapping  bool
 	nextRenew time.Time
 	nextJoin  time.Time
+	nextLoads time.Time
+	balancer  *balancer.Balancer
 }
 
-func newGroup(id lagoonlanding.GroupID) *group {
+func newGroup(id lagoonlanding.GroupID, placer lagoonlanding.Placer) *group {
 	return &group{
-		id:      id,
-		joining: make(map[lagoonlanding.InstanceID]lagoonlanding.Instance),
-		leaving: make(map[lagoonlanding.InstanceID]bool),
-		heard:   make(map[lagoonlanding.InstanceID]time.Time),
-		blind:   make(map[lagoonlanding.InstanceID]bool),
-		ended:   make(map[lagoonlanding.InstanceID]bool),
+		id:       id,
+		balancer: balancer.New(placer),
+		joining:  make(map[lagoonlanding.InstanceID]lagoonlanding.Instance),
+		leaving:  make(map[lagoonlanding.InstanceID]bool),
+		heard:    make(map[lagoonlanding.InstanceID]time.Time),
+		blind:    make(map[lagoonlanding.InstanceID]bool),
+		ended:    make(map[lagoonlanding.InstanceID]bool),
 	}
 }
 
--- a/controller/lease.go
+++ b/controller/lease.go
@@ -15,7 +15,7 @@
 		return
 	}
 	group.nextRenew = now.Add(lagoonlanding.RenewInterval)
-	request := controller.renewRequest(group, record)
+	request := controller.renewRequest(now, group, record)
 	for _, witness := range record.Current().Witnesses() {
 		if witness.ID() == controller.id() {
 			controller.renewOwn(now, group, request)
@@ -25,7 +25,7 @@
 	}
 }
 
-func (controller *Controller) renewRequest(group *group, record lagoonlanding.Record) lagoonlanding.RenewRequest {
+func (controller *Controller) renewRequest(now time.Time, group *group, record lagoonlanding.Record) lagoonlanding.RenewRequest {
 	config := lagoonlanding.RenewRequestConfig{Group: group.id, Member: controller.id(), Adopted: record.Version()}
 	if group.holder != nil {
 		config.Released = group.holder.Released()
@@ -33,7 +33,8 @@
 	if controller.directory.set != nil {
 		config.Set = controller.directory.set.Version()
 	}
-	if controller.config.Loads != nil {
+	if controller.config.Loads != nil && !now.Before(group.nextLoads) {
+		group.nextLoads = now.Add(loadInterval)
 		config.Loads = controller.config.Loads(group.id)
 	}
 	return lagoonlanding.NewRenewRequest(config)
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -31,11 +31,12 @@
 	config  Config
 	counter *counter
 	guard   guard
+	loads   *loads
 }
 
 // New returns a dispatcher that has admitted no request yet.
 func New(config Config) *Dispatcher {
-	return &Dispatcher{config: config, counter: newCounter()}
+	return &Dispatcher{config: config, counter: newCounter(), loads: newLoads()}
 }
 
 // Dispatch returns what became of the request; ctx ends at the request's deadline or when its caller goes away.
@@ -147,4 +148,6 @@
 }
 
 // Loads returns the busiest shards of the group.
-func (dispatcher *Dispatcher) Loads(lagoonlanding.GroupID) []lagoonlanding.ShardLoad { return nil }
+func (dispatcher *Dispatcher) Loads(group lagoonlanding.GroupID) []lagoonlanding.ShardLoad {
+	return dispatcher.loads.busiest(dispatcher.config.Clock.Now(), group)
+}
--- a/dispatcher/serve.go
+++ b/dispatcher/serve.go
@@ -25,11 +25,15 @@
 	if !dispatcher.owns(decision.Fence()) {
 		return Step{reply: lagoonlanding.Refuse(request, lagoonlanding.ReasonMoving).By(self), retry: retryAtChange}
 	}
+	dispatcher.loads.add(dispatcher.config.Clock.Now(), shard)
 	verdict := dispatcher.config.Ledger.Begin(dispatcher.config.Clock.Now(), shard, request, decision.Since())
 	switch verdict.Kind() {
 	case deduplicator.Run:
 		reply := dispatcher.run(ctx, request, decision.Fence()).By(self)
 		dispatcher.config.Ledger.Finish(verdict, reply)
+		if reply.Reason() == lagoonlanding.ReasonLeaseLapsed {
+			return Step{reply: reply, retry: retryAtChange}
+		}
 		return final(reply)
 	case deduplicator.Wait:
 		return Step{reply: verdict.Reply().By(self), retry: retryAtFinish, finished: verdict.Finished()}
--- a/granter/granter.go
+++ b/granter/granter.go
@@ -84,7 +84,9 @@
 	promise.deadline = lagoonlanding.WitnessDeadline(now)
 	promise.released = max(promise.released, request.Released())
 	promise.set = request.Set()
-	promise.loads = request.Loads()
+	if request.Loads() != nil {
+		promise.loads = request.Loads()
+	}
 	return lagoonlanding.RenewGranted
 }
 
