--- /dev/null
+++ b/announcer/doc.go
@@ -0,0 +1,2 @@
+// Package announcer takes the announcement of the backend server beside the daemon and keeps the way to it.
+package announcer
--- /dev/null
+++ b/receiver/doc.go
@@ -0,0 +1,2 @@
+// Package receiver is the HTTP front end for callers.
+package receiver
--- /dev/null
+++ b/router/homes.go
@@ -0,0 +1,11 @@
+package router
+
+import (
+	"lagoonlanding.example/lagoonlanding"
+	"lagoonlanding.example/lagoonlanding/publisher"
+)
+
+// Homes returns some active instances within the home regions of the workspace.
+func (snapshot *Snapshot) Homes(workspace publisher.Workspace) []lagoonlanding.Instance {
+	return snapshot.homes(workspace)
+}
