End forwarded requests to instances that are lost

Cause: a frozen owner keeps a forwarded request until its deadline, though its keys have a new owner after about a second. Change: one context for each instance, ended when no group names it any more; forwards are bound to it.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -148,7 +148,7 @@
 	}
 	return router.NewSnapshot(router.SnapshotConfig{
 		Self: controller.config.Self, Set: controller.directory.set, Revision: controller.directory.revision,
-		Groups: controller.directory.groups, Holdings: holdings, Leaving: controller.isLeaving(),
+		Groups: controller.directory.groups, Changes: controller.directory.changes, Holdings: holdings, Leaving: controller.isLeaving(),
 	})
 }
 
--- a/controller/directory.go
+++ b/controller/directory.go
@@ -20,6 +20,8 @@
 	groups   map[lagoonlanding.GroupID]router.Group
 	set      *publisher.Set
 	revision uint64
+	// changes counts the changes of groups.
+	changes uint64
 	// candidates are the active members of all groups, nil after a change.
 	candidates []lagoonlanding.Instance
 }
@@ -71,6 +73,7 @@
 	}
 	groups[record.Group()] = router.NewGroup(record, directory.placer.Place(record.Current()))
 	directory.groups = groups
+	directory.changes++
 	directory.candidates = nil
 }
 
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -32,11 +32,12 @@
 	counter *counter
 	guard   guard
 	loads   *loads
+	members *members
 }
 
 // New returns a dispatcher that has admitted no request yet.
 func New(config Config) *Dispatcher {
-	return &Dispatcher{config: config, counter: newCounter(), loads: newLoads()}
+	return &Dispatcher{config: config, counter: newCounter(), loads: newLoads(), members: newMembers()}
 }
 
 // Dispatch returns what became of the request; ctx ends at the request's deadline or when its caller goes away.
@@ -54,6 +55,19 @@
 	}
 }
 
+// Run ends forwarded requests to instances that are lost, until ctx ends.
+func (dispatcher *Dispatcher) Run(ctx context.Context) {
+	for {
+		changed := dispatcher.config.Snapshots.Changed()
+		dispatcher.members.update(dispatcher.config.Snapshots.Current())
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
 // OnForward serves a request that another instance has forwarded.
 func (dispatcher *Dispatcher) OnForward(ctx context.Context, request lagoonlanding.Request) lagoonlanding.Reply {
 	return dispatcher.Dispatch(ctx, request)
--- a/dispatcher/forward.go
+++ b/dispatcher/forward.go
@@ -15,6 +15,9 @@
 	if request.Hops() >= router.MaxHops {
 		return final(lagoonlanding.Refuse(request, lagoonlanding.ReasonHopLimit).By(snapshot.Self()))
 	}
+	// A frozen instance would keep the request until its deadline.
+	ctx, release := dispatcher.members.bind(ctx, to.ID())
+	defer release()
 	reply, err := dispatcher.config.Peers.Forward(ctx, to, request.Forwarded())
 	if err != nil {
 		return dispatcher.failedForward(snapshot, request, err)
--- a/router/snapshot.go
+++ b/router/snapshot.go
@@ -79,6 +79,8 @@
 	Set *publisher.Set
 	// Revision is the store revision up to which the directory is known.
 	Revision uint64
+	// Changes counts the changes of Groups.
+	Changes uint64
 	// Groups are all known groups.
 	Groups map[lagoonlanding.GroupID]Group
 	// Holdings are the rights of this instance.
@@ -113,6 +115,9 @@
 	return group, ok
 }
 
+// Changes returns the count of changes of the groups.
+func (snapshot *Snapshot) Changes() uint64 { return snapshot.config.Changes }
+
 // Groups returns all known groups; callers do not change the map.
 func (snapshot *Snapshot) Groups() map[lagoonlanding.GroupID]Group { return snapshot.config.Groups }
 
