Let no lapsed member serve under a set older than its witness's

Cause: a paused instance could come back under an older set after a publish was called accepted. Ruled out: stopping members that cannot know whether they are current; a region cut off from the store must go on serving. Change: a witness grants a lapsed member only if it applies at least the witness's set, and a layout only once its own directory reaches the layout's revision; living promises go on. Idempotent requests to undivided services need a lease too. Conclusion: accepted means that no lease is left under an older set.

--- a/controller/answer.go
+++ b/controller/answer.go
@@ -11,7 +11,7 @@
 	record, _ := controller.directory.record(request.Group())
 	status := lagoonlanding.RenewNotWitness
 	if group, ok := controller.groups[request.Group()]; ok && group.granter != nil {
-		status = group.granter.Renew(now, request)
+		status = controller.grant(now, group, request)
 	}
 	return lagoonlanding.NewRenewReply(status, record.Version(), controller.knownRevision())
 }
--- a/controller/coordinate.go
+++ b/controller/coordinate.go
@@ -98,6 +98,11 @@
 		return
 	}
 	group.swapping = false
+	controller.sawStore()
+	if revision == controller.directory.revision+1 {
+		// Nothing was written in between, so the directory is whole up to here even if the store fails now.
+		controller.directory.revision = revision
+	}
 	controller.learn(now, lagoonlanding.NewEntry(swap.Key(), swap.value, revision))
 	controller.tellRecord(group)
 }
--- a/controller/lease.go
+++ b/controller/lease.go
@@ -30,9 +30,7 @@
 	if group.holder != nil {
 		config.Released = group.holder.Released()
 	}
-	if controller.directory.set != nil {
-		config.Set = controller.directory.set.Version()
-	}
+	config.Set = controller.setVersion()
 	if controller.config.Loads != nil && !now.Before(group.nextLoads) {
 		group.nextLoads = now.Add(loadInterval)
 		config.Loads = controller.config.Loads(group.id)
@@ -46,11 +44,28 @@
 	if group.granter == nil || group.holder == nil {
 		return
 	}
-	if group.granter.Renew(now, request) == lagoonlanding.RenewGranted {
+	if controller.grant(now, group, request) == lagoonlanding.RenewGranted {
 		group.holder.Promised(controller.id(), now)
 	}
 }
 
+// grant decides on a renewal as a witness.
+//
+// A layout that was written after a published set is granted only once the set is known, so that no lease outlives it unaware.
+func (controller *Controller) grant(now time.Time, group *group, request lagoonlanding.RenewRequest) lagoonlanding.RenewStatus {
+	if group.granter.IsWitness() && controller.directory.revision < group.granter.Record().Revision() {
+		return lagoonlanding.RenewLater
+	}
+	return group.granter.Renew(now, request, controller.setVersion())
+}
+
+func (controller *Controller) setVersion() uint64 {
+	if controller.directory.set == nil {
+		return 0
+	}
+	return controller.directory.set.Version()
+}
+
 // Renewed takes a witness's answer to a renewal.
 func (controller *Controller) Renewed(now time.Time, renewal Renewal, reply lagoonlanding.RenewReply, err error) {
 	if err != nil {
--- a/controller/status.go
+++ b/controller/status.go
@@ -9,12 +9,9 @@
 // Status returns what this instance knows of itself and its groups.
 func (controller *Controller) Status(now time.Time) lagoonlanding.InstanceStatus {
 	config := lagoonlanding.InstanceStatusConfig{
-		Instance: controller.config.Self, Revision: controller.directory.revision,
+		Instance: controller.config.Self, Set: controller.setVersion(), Revision: controller.directory.revision,
 		Blind: controller.blind, Leaving: controller.isLeaving(),
 	}
-	if controller.directory.set != nil {
-		config.Set = controller.directory.set.Version()
-	}
 	for _, id := range controller.groupIDs() {
 		config.Groups = append(config.Groups, controller.groupStatus(now, id))
 	}
@@ -28,14 +25,14 @@
 
 func (controller *Controller) groupStatus(now time.Time, id lagoonlanding.GroupID) lagoonlanding.GroupStatus {
 	record, _ := controller.directory.record(id)
-	config := lagoonlanding.GroupStatusConfig{Group: id, Version: record.Version(), Blind: controller.blind}
+	config := lagoonlanding.GroupStatusConfig{Group: id, Version: record.Version(), Blind: controller.blind, Set: controller.setVersion()}
 	group, ok := controller.groups[id]
 	if !ok {
 		return lagoonlanding.NewGroupStatus(config)
 	}
 	config.Acting = controller.isActing(now, group)
 	config.Settled = group.tally != nil && group.tally.IsSettled()
-	if group.isWitness() {
+	if config.Witness = group.isWitness(); config.Witness {
 		for _, member := range record.Current().Members() {
 			config.Members = append(config.Members, lagoonlanding.NewMemberStatus(
 				member.ID(), member.State(), group.granter.Deadline(member.ID()), group.granter.Set(member.ID()),
--- a/dispatcher/forward.go
+++ b/dispatcher/forward.go
@@ -64,6 +64,9 @@
 	self := snapshot.Self()
 	picked := nearest(self, decision.Members())
 	if request.Hops() > 0 || picked.ID() == self.ID() {
+		if !snapshot.IsLeased(dispatcher.config.Clock.Now(), request.Key().Service()) {
+			return Step{reply: lagoonlanding.Refuse(request, lagoonlanding.ReasonLeaseLapsed).By(self), retry: retryAtChange}
+		}
 		return final(dispatcher.run(ctx, request, lagoonlanding.Fence{}).By(self))
 	}
 	return dispatcher.forward(ctx, snapshot, picked, request)
--- a/encoder/lease.go
+++ b/encoder/lease.go
@@ -65,7 +65,7 @@
 
 // Value returns the answer.
 func (renewreply RenewReply) Value(time.Time) (lagoonlanding.RenewReply, error) {
-	status, err := statusOf(renewreply.Status, lagoonlanding.RenewGranted, lagoonlanding.RenewNotWitness)
+	status, err := statusOf(renewreply.Status, lagoonlanding.RenewGranted, lagoonlanding.RenewLater)
 	if err != nil {
 		return lagoonlanding.RenewReply{}, fmt.Errorf("answer to a renewal: %w", err)
 	}
--- a/granter/granter.go
+++ b/granter/granter.go
@@ -65,8 +65,10 @@
 	return true
 }
 
-// Renew decides on a member's renewal.
-func (granter *Granter) Renew(now time.Time, request lagoonlanding.RenewRequest) lagoonlanding.RenewStatus {
+// Renew decides on a member's renewal; set is the version of the published set that the witness applies.
+//
+// A member whose promise has lapsed may have missed an accepted set, so it must catch up before it serves again.
+func (granter *Granter) Renew(now time.Time, request lagoonlanding.RenewRequest, set uint64) lagoonlanding.RenewStatus {
 	version := granter.record.Version()
 	if request.Adopted() > version {
 		return lagoonlanding.RenewBehind
@@ -81,6 +83,9 @@
 	if request.Released() < version && !granter.mayDrain(now, promise) {
 		return lagoonlanding.RenewStale
 	}
+	if now.After(promise.deadline) && request.Set() < set {
+		return lagoonlanding.RenewOutdated
+	}
 	promise.deadline = lagoonlanding.WitnessDeadline(now)
 	promise.released = max(promise.released, request.Released())
 	promise.set = request.Set()
--- a/granter/granter_test.go
+++ b/granter/granter_test.go
@@ -61,7 +61,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			granter := granterAt1()
 			granter.Learn(start, moved())
-			if got := granter.Renew(test.now, test.request); got != test.want {
+			if got := granter.Renew(test.now, test.request, 0); got != test.want {
 				t.Errorf("got status %d, want %d", got, test.want)
 			}
 		})
@@ -70,7 +70,7 @@
 
 func TestClearWaitsForThePromise(t *testing.T) {
 	granter := granterAt1()
-	granter.Renew(start, renewal(second, 1, 1))
+	granter.Renew(start, renewal(second, 1, 1), 0)
 	granter.Learn(start, moved())
 	if diff := cmp.Diff([]lagoonlanding.InstanceID{first}, granter.Clear(start, 2).Cleared(), ids); diff != "" {
 		t.Errorf("while the promise holds: %s", diff)
@@ -85,10 +85,10 @@
 	granter := granterAt1()
 	granter.Learn(start, moved())
 	granter.Clear(start, 2)
-	if got := granter.Renew(start, renewal(first, 2, 1)); got != lagoonlanding.RenewStale {
+	if got := granter.Renew(start, renewal(first, 2, 1), 0); got != lagoonlanding.RenewStale {
 		t.Errorf("a cleared member got status %d for the older layout", got)
 	}
-	if got := granter.Renew(start, renewal(first, 2, 2)); got != lagoonlanding.RenewGranted {
+	if got := granter.Renew(start, renewal(first, 2, 2), 0); got != lagoonlanding.RenewGranted {
 		t.Errorf("a cleared member that released got status %d", got)
 	}
 }
@@ -98,3 +98,17 @@
 		t.Errorf("got status %d", got)
 	}
 }
+
+func TestLapsedMemberMustCatchUpWithTheSet(t *testing.T) {
+	granter := granterAt1()
+	if got := granter.Renew(start, renewal(first, 1, 1), 1); got != lagoonlanding.RenewOutdated {
+		t.Errorf("a member without a promise and an old set got status %d", got)
+	}
+	granter.Renew(start, renewal(first, 1, 1), 0)
+	if got := granter.Renew(start, renewal(first, 1, 1), 1); got != lagoonlanding.RenewGranted {
+		t.Errorf("a member with a living promise and an old set got status %d", got)
+	}
+	if got := granter.Renew(start.Add(2*lagoonlanding.PromiseTerm), renewal(first, 1, 1), 1); got != lagoonlanding.RenewOutdated {
+		t.Errorf("a member with a lapsed promise and an old set got status %d", got)
+	}
+}
--- a/status.go
+++ b/status.go
@@ -35,6 +35,10 @@
 	Version uint64
 	// Acting says that the instance coordinates the group.
 	Acting bool
+	// Witness says that the newest layout names the instance as a witness.
+	Witness bool
+	// Set is the version of the published set that the instance applies.
+	Set uint64
 	// Settled says that the next layout may be written.
 	Settled bool
 	// Blind says that the instance cannot reach the store.
@@ -64,6 +68,12 @@
 // IsActing reports whether the instance coordinates the group.
 func (groupstatus GroupStatus) IsActing() bool { return groupstatus.config.Acting }
 
+// IsWitness reports whether the newest layout names the instance as a witness.
+func (groupstatus GroupStatus) IsWitness() bool { return groupstatus.config.Witness }
+
+// Set returns the version of the published set that the instance applies.
+func (groupstatus GroupStatus) Set() uint64 { return groupstatus.config.Set }
+
 // IsSettled reports whether the next layout may be written.
 func (groupstatus GroupStatus) IsSettled() bool { return groupstatus.config.Settled }
 
