--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -30,11 +30,14 @@
 type Dispatcher struct {
 	config  Config
 	counter *counter
+	guard   guard
+	loads   *loads
+	members *members
 }
 
 // New returns a dispatcher that has admitted no request yet.
 func New(config Config) *Dispatcher {
-	return &Dispatcher{config: config, counter: newCounter()}
+	return &Dispatcher{config: config, counter: newCounter(), loads: newLoads(), members: newMembers()}
 }
 
 // Dispatch returns what became of the request; ctx ends at the request's deadline or when its caller goes away.
@@ -52,6 +55,19 @@
 	}
 }
 
+// Run ends forwarded requests to instances that are lost, until ctx ends.
+func (dispatcher *Dispatcher) Run(ctx context.Context) {
+	for {
+		changed := dispatcher.config.Snapshots.Changed()
+		dispatcher.members.update(dispatcher.config.Snapshots.Current())
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
 // OnForward serves a request that another instance has forwarded.
 func (dispatcher *Dispatcher) OnForward(ctx context.Context, request lagoonlanding.Request) lagoonlanding.Reply {
 	return dispatcher.Dispatch(ctx, request)
@@ -147,4 +163,6 @@
 }
 
 // Loads returns the busiest shards of the group.
-func (dispatcher *Dispatcher) Loads(lagoonlanding.GroupID) []lagoonlanding.ShardLoad { return nil }
+func (dispatcher *Dispatcher) Loads(group lagoonlanding.GroupID) []lagoonlanding.ShardLoad {
+	return dispatcher.loads.busiest(dispatcher.config.Clock.Now(), group)
+}
