--- a/soak/player/caller.go
+++ b/soak/player/caller.go
@@ -19,6 +19,8 @@
 	ticket     lagoonlanding.Ticket
 	tries      int
 	mustAnswer bool
+	// until is when a request that must be answered is not tried again.
+	until time.Duration
 }
 
 const (
@@ -29,6 +31,7 @@
 	// lostPercent is the share of answers that callers do not get.
 	lostPercent = 4
 	longestWait = time.Second
+	probePause  = 20 * time.Millisecond
 )
 
 // request starts a new operation.
@@ -102,6 +105,10 @@
 	fleet.counts["reply "+outcome]++
 	fleet.checker.Answered(request, reply)
 	if operation.mustAnswer {
+		if reply.Outcome() == lagoonlanding.OutcomeNotRun && fleet.timer.Now() < operation.until {
+			fleet.timer.After(probePause, func() { fleet.try(operation, process) })
+			return
+		}
 		if reply.Outcome() != lagoonlanding.OutcomeAnswered {
 			fleet.checker.Break(checker.RuleServed, "%s of %s %s at %s: %s", request.ID(), operation.key.Service(), operation.key.Workspace(), process.id, outcome)
 		}
@@ -136,7 +143,7 @@
 	for _, workspace := range fleet.shape.workspaces() {
 		process := fleet.permitted(workspace)
 		for range 1000 {
-			operation := &operation{number: len(fleet.operations), mustAnswer: true}
+			operation := &operation{number: len(fleet.operations), mustAnswer: true, until: fleet.timer.Now() + probeTerm}
 			operation.key = lagoonlanding.NewKey(service.Name(), workspace.Name(), fmt.Sprintf("probe-%d", operation.number))
 			fleet.operations = append(fleet.operations, operation)
 			named := lagoonlanding.NewRequest(lagoonlanding.RequestConfig{
--- a/soak/player/fleet.go
+++ b/soak/player/fleet.go
@@ -161,7 +161,7 @@
 	fleet.publish(nil)
 	fleet.advance(HealTerm)
 	fleet.probe()
-	fleet.advance(probeTerm + callTimeout)
+	fleet.advance(probeTerm + longestWait)
 }
 
 // publish writes a set with the zones that are out at once.
--- a/soak/timer/clock.go
+++ b/soak/timer/clock.go
@@ -37,8 +37,12 @@
 	clock.drift = time.Duration(drift)
 }
 
-// Until returns a channel that never receives, since nothing in one thread waits for it.
-func (clock *Clock) Until(time.Time) <-chan time.Time { return nil }
+// Until returns a channel that has received already, since no code in the one thread may wait for another.
+func (clock *Clock) Until(time.Time) <-chan time.Time {
+	passed := make(chan time.Time)
+	close(passed)
+	return passed
+}
 
 // Real returns how much real time passes while the clock shows that the term passes.
 func (clock *Clock) Real(term time.Duration) time.Duration {
