Wire upstream choice, retries, hedges and the quarantine into the dispatcher

Cause: requests to services that are not divided went to the nearest member whatever its load, tries at other instances came every 25 ms without a bound, and a request that crashes its backend server ran as often as it came. Change: services not divided by key go through the picker, slow reads are hedged within a budget, further tries at other instances need the retry budget (without it a request only waits for a change of ownership), and each run passes the quarantine before and after its wait for a slot. An answer lost between daemons is now 'owner-unreachable' rather than 'connection-lost', which stands for the backend server's connection alone. A connection that cannot be made counts as a crash for the ramp. A service without a bound on connections keeps its slots. Checked: go test -race ./dispatcher ./limiter.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -6,11 +6,20 @@
 
 	"lagoonlanding.example/lagoonlanding"
 	"lagoonlanding.example/lagoonlanding/deduplicator"
+	"lagoonlanding.example/lagoonlanding/picker"
+	"lagoonlanding.example/lagoonlanding/publisher"
+	"lagoonlanding.example/lagoonlanding/quarantiner"
+	"lagoonlanding.example/lagoonlanding/retrier"
 	"lagoonlanding.example/lagoonlanding/router"
 )
 
-// retryInterval is the time between two tries to reach an owner.
-const retryInterval = 25 * time.Millisecond
+// The bounds on further tries of a request at other instances.
+const (
+	// retryPause bounds the pause before the first retry; each later one may be twice as long.
+	retryPause = 25 * time.Millisecond
+	// maxTries bounds the tries; after them a request only waits for a change of ownership.
+	maxTries = 6
+)
 
 // Config holds what a Dispatcher works with.
 type Config struct {
@@ -24,30 +33,48 @@
 	Upstream lagoonlanding.Upstream
 	// Ledger holds the recent non-idempotent requests.
 	Ledger *deduplicator.Ledger
+	// Retrier decides on further tries at other instances; nil stands for one with a budget of its own.
+	Retrier *retrier.Retrier
+	// Quarantine knows the requests that crash backend servers; nil stands for an empty one.
+	Quarantine *quarantiner.Quarantine
+	// Link is the byte budget between regions for services that are not divided by key; nil for none.
+	Link *picker.Link
+	// Picker returns the choice of instances for a service that is not divided by key; nil stands for picker.Least.
+	Picker func(self lagoonlanding.Instance, service publisher.Service) lagoonlanding.Picker
 }
 
 // Dispatcher is the traffic path of one instance; it is safe for use by many goroutines.
 type Dispatcher struct {
-	config  Config
-	counter *counter
-	guard   guard
+	config   Config
+	counter  *counter
+	guard    guard
+	services services
 }
 
 // New returns a dispatcher that has admitted no request yet.
 func New(config Config) *Dispatcher {
+	if config.Retrier == nil {
+		config.Retrier = retrier.NewRetrier(retrier.Config{Tries: maxTries, Pause: retryPause, Random: newRandom()})
+	}
+	if config.Quarantine == nil {
+		config.Quarantine = quarantiner.NewQuarantine(quarantiner.Config{Random: newRandom()})
+	}
+	if config.Picker == nil {
+		config.Picker = leastPicker(config.Link)
+	}
 	return &Dispatcher{config: config, counter: newCounter()}
 }
 
 // Dispatch returns what became of the request; ctx ends at the request's deadline or when its caller goes away.
 func (dispatcher *Dispatcher) Dispatch(ctx context.Context, request lagoonlanding.Request) lagoonlanding.Reply {
-	for {
+	if request.Hops() == 0 {
+		dispatcher.config.Retrier.Start()
+	}
+	for tries := 1; ; tries++ {
 		// The channel is taken before the snapshot that it follows, so that no change is missed.
 		changed := dispatcher.config.Snapshots.Changed()
 		step := dispatcher.Attempt(ctx, request)
-		if !step.isRetry() {
-			return step.reply
-		}
-		if !dispatcher.await(ctx, step, changed) {
+		if !step.isRetry() || !dispatcher.await(ctx, request, step, tries, changed) {
 			return step.reply
 		}
 	}
@@ -84,16 +111,22 @@
 func final(reply lagoonlanding.Reply) Step { return Step{reply: reply} }
 
 // await waits for what the step needs and reports whether a further attempt makes sense.
-func (dispatcher *Dispatcher) await(ctx context.Context, step Step, changed <-chan struct{}) bool {
+func (dispatcher *Dispatcher) await(
+	ctx context.Context, request lagoonlanding.Request, step Step, tries int, changed <-chan struct{},
+) bool {
+	var later <-chan time.Time
 	switch step.retry {
 	case retryAtFinish:
 		changed = step.finished
 	case retryLater:
-		changed = nil
-	}
-	var later <-chan time.Time
-	if step.retry == retryLater {
-		later = dispatcher.config.Clock.Until(dispatcher.config.Clock.Now().Add(retryInterval))
+		at, ok := dispatcher.config.Retrier.Retry(dispatcher.config.Clock.Now(), request, step.reply, tries)
+		if !ok && !isTransient(step.reply) {
+			return false
+		}
+		if ok {
+			changed = nil
+			later = dispatcher.config.Clock.Until(at)
+		}
 	}
 	select {
 	case <-ctx.Done():
--- a/dispatcher/forward.go
+++ b/dispatcher/forward.go
@@ -22,7 +22,7 @@
 	if reply.RequestID() != request.ID() {
 		return final(lagoonlanding.Unknown(request, lagoonlanding.ReasonMismatchedAnswer).By(to))
 	}
-	if reply.Outcome() == lagoonlanding.OutcomeNotRun && isTransient(reply.Reason()) && request.Hops() == 0 {
+	if isTransient(reply) && request.Hops() == 0 {
 		return Step{reply: reply, retry: retryLater}
 	}
 	return final(reply)
@@ -36,7 +36,7 @@
 		}
 		return Step{reply: refusal, retry: retryLater}
 	}
-	unknown := lagoonlanding.Unknown(request, lagoonlanding.ReasonConnectionLost).By(snapshot.Self())
+	unknown := lagoonlanding.Unknown(request, lagoonlanding.ReasonUnreachable).By(snapshot.Self())
 	if request.IsIdempotent() && request.Hops() == 0 {
 		return Step{reply: unknown, retry: retryLater}
 	}
@@ -44,8 +44,11 @@
 }
 
 // isTransient reports whether the refusal of another instance may end soon without the caller doing anything.
-func isTransient(reason lagoonlanding.Reason) bool {
-	switch reason {
+func isTransient(reply lagoonlanding.Reply) bool {
+	if reply.Outcome() != lagoonlanding.OutcomeNotRun {
+		return false
+	}
+	switch reply.Reason() {
 	case lagoonlanding.ReasonNotReady, lagoonlanding.ReasonNoOwner, lagoonlanding.ReasonMoving,
 		lagoonlanding.ReasonLeaseLapsed, lagoonlanding.ReasonHopLimit, lagoonlanding.ReasonUnreachable,
 		lagoonlanding.ReasonShuttingDown, lagoonlanding.ReasonTicketAhead:
@@ -53,38 +56,3 @@
 	}
 	return false
 }
-
-// servePicked serves a request that any member may serve.
-func (dispatcher *Dispatcher) servePicked(
-	ctx context.Context, snapshot *router.Snapshot, decision router.Decision, request lagoonlanding.Request,
-) Step {
-	self := snapshot.Self()
-	picked := nearest(self, decision.Members())
-	if request.Hops() > 0 || picked.ID() == self.ID() {
-		return final(dispatcher.run(ctx, request, lagoonlanding.Fence{}).By(self))
-	}
-	return dispatcher.forward(ctx, snapshot, picked, request)
-}
-
-// nearest returns this instance if it is a member, else a member of its zone, of its region, or any.
-func nearest(self lagoonlanding.Instance, members []lagoonlanding.Member) lagoonlanding.Instance {
-	best, distance := members[0].Instance(), distant(self, members[0].Instance())
-	for _, member := range members[1:] {
-		if other := distant(self, member.Instance()); other < distance {
-			best, distance = member.Instance(), other
-		}
-	}
-	return best
-}
-
-func distant(self, other lagoonlanding.Instance) int {
-	switch {
-	case self.ID() == other.ID():
-		return 0
-	case self.AvailabilityZone() == other.AvailabilityZone():
-		return 1
-	case self.Region() == other.Region():
-		return 2
-	}
-	return 3
-}
--- a/dispatcher/guard.go
+++ b/dispatcher/guard.go
@@ -47,25 +47,25 @@
 }
 
 // waitingOf describes the request to the queue before the backend server.
-func waitingOf(set *publisher.Set, request lagoonlanding.Request) lagoonlanding.Waiting {
+func waitingOf(set *publisher.Set, request lagoonlanding.Request, alone bool) lagoonlanding.Waiting {
 	tenant, _ := set.Tenant(request.Tenant())
 	class, _ := set.Class(request.Class())
 	return lagoonlanding.NewWaiting(lagoonlanding.WaitingConfig{
 		Tenant: request.Tenant(), Weight: tenant.Weight(), Limit: tenant.Limit(),
-		Class: request.Class(), Cost: class.Cost(), Deadline: request.Deadline(),
+		Class: request.Class(), Cost: class.Cost(), Deadline: request.Deadline(), Alone: alone,
 	})
 }
 
 // admit waits for a slot of the backend server; the reply is set if the request is refused.
 func (dispatcher *Dispatcher) admit(
-	ctx context.Context, request lagoonlanding.Request,
+	ctx context.Context, request lagoonlanding.Request, alone bool,
 ) (*limiter.Server, *limiter.Place, lagoonlanding.Reply) {
 	snapshot := dispatcher.config.Snapshots.Current()
 	server := dispatcher.guard.limited(dispatcher.config.Clock.Now(), snapshot)
 	if server == nil {
 		return nil, nil, lagoonlanding.Refuse(request, lagoonlanding.ReasonNotReady)
 	}
-	place := server.Enter(ctx, dispatcher.config.Clock, waitingOf(snapshot.Set(), request))
+	place := server.Enter(ctx, dispatcher.config.Clock, waitingOf(snapshot.Set(), request, alone))
 	if place.Reason() != lagoonlanding.ReasonNone {
 		return nil, nil, lagoonlanding.Refuse(request, place.Reason()).RetryAt(place.RetryAt())
 	}
@@ -77,7 +77,9 @@
 	switch {
 	case ctx.Err() != nil:
 		return limiter.Cancelled
-	case reply.Reason() == lagoonlanding.ReasonUpstreamFailed || reply.Reason() == lagoonlanding.ReasonLeaseLapsed:
+	case reply.Reason() == lagoonlanding.ReasonUpstreamFailed:
+		return limiter.Unreachable
+	case reply.Reason() == lagoonlanding.ReasonLeaseLapsed || reply.Reason() == lagoonlanding.ReasonDeadline:
 		return limiter.Unsent
 	case reply.Reason() == lagoonlanding.ReasonUpstreamRefused:
 		return limiter.Shed
--- /dev/null
+++ b/dispatcher/pick_test.go
@@ -0,0 +1,192 @@
+package dispatcher
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"lagoonlanding.example/lagoonlanding"
+	"lagoonlanding.example/lagoonlanding/deduplicator"
+	"lagoonlanding.example/lagoonlanding/publisher"
+	"lagoonlanding.example/lagoonlanding/quarantiner"
+	"lagoonlanding.example/lagoonlanding/router"
+)
+
+var start = time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)
+
+// standingClock stands still; each deadline that is waited for passes at once while isPassing is set.
+type standingClock struct{ isPassing bool }
+
+func (standingclock standingClock) Now() time.Time { return start }
+
+func (standingclock standingClock) Until(time.Time) <-chan time.Time {
+	passed := make(chan time.Time, 1)
+	if standingclock.isPassing {
+		passed <- start
+	}
+	return passed
+}
+
+type fixedSource struct{ snapshot *router.Snapshot }
+
+func (fixedsource fixedSource) Current() *router.Snapshot { return fixedsource.snapshot }
+func (fixedsource fixedSource) Changed() <-chan struct{}  { return nil }
+
+// scriptedPeers answers forwarded requests by the name of the instance.
+type scriptedPeers struct {
+	lagoonlanding.Peers
+	answer func(ctx context.Context, to string, request lagoonlanding.Request) (lagoonlanding.Reply, error)
+}
+
+func (scriptedpeers scriptedPeers) Forward(
+	ctx context.Context, to lagoonlanding.Instance, request lagoonlanding.Request,
+) (lagoonlanding.Reply, error) {
+	return scriptedpeers.answer(ctx, to.ID().Name(), request)
+}
+
+// crashingUpstream crashes at the path /poison and answers everything else.
+type crashingUpstream struct {
+	lagoonlanding.Upstream
+	mutex   sync.Mutex
+	crashes int
+}
+
+func (crashingupstream *crashingUpstream) Serve(
+	_ context.Context, request lagoonlanding.Request, _ lagoonlanding.Fence,
+) (lagoonlanding.Reply, error) {
+	if request.Path() != "/poison" {
+		return answered(request, "self"), nil
+	}
+	crashingupstream.mutex.Lock()
+	defer crashingupstream.mutex.Unlock()
+	crashingupstream.crashes++
+	return lagoonlanding.Reply{}, fmt.Errorf("connection reset")
+}
+
+func answered(request lagoonlanding.Request, by string) lagoonlanding.Reply {
+	return lagoonlanding.NewReply(lagoonlanding.ReplyConfig{
+		RequestID: request.ID(), Outcome: lagoonlanding.OutcomeAnswered, Status: 200, Body: []byte(by),
+	})
+}
+
+func member(name, zone string) lagoonlanding.Member {
+	instance := lagoonlanding.NewInstance(lagoonlanding.InstanceConfig{
+		ID: lagoonlanding.NewInstanceID(name, 1), AvailabilityZone: zone, Region: "attica", Service: "bay-directory",
+	})
+	return lagoonlanding.NewMember(instance, lagoonlanding.MemberActive, 100)
+}
+
+func snapshotOf(self lagoonlanding.Instance, members ...lagoonlanding.Member) *router.Snapshot {
+	set := publisher.NewSet(publisher.SetConfig{
+		Services: []publisher.Service{publisher.NewService(publisher.ServiceConfig{
+			Name: "bay-directory", Slots: 6, Connections: 110, Queue: 10,
+			Partitions: []publisher.Partition{publisher.NewPartition(publisher.PartitionConfig{Name: "mesh", Shards: 8})},
+		})},
+		Workspaces: []publisher.Workspace{publisher.NewWorkspace(publisher.WorkspaceConfig{Name: "tags"})},
+	})
+	id := lagoonlanding.NewGroupID("bay-directory", "mesh")
+	layout := lagoonlanding.NewLayout(lagoonlanding.LayoutConfig{Version: 1, Shards: 8, Members: members})
+	group := router.NewGroup(lagoonlanding.NewRecord(id, layout, lagoonlanding.Layout{}, 1), lagoonlanding.NewPlacement(nil))
+	return router.NewSnapshot(router.SnapshotConfig{
+		Self: self, Set: set, Revision: 1, Groups: map[lagoonlanding.GroupID]router.Group{id: group},
+	})
+}
+
+func newDispatcher(clock lagoonlanding.Clock, snapshot *router.Snapshot, peers lagoonlanding.Peers, upstream lagoonlanding.Upstream) *Dispatcher {
+	return New(Config{
+		Snapshots: fixedSource{snapshot: snapshot}, Clock: clock, Peers: peers, Upstream: upstream,
+		Ledger: deduplicator.NewLedger(deduplicator.Config{}),
+	})
+}
+
+func read(id int, path string) lagoonlanding.Request {
+	return lagoonlanding.NewRequest(lagoonlanding.RequestConfig{
+		ID: fmt.Sprint(id), Method: "GET", Path: path, Idempotent: true, Deadline: start.Add(time.Minute),
+		Key: lagoonlanding.NewKey("bay-directory", "tags", ""),
+	})
+}
+
+// outsider is an instance that is no member, so that it forwards everything.
+var outsider = member("outsider", "marousi").Instance()
+
+func TestPickedRequestGoesToAnotherInstanceAfterAFailure(t *testing.T) {
+	peers := scriptedPeers{answer: func(_ context.Context, to string, request lagoonlanding.Request) (lagoonlanding.Reply, error) {
+		if to == "lost" {
+			return lagoonlanding.Reply{}, lagoonlanding.ErrNotSent
+		}
+		return answered(request, to), nil
+	}}
+	snapshot := snapshotOf(outsider, member("lost", "piraeus"), member("well", "piraeus"))
+	dispatcher := newDispatcher(standingClock{isPassing: true}, snapshot, peers, nil)
+	for id := range 100 {
+		reply := dispatcher.Dispatch(t.Context(), read(id, "/bays"))
+		if reply.Outcome() != lagoonlanding.OutcomeAnswered || string(reply.Body()) != "well" {
+			t.Fatalf("request %d: %v %q %q", id, reply.Outcome(), reply.Reason(), reply.Body())
+		}
+	}
+}
+
+func TestRetriesStayWithinTheBudget(t *testing.T) {
+	tries := 0
+	peers := scriptedPeers{answer: func(_ context.Context, _ string, request lagoonlanding.Request) (lagoonlanding.Reply, error) {
+		tries++
+		return lagoonlanding.Refuse(request, lagoonlanding.ReasonQueueFull), nil
+	}}
+	snapshot := snapshotOf(outsider, member("busy", "piraeus"))
+	dispatcher := newDispatcher(standingClock{isPassing: true}, snapshot, peers, nil)
+	const requests = 1000
+	for id := range requests {
+		if reply := dispatcher.Dispatch(t.Context(), read(id, "/bays")); reply.Reason() != lagoonlanding.ReasonQueueFull {
+			t.Fatalf("request %d: %q", id, reply.Reason())
+		}
+	}
+	// The budget is a tenth of the first tries and ten at the start.
+	if tries > requests+requests/10+10 {
+		t.Errorf("%d tries for %d requests", tries, requests)
+	}
+}
+
+func TestSlowReadIsHedgedAndItsSlowCopyCancelled(t *testing.T) {
+	first, cancelled := make(chan string, 1), make(chan struct{})
+	peers := scriptedPeers{answer: func(ctx context.Context, to string, request lagoonlanding.Request) (lagoonlanding.Reply, error) {
+		select {
+		case first <- to:
+			<-ctx.Done()
+			close(cancelled)
+			return lagoonlanding.Reply{}, ctx.Err()
+		default:
+			return answered(request, to), nil
+		}
+	}}
+	snapshot := snapshotOf(outsider, member("a", "piraeus"), member("b", "piraeus"))
+	dispatcher := newDispatcher(standingClock{isPassing: true}, snapshot, peers, nil)
+	reply := dispatcher.Dispatch(t.Context(), read(1, "/bays"))
+	if slow := <-first; reply.Outcome() != lagoonlanding.OutcomeAnswered || string(reply.Body()) == slow {
+		t.Fatalf("got %v by %q, the slow one is %q", reply.Outcome(), reply.Body(), slow)
+	}
+	<-cancelled
+}
+
+func TestCrashingRequestIsStopped(t *testing.T) {
+	self := member("self", "piraeus")
+	upstream := &crashingUpstream{}
+	dispatcher := newDispatcher(standingClock{}, snapshotOf(self.Instance(), self), nil, upstream)
+	for id := range 20 {
+		reply := dispatcher.Dispatch(t.Context(), read(id, "/poison"))
+		want := lagoonlanding.Unknown(read(id, "/poison"), lagoonlanding.ReasonConnectionLost)
+		if id >= quarantiner.MaxCrashes {
+			want = lagoonlanding.Refuse(read(id, "/poison"), lagoonlanding.ReasonQuarantined)
+		}
+		if reply.Outcome() != want.Outcome() || reply.Reason() != want.Reason() {
+			t.Fatalf("try %d: %v %q, want %v %q", id, reply.Outcome(), reply.Reason(), want.Outcome(), want.Reason())
+		}
+		if good := dispatcher.Dispatch(t.Context(), read(100+id, "/bays")); good.Outcome() != lagoonlanding.OutcomeAnswered {
+			t.Fatalf("the service went down with the request: %q", good.Reason())
+		}
+	}
+	if upstream.crashes != quarantiner.MaxCrashes {
+		t.Errorf("%d crashes", upstream.crashes)
+	}
+}
--- a/dispatcher/serve.go
+++ b/dispatcher/serve.go
@@ -6,6 +6,8 @@
 
 	"lagoonlanding.example/lagoonlanding"
 	"lagoonlanding.example/lagoonlanding/deduplicator"
+	"lagoonlanding.example/lagoonlanding/limiter"
+	"lagoonlanding.example/lagoonlanding/quarantiner"
 	"lagoonlanding.example/lagoonlanding/router"
 )
 
@@ -45,13 +47,32 @@
 
 // run waits for a slot and passes the request to the backend server beside this instance.
 func (dispatcher *Dispatcher) run(ctx context.Context, request lagoonlanding.Request, fence lagoonlanding.Fence) lagoonlanding.Reply {
-	server, place, refusal := dispatcher.admit(ctx, request)
-	if place == nil {
-		return refusal
+	for {
+		treatment := dispatcher.config.Quarantine.Check(dispatcher.config.Clock.Now(), quarantiner.FingerprintOf(request))
+		if treatment == quarantiner.Stopped {
+			return lagoonlanding.Refuse(request, lagoonlanding.ReasonQuarantined)
+		}
+		server, place, refusal := dispatcher.admit(ctx, request, treatment == quarantiner.Alone)
+		if place == nil {
+			return refusal
+		}
+		run, ok := dispatcher.config.Quarantine.Start(dispatcher.config.Clock.Now(), request, treatment)
+		if !ok {
+			// A crash during the wait has made the request a suspect.
+			server.Leave(dispatcher.config.Clock.Now(), place, limiter.Unsent)
+			continue
+		}
+		reply := dispatcher.send(ctx, request, fence)
+		now := dispatcher.config.Clock.Now()
+		dispatcher.config.Quarantine.Finish(now, run, hasCrashed(ctx, reply))
+		server.Leave(now, place, result(ctx, reply))
+		return reply
 	}
-	reply := dispatcher.send(ctx, request, fence)
-	server.Leave(dispatcher.config.Clock.Now(), place, result(ctx, reply))
-	return reply
+}
+
+// hasCrashed reports whether the backend server seems to have crashed with the request.
+func hasCrashed(ctx context.Context, reply lagoonlanding.Reply) bool {
+	return ctx.Err() == nil && reply.Reason() == lagoonlanding.ReasonConnectionLost
 }
 
 // send passes the request to the backend server, if the lease still holds after the wait for the slot.
--- a/limiter/ramp.go
+++ b/limiter/ramp.go
@@ -72,7 +72,7 @@
 		return
 	}
 	switch result {
-	case Reset:
+	case Reset, Unreachable:
 		ramp.fall()
 	case Shed:
 		ramp.limit = max(ramp.limit-1, 1)
--- a/limiter/result.go
+++ b/limiter/result.go
@@ -13,6 +13,8 @@
 	Shed
 	// Reset says that the connection broke, as when the backend server crashes or restarts.
 	Reset
+	// Unreachable says that no connection could be made, so that the backend server is down and will be cold.
+	Unreachable
 	// Unsent says that the request never left this process.
 	Unsent
 	// Cancelled says that the caller or its deadline ended the request before the answer.
--- a/limiter/server.go
+++ b/limiter/server.go
@@ -44,7 +44,7 @@
 func NewServer(config Config) *Server {
 	server := &Server{
 		config: config, places: map[uint64]*Place{}, tenants: map[string]int{}, drained: make(chan struct{}),
-		ramp: newRamp(max(min(config.Slots, config.Connections), 1)),
+		ramp: newRamp(top(config.Slots, config.Connections)),
 	}
 	if config.Warm {
 		server.ramp.limit = server.ramp.top
@@ -87,7 +87,7 @@
 	place.isRunning = false
 	server.inFlight--
 	took := max(now.Sub(place.started), 1)
-	if result == Unsent {
+	if result == Unsent || result == Unreachable {
 		took = 0
 	}
 	if place.waiting.IsAlone() {
@@ -232,7 +232,15 @@
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
 	server.config.Slots, server.config.Connections, server.config.Queue = slots, connections, queue
-	server.ramp.top = max(min(slots, connections), 1)
+	server.ramp.top = top(slots, connections)
 	server.ramp.limit = min(server.ramp.limit, server.ramp.top)
 	server.dispatch(now)
 }
+
+// top returns the most requests that may ever be in flight; no bound on connections leaves the slots as the bound.
+func top(slots, connections int) int {
+	if connections > 0 {
+		slots = min(slots, connections)
+	}
+	return max(slots, 1)
+}
--- a/limiter/server_test.go
+++ b/limiter/server_test.go
@@ -162,6 +162,7 @@
 		{name: "one slow", result: Served, took: time.Second, ends: 1, want: 6},
 		{name: "errors", result: Failed, took: time.Millisecond, ends: failedWindow, want: 1},
 		{name: "reset", result: Reset, took: time.Millisecond, ends: 1, want: 1},
+		{name: "unreachable", result: Unreachable, took: time.Millisecond, ends: 1, want: 1},
 		{name: "shed", result: Shed, took: time.Millisecond, ends: 1, want: 5},
 		{name: "hanging until cancelled", result: Cancelled, took: 100 * time.Millisecond, ends: 6, want: 1},
 		{name: "cancelled early", result: Cancelled, took: time.Millisecond, ends: 64, want: 6},
