--- a/dispatcher/forward.go
+++ b/dispatcher/forward.go
@@ -36,7 +36,7 @@
 		}
 		return Step{reply: refusal, retry: retryLater}
 	}
-	unknown := lagoonlanding.Unknown(request, lagoonlanding.ReasonUnreachable).By(snapshot.Self())
+	unknown := lagoonlanding.Unknown(request, lagoonlanding.ReasonConnectionLost).By(snapshot.Self())
 	if request.IsIdempotent() && request.Hops() == 0 {
 		return Step{reply: unknown, retry: retryLater}
 	}
--- a/dispatcher/pick.go
+++ b/dispatcher/pick.go
@@ -64,7 +64,8 @@
 	now := dispatcher.config.Clock.Now()
 	took := now.Sub(started)
 	choice.service.picker.Done(now, picked.ID(), lagoonlanding.NewObservation(took, len(step.reply.Body()), isFit(step.reply)))
-	if step.reply.Outcome() == lagoonlanding.OutcomeAnswered {
+	if step.reply.Outcome() == lagoonlanding.OutcomeAnswered || step.reply.Reason() == lagoonlanding.ReasonConnectionLost {
+		// A request that lost its backend server may have crashed it and would crash the next; forward has seen to lost peers.
 		return step
 	}
 	// The retrier tells whether another instance may have it.
--- a/dispatcher/pick_test.go
+++ b/dispatcher/pick_test.go
@@ -14,17 +14,17 @@
 	"lagoonlanding.example/lagoonlanding/router"
 )
 
-var start = time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)
+var began = time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)
 
 // standingClock stands still; each deadline that is waited for passes at once while isPassing is set.
 type standingClock struct{ isPassing bool }
 
-func (standingclock standingClock) Now() time.Time { return start }
+func (standingclock standingClock) Now() time.Time { return began }
 
 func (standingclock standingClock) Until(time.Time) <-chan time.Time {
 	passed := make(chan time.Time, 1)
 	if standingclock.isPassing {
-		passed <- start
+		passed <- began
 	}
 	return passed
 }
@@ -78,7 +78,7 @@
 	return lagoonlanding.NewMember(instance, lagoonlanding.MemberActive, 100)
 }
 
-func snapshotOf(self lagoonlanding.Instance, members ...lagoonlanding.Member) *router.Snapshot {
+func sharedSnapshot(self lagoonlanding.Instance, members ...lagoonlanding.Member) *router.Snapshot {
 	set := publisher.NewSet(publisher.SetConfig{
 		Services: []publisher.Service{publisher.NewService(publisher.ServiceConfig{
 			Name: "bay-directory", Slots: 6, Connections: 110, Queue: 10,
@@ -103,7 +103,7 @@
 
 func read(id int, path string) lagoonlanding.Request {
 	return lagoonlanding.NewRequest(lagoonlanding.RequestConfig{
-		ID: fmt.Sprint(id), Method: "GET", Path: path, Idempotent: true, Deadline: start.Add(time.Minute),
+		ID: fmt.Sprint(id), Method: "GET", Path: path, Idempotent: true, Deadline: began.Add(time.Minute),
 		Key: lagoonlanding.NewKey("bay-directory", "tags", ""),
 	})
 }
@@ -118,7 +118,7 @@
 		}
 		return answered(request, to), nil
 	}}
-	snapshot := snapshotOf(outsider, member("lost", "piraeus"), member("well", "piraeus"))
+	snapshot := sharedSnapshot(outsider, member("lost", "piraeus"), member("well", "piraeus"))
 	dispatcher := newDispatcher(standingClock{isPassing: true}, snapshot, peers, nil)
 	for id := range 100 {
 		reply := dispatcher.Dispatch(t.Context(), read(id, "/bays"))
@@ -134,7 +134,7 @@
 		tries++
 		return lagoonlanding.Refuse(request, lagoonlanding.ReasonQueueFull), nil
 	}}
-	snapshot := snapshotOf(outsider, member("busy", "piraeus"))
+	snapshot := sharedSnapshot(outsider, member("busy", "piraeus"))
 	dispatcher := newDispatcher(standingClock{isPassing: true}, snapshot, peers, nil)
 	const requests = 1000
 	for id := range requests {
@@ -148,6 +148,24 @@
 	}
 }
 
+func TestReadIsTriedAgainAfterALostPeerButNotAfterALostUpstream(t *testing.T) {
+	for _, isPeerLost := range []bool{true, false} {
+		tries := 0
+		peers := scriptedPeers{answer: func(_ context.Context, _ string, request lagoonlanding.Request) (lagoonlanding.Reply, error) {
+			tries++
+			if isPeerLost {
+				return lagoonlanding.Reply{}, fmt.Errorf("connection reset")
+			}
+			return lagoonlanding.Unknown(request, lagoonlanding.ReasonConnectionLost), nil
+		}}
+		dispatcher := newDispatcher(standingClock{isPassing: true}, sharedSnapshot(outsider, member("a", "piraeus")), peers, nil)
+		reply := dispatcher.Dispatch(t.Context(), read(1, "/bays"))
+		if reply.Outcome() != lagoonlanding.OutcomeUnknown || isPeerLost != (tries > 1) {
+			t.Errorf("lost peer %v: %v after %d tries", isPeerLost, reply.Outcome(), tries)
+		}
+	}
+}
+
 func TestSlowReadIsHedgedAndItsSlowCopyCancelled(t *testing.T) {
 	first, cancelled := make(chan string, 1), make(chan struct{})
 	peers := scriptedPeers{answer: func(ctx context.Context, to string, request lagoonlanding.Request) (lagoonlanding.Reply, error) {
@@ -160,7 +178,7 @@
 			return answered(request, to), nil
 		}
 	}}
-	snapshot := snapshotOf(outsider, member("a", "piraeus"), member("b", "piraeus"))
+	snapshot := sharedSnapshot(outsider, member("a", "piraeus"), member("b", "piraeus"))
 	dispatcher := newDispatcher(standingClock{isPassing: true}, snapshot, peers, nil)
 	reply := dispatcher.Dispatch(t.Context(), read(1, "/bays"))
 	if slow := <-first; reply.Outcome() != lagoonlanding.OutcomeAnswered || string(reply.Body()) == slow {
@@ -172,7 +190,7 @@
 func TestCrashingRequestIsStopped(t *testing.T) {
 	self := member("self", "piraeus")
 	upstream := &crashingUpstream{}
-	dispatcher := newDispatcher(standingClock{}, snapshotOf(self.Instance(), self), nil, upstream)
+	dispatcher := newDispatcher(standingClock{}, sharedSnapshot(self.Instance(), self), nil, upstream)
 	for id := range 20 {
 		reply := dispatcher.Dispatch(t.Context(), read(id, "/poison"))
 		want := lagoonlanding.Unknown(read(id, "/poison"), lagoonlanding.ReasonConnectionLost)
