Tell with a group's status which published set the instance applies

Cause: whether a publish is in force everywhere is judged from the witnesses' answers. Ruled out: inferring it from the renewals alone, which do not say what the witness itself applies. Change: GroupStatus.Set, its encoding, and one accessor in the controller in place of two copies. Conclusion: additive.

--- a/controller/lease.go
+++ b/controller/lease.go
@@ -26,13 +26,12 @@
 }
 
 func (controller *Controller) renewRequest(now time.Time, group *group, record lagoonlanding.Record) lagoonlanding.RenewRequest {
-	config := lagoonlanding.RenewRequestConfig{Group: group.id, Member: controller.id(), Adopted: record.Version()}
+	config := lagoonlanding.RenewRequestConfig{
+		Group: group.id, Member: controller.id(), Adopted: record.Version(), Set: controller.setVersion(),
+	}
 	if group.holder != nil {
 		config.Released = group.holder.Released()
 	}
-	if controller.directory.set != nil {
-		config.Set = controller.directory.set.Version()
-	}
 	if controller.config.Loads != nil && !now.Before(group.nextLoads) {
 		group.nextLoads = now.Add(loadInterval)
 		config.Loads = controller.config.Loads(group.id)
--- a/controller/status.go
+++ b/controller/status.go
@@ -12,9 +12,7 @@
 		Instance: controller.config.Self, Revision: controller.directory.revision,
 		Blind: controller.blind, Leaving: controller.isLeaving(),
 	}
-	if controller.directory.set != nil {
-		config.Set = controller.directory.set.Version()
-	}
+	config.Set = controller.setVersion()
 	for _, id := range controller.groupIDs() {
 		config.Groups = append(config.Groups, controller.groupStatus(now, id))
 	}
@@ -28,7 +26,7 @@
 
 func (controller *Controller) groupStatus(now time.Time, id lagoonlanding.GroupID) lagoonlanding.GroupStatus {
 	record, _ := controller.directory.record(id)
-	config := lagoonlanding.GroupStatusConfig{Group: id, Version: record.Version(), Blind: controller.blind}
+	config := lagoonlanding.GroupStatusConfig{Group: id, Version: record.Version(), Blind: controller.blind, Set: controller.setVersion()}
 	group, ok := controller.groups[id]
 	if !ok {
 		return lagoonlanding.NewGroupStatus(config)
@@ -60,3 +58,11 @@
 		return runner.config.Controller.OnStatus(now, request)
 	})
 }
+
+// setVersion returns the version of the published set that this instance applies, zero before the first.
+func (controller *Controller) setVersion() uint64 {
+	if controller.directory.set == nil {
+		return 0
+	}
+	return controller.directory.set.Version()
+}
--- a/encoder/status.go
+++ b/encoder/status.go
@@ -36,6 +36,7 @@
 	Group                        GroupID
 	Version                      uint64
 	Acting, Settled, Blind       bool
+	Set                          uint64
 	Members                      []MemberStatus
 	Serving, Acquiring, Draining int
 	Leased                       bool
@@ -46,7 +47,7 @@
 func FromGroupStatus(status lagoonlanding.GroupStatus, now time.Time) GroupStatus {
 	form := GroupStatus{
 		Group: FromGroupID(status.Group()), Version: status.Version(),
-		Acting: status.IsActing(), Settled: status.IsSettled(), Blind: status.IsBlind(),
+		Acting: status.IsActing(), Settled: status.IsSettled(), Blind: status.IsBlind(), Set: status.Set(),
 		Serving: status.Serving(), Acquiring: status.Acquiring(), Draining: status.Draining(),
 	}
 	if !status.Deadline().IsZero() {
@@ -70,7 +71,7 @@
 	}
 	config := lagoonlanding.GroupStatusConfig{
 		Group: group, Version: groupstatus.Version,
-		Acting: groupstatus.Acting, Settled: groupstatus.Settled, Blind: groupstatus.Blind,
+		Acting: groupstatus.Acting, Settled: groupstatus.Settled, Blind: groupstatus.Blind, Set: groupstatus.Set,
 		Serving: groupstatus.Serving, Acquiring: groupstatus.Acquiring, Draining: groupstatus.Draining,
 	}
 	if groupstatus.Leased {
--- a/status.go
+++ b/status.go
@@ -39,6 +39,8 @@
 	Settled bool
 	// Blind says that the instance cannot reach the store.
 	Blind bool
+	// Set is the version of the published set that the instance itself applies.
+	Set uint64
 	// Members are the members of the newest layout, as the instance knows them as a witness.
 	Members []MemberStatus
 	// Serving, Acquiring and Draining count the instance's own shards.
@@ -70,6 +72,9 @@
 // IsBlind reports whether the instance cannot reach the store.
 func (groupstatus GroupStatus) IsBlind() bool { return groupstatus.config.Blind }
 
+// Set returns the version of the published set that the instance itself applies.
+func (groupstatus GroupStatus) Set() uint64 { return groupstatus.config.Set }
+
 // Members returns the members as the instance knows them as a witness.
 func (groupstatus GroupStatus) Members() []MemberStatus { return groupstatus.config.Members }
 
