Add lagoonctl check, plan and publish, and the conductor behind them

Cause: operators need one way from files to a set in force, refused as a whole or written as a whole. Ruled out: applying to whatever is in force; an order names the version that it was made for. Change: conductor (orders to verdicts), confirmer (in force everywhere, judged from the witnesses), JSON forms of the administration API, lagoonctl with caller and printer; publish -store-url writes without a daemon.

--- /dev/null
+++ b/confirmer/judge_test.go
@@ -0,0 +1,93 @@
+package confirmer
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"lagoonlanding.example/lagoonlanding"
+)
+
+var (
+	start = time.Unix(1000, 0)
+	group = lagoonlanding.NewGroupID("status-app", "mesh")
+)
+
+func id(name string) lagoonlanding.InstanceID { return lagoonlanding.NewInstanceID(name, 1) }
+
+func record(priorVersion uint64, members ...string) lagoonlanding.Record {
+	config := lagoonlanding.LayoutConfig{Version: 5, Shards: 4}
+	for _, name := range members {
+		instance := lagoonlanding.NewInstance(lagoonlanding.InstanceConfig{ID: id(name)})
+		config.Members = append(config.Members, lagoonlanding.NewMember(instance, lagoonlanding.MemberActive, 100))
+	}
+	for _, name := range []string{"w1", "w2", "w3"} {
+		config.Witnesses = append(config.Witnesses, lagoonlanding.NewInstance(lagoonlanding.InstanceConfig{ID: id(name)}))
+	}
+	prior := lagoonlanding.NewLayout(lagoonlanding.LayoutConfig{Version: priorVersion})
+	return lagoonlanding.NewRecord(group, lagoonlanding.NewLayout(config), prior, 9)
+}
+
+// member is a member's promise: its name, the set that it applies and whether the promise lives.
+type member struct {
+	name   string
+	set    uint64
+	lapsed bool
+}
+
+func answer(version, set uint64, settled bool, members ...member) Answer {
+	config := lagoonlanding.GroupStatusConfig{Group: group, Version: version, Set: set, Settled: settled}
+	for _, one := range members {
+		lapses := start.Add(time.Second)
+		if one.lapsed {
+			lapses = start.Add(-time.Second)
+		}
+		config.Members = append(config.Members, lagoonlanding.NewMemberStatus(id(one.name), lagoonlanding.MemberActive, lapses, one.set))
+	}
+	return NewAnswer(lagoonlanding.NewGroupStatus(config), nil)
+}
+
+func TestJudge(t *testing.T) {
+	silent := NewAnswer(lagoonlanding.GroupStatus{}, errors.New("cut off"))
+	good := answer(5, 8, true, member{name: "a", set: 8}, member{name: "b", set: 9})
+	behind := answer(5, 8, true, member{name: "a", set: 7}, member{name: "b", set: 8})
+	lapsed := answer(5, 8, true, member{name: "a", set: 7, lapsed: true}, member{name: "b", set: 8})
+	cases := []struct {
+		name    string
+		answers []Answer
+		prior   uint64
+		want    []string
+	}{
+		{"all", []Answer{good, good, good}, 4, nil},
+		{"one silent witness", []Answer{good, silent, good}, 4, nil},
+		{"two silent witnesses", []Answer{good, silent, silent}, 4, []string{"witness-silent w2", "witness-silent w3"}},
+		{"no answer at all", []Answer{silent, silent, silent}, 4, []string{"witness-silent w1", "witness-silent w2", "witness-silent w3"}},
+		{"member behind", []Answer{good, behind, good}, 4, []string{"member-behind a"}},
+		{"lapsed member behind", []Answer{lapsed, silent, lapsed}, 4, nil},
+		{"lapsed at one witness only", []Answer{lapsed, silent, behind}, 4, []string{"member-behind a"}},
+		{"witness behind", []Answer{answer(5, 7, true, member{name: "a", set: 8}, member{name: "b", set: 8}), silent, good}, 4,
+			[]string{"witness-behind w1", "witness-silent w2"}},
+		{"older layout", []Answer{answer(4, 8, true), answer(4, 8, true), good}, 4, []string{"witness-silent w1", "witness-silent w2"}},
+		{"moving", []Answer{answer(5, 8, false, member{name: "a", set: 8}, member{name: "b", set: 8}), silent, answer(5, 8, false, member{name: "a", set: 8}, member{name: "b", set: 8})}, 4,
+			[]string{"group-moving "}},
+		{"first layout", []Answer{answer(5, 8, false, member{name: "a", set: 8}, member{name: "b", set: 8}), silent, answer(5, 8, false, member{name: "a", set: 8}, member{name: "b", set: 8})}, 0, nil},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			answers := map[lagoonlanding.InstanceID]Answer{}
+			for i, answer := range test.answers {
+				answers[id(fmt.Sprintf("w%d", i+1))] = answer
+			}
+			var got []string
+			for _, lag := range Judge(start, 8, record(test.prior, "a", "b"), answers) {
+				got = append(got, fmt.Sprintf("%s %s", lag.Kind(), lag.Instance().Name()))
+			}
+			if diff := cmp.Diff(test.want, got); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/lagoonctl/caller/doc.go
@@ -0,0 +1,2 @@
+// Package caller calls the administration API of a daemon.
+package caller
--- /dev/null
+++ b/lagoonctl/commander/doc.go
@@ -0,0 +1,2 @@
+// Package commander holds the commands of lagoonctl.
+package commander
--- /dev/null
+++ b/lagoonctl/commander/publish.go
@@ -0,0 +1,178 @@
+package commander
+
+import (
+	"context"
+	"flag"
+	"strings"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"lagoonlanding.example/lagoonlanding/administrator/encoder"
+	"lagoonlanding.example/lagoonlanding/parser"
+)
+
+// orderFlags are the flags of commands that publish.
+type orderFlags struct {
+	base     uint64
+	accept   string
+	operator string
+	note     string
+	wait     time.Duration
+	storeURL string
+}
+
+func (orderflags *orderFlags) register(flags *flag.FlagSet) {
+	flags.StringVar(&orderflags.accept, "accept", "", "accepted dangers, such as low-capacity or removed:route.tags, separated by commas")
+	flags.StringVar(&orderflags.operator, "operator", operator(), "who publishes; a key with a name goes first")
+	flags.StringVar(&orderflags.note, "note", "", "why")
+	flags.DurationVar(&orderflags.wait, "wait", defaultWait, "how long to wait for the set to be in force everywhere")
+}
+
+func (orderflags *orderFlags) accepted() []string {
+	var names []string
+	for _, name := range strings.Split(orderflags.accept, ",") {
+		if name = strings.TrimSpace(name); name != "" {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+func checkCommand(options *options) *ffcli.Command {
+	flags := newFlags("check")
+	options.registerOutput(flags)
+	return &ffcli.Command{
+		Name: "check", ShortUsage: "lagoonctl check [flags] <file or folder>", FlagSet: flags,
+		ShortHelp: "find every fault of a set, without asking a daemon",
+		LongHelp:  "EXAMPLES\n  lagoonctl check set.toml\n  lagoonctl check -output json set/",
+		Exec: func(_ context.Context, args []string) error {
+			path, err := oneArgument(args, "a file or folder")
+			if err != nil {
+				return err
+			}
+			return options.check(path)
+		},
+	}
+}
+
+func (options *options) check(path string) error {
+	sources, err := parser.Read(path)
+	if err != nil {
+		return err
+	}
+	printer, err := options.printer()
+	if err != nil {
+		return err
+	}
+	_, faults := parser.Parse(sources)
+	if err := printer.Faults(encoder.FromFaults(faults)); err != nil {
+		return err
+	}
+	if len(faults) > 0 {
+		return exitWith(ExitFaulty)
+	}
+	return nil
+}
+
+func publishCommand(options *options) *ffcli.Command {
+	flags := newFlags("publish")
+	order := &orderFlags{}
+	options.register(flags)
+	order.register(flags)
+	flags.Uint64Var(&order.base, "base", 0, "version in force that the set was made from, 0 for the first set")
+	flags.StringVar(&order.storeURL, "store-url", "", "write through the store at this address, without asking a daemon; in force is then not checked")
+	return &ffcli.Command{
+		Name: "publish", ShortUsage: "lagoonctl publish [flags] <file or folder>", FlagSet: flags,
+		ShortHelp: "replace the whole set in force, and wait until it is in force everywhere",
+		LongHelp: "Refuses faults, dangers that -accept does not name, and a base that is no longer in force.\n\n" +
+			"EXAMPLES\n  lagoonctl publish set/\n  lagoonctl publish -base 7 -accept removed:route.tags -note \"tags moved\" set/",
+		Exec: func(ctx context.Context, args []string) error {
+			path, err := oneArgument(args, "a file or folder")
+			if err != nil {
+				return err
+			}
+			return options.publish(ctx, order, path)
+		},
+	}
+}
+
+func (options *options) publish(ctx context.Context, flags *orderFlags, path string) error {
+	sources, err := parser.Read(path)
+	if err != nil {
+		return err
+	}
+	if flags.storeURL != "" {
+		return options.publishDirectly(ctx, flags, sources)
+	}
+	order := encoder.Order{
+		Sources: encoder.FromSources(sources), BaseVersion: flags.base, Accept: flags.accepted(),
+		Operator: flags.operator, Note: flags.note, Wait: flags.wait.String(),
+	}
+	caller, err := options.caller()
+	if err != nil {
+		return err
+	}
+	outcome, err := caller.Publish(ctx, order)
+	if err != nil {
+		return err
+	}
+	return options.printOutcome(outcome)
+}
+
+func (options *options) printOutcome(outcome encoder.Outcome) error {
+	printer, err := options.printer()
+	if err != nil {
+		return err
+	}
+	if err := printer.Outcome(outcome); err != nil {
+		return err
+	}
+	return exitWith(verdictCode(outcome.Verdict))
+}
+
+func planCommand(options *options) *ffcli.Command {
+	flags := newFlags("plan")
+	options.register(flags)
+	return &ffcli.Command{
+		Name: "plan", ShortUsage: "lagoonctl plan [flags] <file or folder>", FlagSet: flags,
+		ShortHelp: "show what publishing a set would change, move and endanger",
+		LongHelp:  "EXAMPLES\n  lagoonctl plan set/",
+		Exec: func(ctx context.Context, args []string) error {
+			path, err := oneArgument(args, "a file or folder")
+			if err != nil {
+				return err
+			}
+			return options.plan(ctx, path)
+		},
+	}
+}
+
+func (options *options) plan(ctx context.Context, path string) error {
+	sources, err := parser.Read(path)
+	if err != nil {
+		return err
+	}
+	printer, err := options.printer()
+	if err != nil {
+		return err
+	}
+	caller, err := options.caller()
+	if err != nil {
+		return err
+	}
+	plan, err := caller.Plan(ctx, encoder.Order{Sources: encoder.FromSources(sources)})
+	if err != nil {
+		return err
+	}
+	if err := printer.Plan(plan); err != nil {
+		return err
+	}
+	switch {
+	case len(plan.Faults) > 0:
+		return exitWith(ExitFaulty)
+	case len(plan.Dangers) > 0:
+		return exitWith(ExitDangerous)
+	}
+	return nil
+}
--- a/parser/parser.go
+++ b/parser/parser.go
@@ -129,3 +129,14 @@
 	}
 	return least
 }
+
+// Locate adds the places in the sources to faults of their set that were found elsewhere.
+func Locate(sources []Source, faults []publisher.Fault) []Fault {
+	_, reader := parse(sources)
+	reader.faults = nil
+	for _, fault := range faults {
+		reader.place(fault)
+	}
+	sortFaults(reader.faults)
+	return reader.faults
+}
--- a/planner/group.go
+++ b/planner/group.go
@@ -113,6 +113,9 @@
 	if _, ok := findPartition(builder.config.New, id); !ok {
 		return // The removal of the object is the danger.
 	}
+	if len(tally.regionsBefore) == 0 {
+		return // Nothing serves it now either.
+	}
 	object := partitionName(id.Service(), id.Partition())
 	if len(tally.regionsAfter) == 0 {
 		builder.warn(NoMember, object, "no active member is left")
--- a/planner/plan.go
+++ b/planner/plan.go
@@ -129,11 +129,13 @@
 	}
 }
 
-// addNewPartitions warns of partitions that no live group serves yet.
+// addNewPartitions warns of new partitions that no live group serves yet.
 func (builder *builder) addNewPartitions() {
 	for _, service := range builder.config.New.Services() {
 		for _, partition := range service.Partitions() {
-			if _, ok := builder.config.Groups[lagoonlanding.NewGroupID(service.Name(), partition.Name())]; !ok {
+			id := lagoonlanding.NewGroupID(service.Name(), partition.Name())
+			_, isOld := findPartition(builder.config.Old, id)
+			if _, isLive := builder.config.Groups[id]; !isLive && !isOld {
 				builder.warn(NoMember, partitionName(service.Name(), partition.Name()), "no instance serves it yet")
 			}
 		}
--- a/publisher/set.go
+++ b/publisher/set.go
@@ -153,3 +153,20 @@
 	class, ok := set.classes[name]
 	return class, ok
 }
+
+// WithZone returns the same objects with one zone out or in; it is false if there is no such zone.
+func (set *Set) WithZone(name string, out bool) (*Set, bool) {
+	zone, ok := set.AvailabilityZone(name)
+	if !ok {
+		return nil, false
+	}
+	zone.config.Out = out
+	config := set.config
+	config.AvailabilityZones = slices.Clone(config.AvailabilityZones)
+	for i := range config.AvailabilityZones {
+		if config.AvailabilityZones[i].Name() == name {
+			config.AvailabilityZones[i] = zone
+		}
+	}
+	return NewSet(config), true
+}
