--- a/controller/status.go
+++ b/controller/status.go
@@ -9,10 +9,9 @@
 // Status returns what this instance knows of itself and its groups.
 func (controller *Controller) Status(now time.Time) lagoonlanding.InstanceStatus {
 	config := lagoonlanding.InstanceStatusConfig{
-		Instance: controller.config.Self, Revision: controller.directory.revision,
+		Instance: controller.config.Self, Set: controller.setVersion(), Revision: controller.directory.revision,
 		Blind: controller.blind, Leaving: controller.isLeaving(),
 	}
-	config.Set = controller.setVersion()
 	for _, id := range controller.groupIDs() {
 		config.Groups = append(config.Groups, controller.groupStatus(now, id))
 	}
@@ -33,7 +32,7 @@
 	}
 	config.Acting = controller.isActing(now, group)
 	config.Settled = group.tally != nil && group.tally.IsSettled()
-	if group.isWitness() {
+	if config.Witness = group.isWitness(); config.Witness {
 		for _, member := range record.Current().Members() {
 			config.Members = append(config.Members, lagoonlanding.NewMemberStatus(
 				member.ID(), member.State(), group.granter.Deadline(member.ID()), group.granter.Set(member.ID()),
@@ -58,11 +57,3 @@
 		return runner.config.Controller.OnStatus(now, request)
 	})
 }
-
-// setVersion returns the version of the published set that this instance applies, zero before the first.
-func (controller *Controller) setVersion() uint64 {
-	if controller.directory.set == nil {
-		return 0
-	}
-	return controller.directory.set.Version()
-}
--- a/dispatcher/forward.go
+++ b/dispatcher/forward.go
@@ -15,6 +15,9 @@
 	if request.Hops() >= router.MaxHops {
 		return final(lagoonlanding.Refuse(request, lagoonlanding.ReasonHopLimit).By(snapshot.Self()))
 	}
+	// A frozen instance would keep the request until its deadline.
+	ctx, release := dispatcher.members.bind(ctx, to.ID())
+	defer release()
 	reply, err := dispatcher.config.Peers.Forward(ctx, to, request.Forwarded())
 	if err != nil {
 		return dispatcher.failedForward(snapshot, request, err)
@@ -61,6 +64,9 @@
 	self := snapshot.Self()
 	picked := nearest(self, decision.Members())
 	if request.Hops() > 0 || picked.ID() == self.ID() {
+		if !snapshot.IsLeased(dispatcher.config.Clock.Now(), request.Key().Service()) {
+			return Step{reply: lagoonlanding.Refuse(request, lagoonlanding.ReasonLeaseLapsed).By(self), retry: retryAtChange}
+		}
 		return final(dispatcher.run(ctx, request, lagoonlanding.Fence{}).By(self))
 	}
 	return dispatcher.forward(ctx, snapshot, picked, request)
--- a/status.go
+++ b/status.go
@@ -35,12 +35,14 @@
 	Version uint64
 	// Acting says that the instance coordinates the group.
 	Acting bool
+	// Witness says that the newest layout names the instance as a witness.
+	Witness bool
+	// Set is the version of the published set that the instance applies.
+	Set uint64
 	// Settled says that the next layout may be written.
 	Settled bool
 	// Blind says that the instance cannot reach the store.
 	Blind bool
-	// Set is the version of the published set that the instance itself applies.
-	Set uint64
 	// Members are the members of the newest layout, as the instance knows them as a witness.
 	Members []MemberStatus
 	// Serving, Acquiring and Draining count the instance's own shards.
@@ -66,15 +68,18 @@
 // IsActing reports whether the instance coordinates the group.
 func (groupstatus GroupStatus) IsActing() bool { return groupstatus.config.Acting }
 
+// IsWitness reports whether the newest layout names the instance as a witness.
+func (groupstatus GroupStatus) IsWitness() bool { return groupstatus.config.Witness }
+
+// Set returns the version of the published set that the instance applies.
+func (groupstatus GroupStatus) Set() uint64 { return groupstatus.config.Set }
+
 // IsSettled reports whether the next layout may be written.
 func (groupstatus GroupStatus) IsSettled() bool { return groupstatus.config.Settled }
 
 // IsBlind reports whether the instance cannot reach the store.
 func (groupstatus GroupStatus) IsBlind() bool { return groupstatus.config.Blind }
 
-// Set returns the version of the published set that the instance itself applies.
-func (groupstatus GroupStatus) Set() uint64 { return groupstatus.config.Set }
-
 // Members returns the members as the instance knows them as a witness.
 func (groupstatus GroupStatus) Members() []MemberStatus { return groupstatus.config.Members }
 
