Require partitions of every service, and keep them while the service stands

Cause: requests to undivided services are owned by their idempotency key, so they have groups too. Ruled out: treating partitions of undivided services as optional; nothing would own their requests. Change: Check and CheckChange treat divided and undivided services alike. Conclusion: one rule for all services.

--- a/publisher/change.go
+++ b/publisher/change.go
@@ -9,8 +9,8 @@
 
 // CheckChange returns every fault in replacing the old set by the new one; old is nil before the first publish.
 //
-// The partition and the shard of a key are a function of its workspace and service, so what they depend on stays as it is
-// while owners live by it.
+// The partition and the shard of a key, or of an idempotency key, are a function of its workspace and service, so what they
+// depend on stays as it is while owners live by it.
 func CheckChange(old, new *Set) []Fault {
 	if old == nil {
 		return nil
@@ -29,7 +29,7 @@
 	}
 	for _, service := range new.Services() {
 		before, ok := old.Service(service.Name())
-		if ok && (before.IsDivided() || service.IsDivided()) {
+		if ok {
 			faults = append(faults, checkServiceChange(before, service)...)
 		}
 	}
@@ -47,7 +47,7 @@
 		part := object + ".partition." + partition.Name()
 		switch {
 		case !ok:
-			faults = append(faults, NewFault(object, "partition", fmt.Sprintf("partition %q of a divided service in force cannot go; %s", partition.Name(), separately)))
+			faults = append(faults, NewFault(object, "partition", fmt.Sprintf("partition %q of a service in force cannot go; %s", partition.Name(), separately)))
 		case !sameNames(partition.Regions(), after.Regions()):
 			faults = append(faults, NewFault(part, "regions", "the regions of a partition in force cannot change; "+separately))
 		case partition.Shards() != after.Shards():
@@ -56,7 +56,7 @@
 	}
 	for _, partition := range service.Partitions() {
 		if _, ok := before.partition(partition.Name()); !ok {
-			faults = append(faults, NewFault(object+".partition."+partition.Name(), "", "a divided service in force cannot get another partition; "+separately))
+			faults = append(faults, NewFault(object+".partition."+partition.Name(), "", "a service in force cannot get another partition; "+separately))
 		}
 	}
 	return faults
--- a/publisher/check.go
+++ b/publisher/check.go
@@ -117,8 +117,8 @@
 	checker.checkRange(object, "slots", service.Slots(), 1, MaxCount)
 	checker.checkRange(object, "connections", service.Connections(), 1, MaxCount)
 	checker.checkRange(object, "queue", service.Queue(), 0, MaxCount)
-	if service.IsDivided() && len(service.Partitions()) == 0 {
-		checker.add(object, "partition", "a divided service needs a partition, or its keys have no permitted owner")
+	if len(service.Partitions()) == 0 {
+		checker.add(object, "partition", "a service needs a partition, or its requests have no permitted owner")
 	}
 	for _, partition := range service.Partitions() {
 		checker.checkPartition(service, partition)
@@ -127,11 +127,7 @@
 
 func (checker *checker) checkPartition(service Service, partition Partition) {
 	object := "service." + service.Name() + ".partition." + partition.Name()
-	if service.IsDivided() {
-		checker.checkRange(object, "shards", partition.Shards(), 1, MaxShards)
-	} else if partition.Shards() != 0 {
-		checker.add(object, "shards", "the service is not divided, so it has no shards")
-	}
+	checker.checkRange(object, "shards", partition.Shards(), 1, MaxShards)
 	if len(partition.Regions()) == 0 {
 		checker.add(object, "regions", "a partition needs a home-region, or no instance may join it")
 		return
--- a/publisher/check_test.go
+++ b/publisher/check_test.go
@@ -67,7 +67,7 @@
 		}},
 		{"no partition", func(config *SetConfig) {
 			config.Services[0] = NewService(ServiceConfig{Name: "status-app", Divided: true, LongestDeadline: time.Second, Slots: 1, Connections: 1})
-		}, []string{"service.status-app: partition: a divided service needs a partition, or its keys have no permitted owner"}},
+		}, []string{"service.status-app: partition: a service needs a partition, or its requests have no permitted owner"}},
 	}
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
@@ -96,13 +96,13 @@
 		{"order of regions", partitions(attica, mesh), nil},
 		{"version", func(config *SetConfig) { config.Version = 1 }, []string{"set: version: version 1 does not follow version 1"}},
 		{"home regions", withWorkspace("harbour"), []string{"workspace.harbour: home-regions: the home regions [attica] of a workspace in force cannot change; " + separately}},
-		{"partition gone", partitions(mesh), []string{`service.status-app: partition: partition "attica" of a divided service in force cannot go; ` + separately}},
+		{"partition gone", partitions(mesh), []string{`service.status-app: partition: partition "attica" of a service in force cannot go; ` + separately}},
 		{"shards", partitions(attica, NewPartition(PartitionConfig{Name: "mesh", Regions: []string{"macedonia", "attica"}, Shards: 9})),
 			[]string{"service.status-app.partition.mesh: shards: the shards of a partition in force cannot change; " + separately}},
 		{"regions", partitions(attica, NewPartition(PartitionConfig{Name: "mesh", Regions: []string{"attica"}, Shards: 8})),
 			[]string{"service.status-app.partition.mesh: regions: the regions of a partition in force cannot change; " + separately}},
 		{"another partition", partitions(attica, mesh, NewPartition(PartitionConfig{Name: "third", Regions: []string{"attica"}, Shards: 8})),
-			[]string{"service.status-app.partition.third: a divided service in force cannot get another partition; " + separately}},
+			[]string{"service.status-app.partition.third: a service in force cannot get another partition; " + separately}},
 		{"service removed", func(config *SetConfig) { config.Services = nil }, nil},
 	}
 	for _, test := range cases {
