Serve the administration API

Cause: operators and their programs need one HTTP API for check, plan, publish, zones, history, status and explanations. Ruled out: authentication by TLS client certificates for now; instances keep nothing, and a key file is replaced in place. Change: administrator (handlers, keys that are read again when their file changes, refused outside loopback without), explainer, the wait for in force everywhere with who lags. Conclusion: lagoond needs to mount administrator.New(...).Handler() on its admin-address.

--- /dev/null
+++ b/administrator/doc.go
@@ -0,0 +1,2 @@
+// Package administrator serves the HTTP administration API to operators.
+package administrator
--- /dev/null
+++ b/administrator/keyring.go
@@ -0,0 +1,119 @@
+package administrator
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"net"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/samber/oops"
+)
+
+// minKeyLength is the least number of characters of an operator's key.
+const minKeyLength = 16
+
+// keyring holds the operators' keys and reads their file again when it changes.
+type keyring struct {
+	file     string
+	mutex    sync.Mutex
+	modified time.Time
+	size     int64
+	keys     []key
+}
+
+// key is one operator's key; only its digest is kept, so that comparing takes the same time for all lengths.
+type key struct {
+	name   string
+	digest [sha256.Size]byte
+}
+
+// newKeyring reads the keys; without a file everybody may call, which only a loopback address allows.
+func newKeyring(file, address string) (*keyring, error) {
+	if file == "" {
+		if !isLoopback(address) {
+			return nil, oops.In("administrator").Errorf("the admin-address %s is not a loopback address, so an admin-key-file is needed", address)
+		}
+		return &keyring{}, nil
+	}
+	keyring := &keyring{file: file}
+	return keyring, keyring.reload()
+}
+
+func isLoopback(address string) bool {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return false
+	}
+	ip := net.ParseIP(host)
+	return ip != nil && ip.IsLoopback()
+}
+
+// check returns the name of the operator whose key it is; it is false if the caller may not go on.
+func (keyring *keyring) check(authorization string) (string, bool, error) {
+	if keyring.file == "" {
+		return "", true, nil
+	}
+	keyring.mutex.Lock()
+	defer keyring.mutex.Unlock()
+	// A file that cannot be read leaves the keys as they are, so that nobody is locked out by a half-written file.
+	err := keyring.reload()
+	text, ok := strings.CutPrefix(authorization, "Bearer ")
+	if !ok {
+		return "", false, err
+	}
+	digest := sha256.Sum256([]byte(text))
+	for _, key := range keyring.keys {
+		if subtle.ConstantTimeCompare(digest[:], key.digest[:]) == 1 {
+			return key.name, true, err
+		}
+	}
+	return "", false, err
+}
+
+// reload reads the file if it has changed since the last read.
+func (keyring *keyring) reload() error {
+	info, err := os.Stat(keyring.file)
+	if err != nil {
+		return oops.In("administrator").Wrapf(err, "reading the keys")
+	}
+	if info.ModTime().Equal(keyring.modified) && info.Size() == keyring.size {
+		return nil
+	}
+	text, err := os.ReadFile(keyring.file)
+	if err != nil {
+		return oops.In("administrator").Wrapf(err, "reading the keys")
+	}
+	keys, err := parseKeys(string(text))
+	if err != nil {
+		return err
+	}
+	keyring.keys, keyring.modified, keyring.size = keys, info.ModTime(), info.Size()
+	return nil
+}
+
+// parseKeys reads lines that hold a key, or an operator's name and a key.
+func parseKeys(text string) ([]key, error) {
+	var keys []key
+	for i, line := range strings.Split(text, "\n") {
+		fields := strings.Fields(line)
+		if len(fields) == 0 {
+			continue
+		}
+		secret := fields[len(fields)-1]
+		if len(fields) > 2 || len(secret) < minKeyLength {
+			return nil, oops.In("administrator").Errorf("line %d of the keys is not a name and a key of at least %d characters", i+1, minKeyLength)
+		}
+		name := ""
+		if len(fields) == 2 {
+			name = fields[0]
+		}
+		keys = append(keys, key{name: name, digest: sha256.Sum256([]byte(secret))})
+	}
+	if len(keys) == 0 {
+		return nil, oops.In("administrator").Errorf("the file of the keys holds none")
+	}
+	return keys, nil
+}
--- /dev/null
+++ b/administrator/order.go
@@ -0,0 +1,202 @@
+package administrator
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"lagoonlanding.example/lagoonlanding/administrator/encoder"
+	"lagoonlanding.example/lagoonlanding/conductor"
+	"lagoonlanding.example/lagoonlanding/parser"
+	"lagoonlanding.example/lagoonlanding/publisher"
+)
+
+// none is the body of a call that has none.
+type none struct{}
+
+func (administrator *Administrator) check(call call[encoder.Order]) (int, encoder.Plan, error) {
+	_, faults := parser.Parse(call.body.Values())
+	return http.StatusOK, encoder.Plan{Faults: encoder.FromFaults(faults)}, nil
+}
+
+func (administrator *Administrator) plan(call call[encoder.Order]) (int, encoder.Plan, error) {
+	sources := call.body.Values()
+	set, faults := parser.Parse(sources)
+	if len(faults) > 0 {
+		return http.StatusOK, encoder.Plan{Faults: encoder.FromFaults(faults)}, nil
+	}
+	proposal, err := administrator.conductor.Propose(call.ctx(), set)
+	if err != nil {
+		return http.StatusServiceUnavailable, encoder.Plan{}, err
+	}
+	return http.StatusOK, encoder.FromProposal(proposal, sources), nil
+}
+
+func (administrator *Administrator) publish(call call[encoder.Order]) (int, encoder.Outcome, error) {
+	sources := call.body.Values()
+	set, faults := parser.Parse(sources)
+	if len(faults) > 0 {
+		faulty := encoder.Outcome{Verdict: string(conductor.Faulty), Plan: encoder.Plan{Faults: encoder.FromFaults(faults)}}
+		return statusOf(conductor.Faulty), faulty, nil
+	}
+	until, err := administrator.waitUntil(call.body.Wait)
+	if err != nil {
+		return http.StatusBadRequest, encoder.Outcome{}, err
+	}
+	outcome := administrator.conductor.Publish(detach(call.ctx()), conductor.Order{
+		Set: set, Base: call.body.BaseVersion, Accepted: call.body.Accept, WaitUntil: until,
+		Publication: administrator.publication(call.operator, call.body.Operator, call.body.Note),
+	})
+	administrator.logOutcome("publish", outcome)
+	return statusOf(outcome.Verdict()), encoder.FromOutcome(outcome, sources), nil
+}
+
+func (administrator *Administrator) setZone(call call[encoder.ZoneOrder]) (int, encoder.Outcome, error) {
+	action := call.request.PathValue("action")
+	if action != "out" && action != "return" {
+		return http.StatusNotFound, encoder.Outcome{}, fmt.Errorf("a zone goes out or returns, not %q", action)
+	}
+	until, err := administrator.waitUntil(call.body.Wait)
+	if err != nil {
+		return http.StatusBadRequest, encoder.Outcome{}, err
+	}
+	zone := call.request.PathValue("zone")
+	note := call.body.Note
+	if note == "" {
+		note = "zone " + action + " " + zone
+	}
+	outcome := administrator.conductor.SetZone(detach(call.ctx()), conductor.ZoneOrder{
+		Zone: zone, Out: action == "out", Accepted: call.body.Accept, WaitUntil: until,
+		Publication: administrator.publication(call.operator, call.body.Operator, note),
+	})
+	administrator.logOutcome("zone "+action+" "+zone, outcome)
+	return statusOf(outcome.Verdict()), encoder.FromOutcome(outcome, nil), nil
+}
+
+// detach lets an order go on when its operator hangs up, so that the log tells its end.
+func detach(ctx context.Context) context.Context { return context.WithoutCancel(ctx) }
+
+// publication names the operator by the key, or else as the order does.
+func (administrator *Administrator) publication(keyName, named, note string) publisher.Publication {
+	if keyName == "" {
+		keyName = named
+	}
+	return publisher.NewPublication(publisher.PublicationConfig{
+		ID: rand.Text(), Operator: keyName, Note: note, Issued: administrator.config.Clock.Now().UTC().Round(0),
+	})
+}
+
+func (administrator *Administrator) waitUntil(text string) (time.Time, error) {
+	wait := defaultWait
+	if text != "" {
+		parsed, err := time.ParseDuration(text)
+		if err != nil || parsed < 0 || parsed > maxWait {
+			return time.Time{}, fmt.Errorf("the wait %q is no duration up to %v", text, maxWait)
+		}
+		wait = parsed
+	}
+	return administrator.config.Clock.Now().Add(wait), nil
+}
+
+func (administrator *Administrator) logOutcome(order string, outcome conductor.Outcome) {
+	entry := administrator.config.Log.WithField("verdict", string(outcome.Verdict()))
+	if outcome.Err() != nil {
+		entry = entry.WithError(outcome.Err())
+	}
+	entry.Infof("Handled the order to %s.", order)
+}
+
+func statusOf(verdict conductor.Verdict) int {
+	switch verdict {
+	case conductor.InForce, conductor.Unchanged, conductor.Written:
+		return http.StatusOK
+	case conductor.Pending:
+		return http.StatusAccepted
+	case conductor.Faulty:
+		return http.StatusUnprocessableEntity
+	case conductor.Dangerous:
+		return http.StatusPreconditionFailed
+	case conductor.Outrun:
+		return http.StatusConflict
+	case conductor.Uncertain:
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusServiceUnavailable
+}
+
+func (administrator *Administrator) set(call call[none]) (int, encoder.Set, error) {
+	version, err := versionOf(call.request, "version")
+	if err != nil {
+		return http.StatusBadRequest, encoder.Set{}, err
+	}
+	sets, err := administrator.kept(call.ctx(), version)
+	if err != nil {
+		return http.StatusServiceUnavailable, encoder.Set{}, err
+	}
+	for _, set := range sets {
+		if version != 0 && set.Version() != version {
+			continue
+		}
+		text, err := parser.Format(set)
+		if err != nil {
+			return http.StatusInternalServerError, encoder.Set{}, err
+		}
+		return http.StatusOK, encoder.Set{Publication: encoder.FromPublication(set), Text: text}, nil
+	}
+	return http.StatusNotFound, encoder.Set{}, errors.New("there is no such set, or it is no longer kept")
+}
+
+// kept returns the set in force, with the earlier ones if a version is asked for.
+func (administrator *Administrator) kept(ctx context.Context, version uint64) ([]*publisher.Set, error) {
+	if version > 0 {
+		return administrator.submitter.History(ctx)
+	}
+	held, err := administrator.submitter.Read(ctx)
+	if err != nil || held.Set() == nil {
+		return nil, err
+	}
+	return []*publisher.Set{held.Set()}, nil
+}
+
+func (administrator *Administrator) history(call call[none]) (int, encoder.History, error) {
+	sets, err := administrator.submitter.History(call.ctx())
+	if err != nil {
+		return http.StatusServiceUnavailable, encoder.History{}, err
+	}
+	var history encoder.History
+	for _, set := range sets {
+		history.Publications = append(history.Publications, encoder.FromPublication(set))
+	}
+	return http.StatusOK, history, nil
+}
+
+func (administrator *Administrator) confirmation(call call[none]) (int, encoder.Confirmation, error) {
+	version, err := versionOf(call.request, "version")
+	if err != nil {
+		return http.StatusBadRequest, encoder.Confirmation{}, err
+	}
+	if version == 0 {
+		held, err := administrator.submitter.Read(call.ctx())
+		if err != nil {
+			return http.StatusServiceUnavailable, encoder.Confirmation{}, err
+		}
+		version = held.Version()
+	}
+	return http.StatusOK, encoder.FromConfirmation(administrator.confirmer.Confirm(call.ctx(), version)), nil
+}
+
+func versionOf(request *http.Request, name string) (uint64, error) {
+	text := request.URL.Query().Get(name)
+	if text == "" {
+		return 0, nil
+	}
+	version, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return 0, fmt.Errorf("%s %q is not a number", name, text)
+	}
+	return version, nil
+}
--- a/confirmer/confirmer.go
+++ b/confirmer/confirmer.go
@@ -92,7 +92,7 @@
 	if err != nil {
 		return NewConfirmation(version, 0, nil, err)
 	}
-	answers := confirmer.ask(ctx, records)
+	answers := confirmer.Ask(ctx, records)
 	now := confirmer.config.Clock.Now()
 	var lags []Lag
 	for i, record := range records {
@@ -117,8 +117,8 @@
 	return records, nil
 }
 
-// ask returns the answers of the witnesses of each record.
-func (confirmer *Confirmer) ask(ctx context.Context, records []lagoonlanding.Record) []map[lagoonlanding.InstanceID]Answer {
+// Ask returns the answers of the witnesses of each record.
+func (confirmer *Confirmer) Ask(ctx context.Context, records []lagoonlanding.Record) []map[lagoonlanding.InstanceID]Answer {
 	answers := make([]map[lagoonlanding.InstanceID]Answer, len(records))
 	var mutex sync.Mutex
 	var asking sync.WaitGroup
--- /dev/null
+++ b/explainer/doc.go
@@ -0,0 +1,2 @@
+// Package explainer tells why a key is where it is.
+package explainer
