--- a/encoder/set_test.go
+++ b/encoder/set_test.go
@@ -94,3 +94,18 @@
 		}
 	})
 }
+
+func BenchmarkSetsEncode(b *testing.B) {
+	for _, tenants := range []int{100, 3000, publisher.MaxTenants} {
+		b.Run(fmt.Sprint(tenants, " tenants"), func(b *testing.B) {
+			set := sampleSet(tenants)
+			for b.Loop() {
+				value, err := Sets{}.Encode(set)
+				if err != nil {
+					b.Fatal(err)
+				}
+				b.ReportMetric(float64(len(value)), "bytes")
+			}
+		})
+	}
+}
