Encode the difference between two published sets

Cause: the whole set must not be shipped to each daemon on each change. Ruled out: flate with the old set as its dictionary, whose window ends at 32 KB; text differences of the encoding. Conclusion: the controller can ship differences.

--- a/codec.go
+++ b/codec.go
@@ -7,3 +7,11 @@
 	// Decode returns the value that an entry of the store holds.
 	Decode(entry Entry) (T, error)
 }
+
+// Differ turns two values of one type into a difference, and a value and a difference into the other value.
+type Differ[T any] interface {
+	// Difference returns the bytes that turn the old value into the new one.
+	Difference(old, new T) ([]byte, error)
+	// Apply returns the new value; it fails if the difference is not to the old one.
+	Apply(old T, difference []byte) (T, error)
+}
--- a/encoder/set_test.go
+++ b/encoder/set_test.go
@@ -109,3 +109,75 @@
 		})
 	}
 }
+
+// mutate returns a set with some tenants changed, added and removed.
+func mutate(set *publisher.Set, random *rand.Rand) *publisher.Set {
+	config := publisher.SetConfig{
+		Version: set.Version() + 1 + uint64(random.Intn(3)), HomeRegions: set.HomeRegions(), AvailabilityZones: set.AvailabilityZones(),
+		Services: set.Services(), Workspaces: set.Workspaces(), Classes: set.Classes(), Routes: set.Routes(),
+	}
+	if random.Intn(3) == 0 {
+		config.Routes = nil
+	}
+	for _, tenant := range set.Tenants() {
+		switch random.Intn(10) {
+		case 0:
+		case 1:
+			config.Tenants = append(config.Tenants, publisher.NewTenant(publisher.TenantConfig{Name: tenant.Name(), Workspace: "ezo", Weight: random.Int()}))
+		default:
+			config.Tenants = append(config.Tenants, tenant)
+		}
+	}
+	config.Tenants = append(config.Tenants, publisher.NewTenant(publisher.TenantConfig{Name: fmt.Sprint("new-", random.Int()), Workspace: "ezo", Weight: 1}))
+	return publisher.NewSet(config)
+}
+
+func TestDifferencesYieldTheVerySet(t *testing.T) {
+	random := rand.New(rand.NewSource(7))
+	old := sampleSet(50)
+	for range 200 {
+		new := mutate(old, random)
+		value, err := Sets{}.Difference(old, new)
+		if err != nil {
+			t.Fatal(err)
+		}
+		applied, err := Sets{}.Apply(old, value)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(new, applied, compareSets); diff != "" {
+			t.Fatal(diff)
+		}
+		old = applied
+	}
+}
+
+func TestDifferencesRefuseAnotherBase(t *testing.T) {
+	random := rand.New(rand.NewSource(8))
+	old := sampleSet(50)
+	value, err := Sets{}.Difference(old, mutate(old, random))
+	if err != nil {
+		t.Fatal(err)
+	}
+	sameVersion := mutate(old, random).WithVersion(old.Version())
+	for name, base := range map[string]*publisher.Set{
+		"none": nil, "version": old.WithVersion(old.Version() + 1), "objects": sameVersion,
+	} {
+		if set, err := (Sets{}).Apply(base, value); !errors.Is(err, ErrOtherBase) {
+			t.Errorf("%s: %v, %v", name, set, err)
+		}
+	}
+}
+
+func BenchmarkSetsDifference(b *testing.B) {
+	old := sampleSet(publisher.MaxTenants)
+	new, _ := old.WithZone("kushiro", false)
+	new = new.WithVersion(old.Version() + 1)
+	for b.Loop() {
+		value, err := Sets{}.Difference(old, new)
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.ReportMetric(float64(len(value)), "bytes")
+	}
+}
