Ship differences of the published set between instances

Ruled out: a version of the set in each directory request; the revision that the asker names tells its set already. Change: the directory keeps the last 32 differences and answers with them; what cannot be applied is asked for as a whole, and the directory's revision does not advance before, since promises under newer layouts depend on it.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -36,6 +36,8 @@
 	Records lagoonlanding.Codec[lagoonlanding.Record]
 	// Sets is the codec of the published set.
 	Sets lagoonlanding.Codec[*publisher.Set]
+	// Differences makes differences between published sets for other instances; nil to send whole sets.
+	Differences lagoonlanding.Differ[*publisher.Set]
 	// Loads returns this instance's busiest shards of a group; nil for none.
 	Loads func(lagoonlanding.GroupID) []lagoonlanding.ShardLoad
 }
@@ -52,6 +54,8 @@
 	blind     bool
 	nextWatch time.Time
 	fetchEnds time.Time
+	// fetchAll says that a difference could not be applied, so that the next fetch asks for everything.
+	fetchAll bool
 	// withdrawn says that the backend server is gone, stopping that the process ends.
 	withdrawn bool
 	stopping  bool
--- a/controller/directory.go
+++ b/controller/directory.go
@@ -13,13 +13,16 @@
 
 // directory is what this instance knows of the store.
 type directory struct {
-	records  lagoonlanding.Codec[lagoonlanding.Record]
-	sets     lagoonlanding.Codec[*publisher.Set]
-	placer   lagoonlanding.Placer
-	entries  map[string]lagoonlanding.Entry
-	groups   map[lagoonlanding.GroupID]router.Group
-	set      *publisher.Set
-	revision uint64
+	records lagoonlanding.Codec[lagoonlanding.Record]
+	sets    lagoonlanding.Codec[*publisher.Set]
+	placer  lagoonlanding.Placer
+	entries map[string]lagoonlanding.Entry
+	groups  map[lagoonlanding.GroupID]router.Group
+	set     *publisher.Set
+	differ  lagoonlanding.Differ[*publisher.Set]
+	// differences lead from earlier sets to the known one, the oldest first.
+	differences []difference
+	revision    uint64
 	// changes counts the changes of groups.
 	changes uint64
 	// candidates are the active members of all groups, nil after a change.
@@ -28,7 +31,7 @@
 
 func newDirectory(config Config) *directory {
 	return &directory{
-		records: config.Records, sets: config.Sets, placer: config.Placer,
+		records: config.Records, sets: config.Sets, placer: config.Placer, differ: config.Differences,
 		entries: make(map[string]lagoonlanding.Entry),
 		groups:  make(map[lagoonlanding.GroupID]router.Group),
 	}
@@ -47,8 +50,11 @@
 	if ok && known.Revision() >= entry.Revision() {
 		return news{}, nil
 	}
-	if entry.Key() == lagoonlanding.SetKey {
+	switch entry.Key() {
+	case lagoonlanding.SetKey:
 		return directory.learnSet(entry)
+	case lagoonlanding.SetDifferenceKey:
+		return directory.learnDifference(entry)
 	}
 	if _, ok := lagoonlanding.ParseGroupKey(entry.Key()); !ok {
 		return news{}, nil
@@ -85,8 +91,7 @@
 	if directory.set != nil && set.Version() <= directory.set.Version() {
 		return news{}, fmt.Errorf("published set %d does not follow %d", set.Version(), directory.set.Version())
 	}
-	directory.entries[entry.Key()] = entry
-	directory.set = set
+	directory.takeSet(entry, set)
 	return news{isSet: true}, nil
 }
 
@@ -102,12 +107,14 @@
 // after returns the entries that are newer than the revision, ordered by key.
 func (directory *directory) after(revision uint64) lagoonlanding.Listing {
 	var entries []lagoonlanding.Entry
+	differences := directory.differencesAfter(revision)
 	for _, entry := range directory.entries {
-		if entry.Revision() > revision {
+		if entry.Revision() > revision && (entry.Key() != lagoonlanding.SetKey || len(differences) == 0) {
 			entries = append(entries, entry)
 		}
 	}
 	slices.SortFunc(entries, func(a, b lagoonlanding.Entry) int { return strings.Compare(a.Key(), b.Key()) })
+	entries = append(entries, differences...)
 	return lagoonlanding.NewListing(entries, directory.revision)
 }
 
--- a/controller/lease.go
+++ b/controller/lease.go
@@ -108,9 +108,11 @@
 		return
 	}
 	controller.fetchEnds = now.Add(fetchTimeout)
-	controller.outbox.fetches = append(controller.outbox.fetches, Fetch{
-		to: from, request: lagoonlanding.NewDirectoryRequest(controller.directory.revision),
-	})
+	after := controller.directory.revision
+	if controller.fetchAll {
+		after = 0
+	}
+	controller.outbox.fetches = append(controller.outbox.fetches, Fetch{to: from, request: lagoonlanding.NewDirectoryRequest(after)})
 }
 
 // askClearances asks the prior witnesses which members can no longer serve the prior layout.
--- a/controller/tick.go
+++ b/controller/tick.go
@@ -105,6 +105,7 @@
 	if err != nil {
 		return
 	}
+	controller.fetchAll = false
 	controller.learnListing(now, reply.Listing())
 }
 
@@ -112,12 +113,16 @@
 	for _, entry := range listing.Entries() {
 		controller.learn(now, entry)
 	}
+	if controller.fetchAll {
+		return // The set of this revision is not known yet.
+	}
 	controller.directory.revision = max(controller.directory.revision, listing.Revision())
 }
 
 func (controller *Controller) learn(now time.Time, entry lagoonlanding.Entry) {
 	news, err := controller.directory.learn(entry)
 	if err != nil {
+		controller.fetchAll = controller.fetchAll || entry.Key() == lagoonlanding.SetDifferenceKey
 		controller.fail(err)
 		return
 	}
--- a/keys.go
+++ b/keys.go
@@ -8,6 +8,8 @@
 	StorePrefix = "lagoonlanding/"
 	// SetKey is the entry of the published set.
 	SetKey = StorePrefix + "set"
+	// SetDifferenceKey marks differences between published sets in answers of other instances; the store holds no such entry.
+	SetDifferenceKey = StorePrefix + "set-difference"
 	// GroupPrefix starts the keys of the groups' records.
 	GroupPrefix = StorePrefix + "groups/"
 	// HistoryPrefix starts the keys of earlier published sets.
