--- a/controller/answer.go
+++ b/controller/answer.go
@@ -11,7 +11,7 @@
 	record, _ := controller.directory.record(request.Group())
 	status := lagoonlanding.RenewNotWitness
 	if group, ok := controller.groups[request.Group()]; ok && group.granter != nil {
-		status = group.granter.Renew(now, request)
+		status = controller.grant(now, group, request)
 	}
 	return lagoonlanding.NewRenewReply(status, record.Version(), controller.knownRevision())
 }
@@ -91,3 +91,10 @@
 	}
 	return lagoonlanding.NewHandoverReply(status)
 }
+
+// LoseAttempts notes that the ledger of a taken shard starts anew, since the attempts of its prior owner did not fit.
+func (controller *Controller) LoseAttempts(id lagoonlanding.GroupID, shard int) {
+	if group, ok := controller.groups[id]; ok && group.holder != nil {
+		group.holder.LoseAttempts(shard)
+	}
+}
--- a/controller/coordinate.go
+++ b/controller/coordinate.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lagoonlanding.example/lagoonlanding"
+	"lagoonlanding.example/lagoonlanding/balancer"
 	"lagoonlanding.example/lagoonlanding/grouper"
 )
 
@@ -48,12 +49,24 @@
 			config.Unreachable[witness.ID()] = true
 		}
 	}
+	if pins, ok := group.balancer.Decide(now, record.Current(), loadsOf(group, record)); ok {
+		config.Pins = pins
+	}
 	for _, instance := range group.joining {
 		config.Joining = append(config.Joining, instance)
 	}
 	return config
 }
 
+// loadsOf returns the busiest shards that the members reported last.
+func loadsOf(group *group, record lagoonlanding.Record) balancer.Loads {
+	loads := make(balancer.Loads)
+	for _, member := range record.Current().Members() {
+		loads[member.ID()] = group.granter.Loads(member.ID())
+	}
+	return loads
+}
+
 func (controller *Controller) zonesOut() map[string]bool {
 	out := make(map[string]bool)
 	if controller.directory.set == nil {
@@ -85,28 +98,34 @@
 		return
 	}
 	group.swapping = false
+	controller.sawStore()
+	if revision == controller.directory.revision+1 {
+		// Nothing was written in between, so the directory is whole up to here even if the store fails now.
+		controller.directory.revision = revision
+	}
 	controller.learn(now, lagoonlanding.NewEntry(swap.Key(), swap.value, revision))
 	controller.tellRecord(group)
 }
 
 // ReadBack takes the entry of a record whose write failed or whose answer was lost.
 func (controller *Controller) ReadBack(now time.Time, key string, entry lagoonlanding.Entry, err error) {
-	id, ok := lagoonlanding.ParseGroupKey(key)
-	if !ok {
-		return
+	id, isGroup := lagoonlanding.ParseGroupKey(key)
+	if isGroup {
+		controller.group(id).swapping = false
 	}
-	group := controller.group(id)
-	group.swapping = false
 	if errors.Is(err, lagoonlanding.ErrNotFound) {
+		controller.sawStore()
 		return
 	}
 	if err != nil {
-		controller.blind = true
-		controller.nextWatch = now.Add(storeRetryInterval)
+		controller.missedStore(now, err)
 		return
 	}
+	controller.sawStore()
 	controller.learn(now, entry)
-	controller.tellRecord(group)
+	if isGroup {
+		controller.tellRecord(controller.group(id))
+	}
 }
 
 // tellRecord tells the members and witnesses of the current and the prior layout of the newest record.
--- a/controller/runner.go
+++ b/controller/runner.go
@@ -120,7 +120,9 @@
 		runner.config.Traffic.Drop(drop.Group(), drop.Shard())
 	}
 	for _, handover := range outbox.Imports() {
-		runner.config.Traffic.Import(handover.Group(), handover.Shard(), handover.Attempts())
+		if !runner.config.Traffic.Import(handover.Group(), handover.Shard(), handover.Attempts()) {
+			runner.config.Controller.LoseAttempts(handover.Group(), handover.Shard())
+		}
 	}
 	runner.publish()
 	runner.send(ctx, outbox)
@@ -162,3 +164,8 @@
 func (runner *Runner) Announce(service string) {
 	runner.Do(func(now time.Time) { runner.config.Controller.Announce(now, service) })
 }
+
+// Withdraw hands all shards over until the backend server announces itself again.
+func (runner *Runner) Withdraw() {
+	runner.Do(func(now time.Time) { runner.config.Controller.Withdraw(now) })
+}
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -189,5 +189,24 @@
 	return since
 }
 
-// SinceOf returns the store revision from which on the shard's ledger is complete.
-func (holder *Holder) SinceOf(index int) uint64 { return holder.shards[index].since }
+// LoseAttempts dates the shard's ledger from the adopted layout on.
+func (holder *Holder) LoseAttempts(index int) {
+	if index < len(holder.shards) {
+		holder.shards[index].since = holder.record.Revision()
+	}
+}
+
+// Counts returns how many shards the member serves, waits for and hands over.
+func (holder *Holder) Counts() (serving, acquiring, draining int) {
+	for _, shard := range holder.shards {
+		switch shard.state {
+		case stateServing:
+			serving++
+		case stateAcquiring:
+			acquiring++
+		case stateDraining:
+			draining++
+		}
+	}
+	return serving, acquiring, draining
+}
