--- a/controller/runner.go
+++ b/controller/runner.go
@@ -144,12 +144,13 @@
 func (runner *Runner) Leave(ctx context.Context) {
 	runner.Do(func(now time.Time) { runner.config.Controller.Leave(now) })
 	for {
-		changed := runner.Changed()
 		left := false
 		runner.Do(func(time.Time) { left = runner.config.Controller.HasLeft() })
 		if left {
 			return
 		}
+		// The question publishes a snapshot itself, so the wait is for the one after it, which the next tick brings at the latest.
+		changed := runner.Changed()
 		select {
 		case <-ctx.Done():
 			return
