Add the daemon: settings, control thread, traffic path, front ends and planned stop

Tests start three daemons over loopback with a store in memory and plain HTTP backend servers: every daemon takes a request to the one owner, a repeated issuance runs once, a stop cuts no request, a silent store leaves the daemon not ready, a port in use is named. A stop of one of three members still waits out its 30 s instead of handing over; that is looked into next.

--- /dev/null
+++ b/lagoond/daemon.go
@@ -0,0 +1,177 @@
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/samber/oops"
+	"github.com/sirupsen/logrus"
+
+	"lagoonlanding.example/lagoonlanding"
+	"lagoonlanding.example/lagoonlanding/announcer"
+	"lagoonlanding.example/lagoonlanding/controller"
+	"lagoonlanding.example/lagoonlanding/deduplicator"
+	"lagoonlanding.example/lagoonlanding/dispatcher"
+	"lagoonlanding.example/lagoonlanding/encoder"
+	"lagoonlanding.example/lagoonlanding/loader"
+	"lagoonlanding.example/lagoonlanding/messenger"
+	"lagoonlanding.example/lagoonlanding/placer"
+	"lagoonlanding.example/lagoonlanding/receiver"
+	"lagoonlanding.example/lagoonlanding/router"
+	"lagoonlanding.example/lagoonlanding/timekeeper"
+)
+
+// daemon is the process with all its parts.
+type daemon struct {
+	settings   loader.Settings
+	log        *logrus.Logger
+	clock      lagoonlanding.Clock
+	store      lagoonlanding.Store
+	listeners  listeners
+	runner     *controller.Runner
+	dispatcher *dispatcher.Dispatcher
+	messenger  *messenger.Messenger
+	peers      *messenger.Server
+	callers    *http.Server
+	local      *http.Server
+	admin      *http.Server
+	upstream   *announcer.Upstream
+	beside     *beside
+	failed     chan error
+	running    sync.WaitGroup
+}
+
+// peerHandler answers other daemons: the control thread and the traffic path each take their part.
+type peerHandler struct {
+	*controller.Runner
+	*dispatcher.Dispatcher
+}
+
+var _ lagoonlanding.PeerHandler = peerHandler{}
+
+// snapshots ties the dispatcher to a runner that is made after it.
+type snapshots struct{ runner *controller.Runner }
+
+func (snapshots *snapshots) Current() *router.Snapshot { return snapshots.runner.Current() }
+
+func (snapshots *snapshots) Changed() <-chan struct{} { return snapshots.runner.Changed() }
+
+func newDaemon(settings loader.Settings, store lagoonlanding.Store, log *logrus.Logger) (*daemon, error) {
+	incarnation, err := newIncarnation()
+	if err != nil {
+		return nil, err
+	}
+	opened, err := listen(settings)
+	if err != nil {
+		return nil, err
+	}
+	daemon := &daemon{
+		settings: settings, log: log, clock: timekeeper.Clock{}, listeners: opened, failed: make(chan error, 1),
+		store: store, upstream: announcer.NewUpstream(),
+	}
+	daemon.buildControl(lagoonlanding.NewInstance(lagoonlanding.InstanceConfig{
+		ID:               lagoonlanding.NewInstanceID(settings.Name(), incarnation),
+		PeerAddress:      settings.PeerAddress(),
+		CallerAddress:    settings.CallerAddress(),
+		AvailabilityZone: settings.AvailabilityZone(),
+		Region:           settings.Region(),
+	}))
+	daemon.buildServers()
+	return daemon, nil
+}
+
+// newIncarnation returns a number that no other run of any daemon has.
+func newIncarnation() (uint64, error) {
+	var data [8]byte
+	if _, err := rand.Read(data[:]); err != nil {
+		return 0, oops.In("lagoond").Wrapf(err, "draw the incarnation")
+	}
+	return binary.BigEndian.Uint64(data[:]) | 1, nil
+}
+
+// buildControl makes the control thread, the traffic path and the way to other daemons.
+func (daemon *daemon) buildControl(self lagoonlanding.Instance) {
+	traffic := &messenger.Traffic{}
+	daemon.messenger = messenger.New(messenger.Config{
+		Clock: daemon.clock, MaxConnections: daemon.settings.PeerConnections(), Traffic: traffic,
+	})
+	late := &snapshots{}
+	daemon.dispatcher = dispatcher.New(dispatcher.Config{
+		Snapshots: late, Clock: daemon.clock, Peers: daemon.messenger, Upstream: daemon.upstream,
+		Ledger: deduplicator.NewLedger(deduplicator.Config{}),
+	})
+	failures := &failureLog{log: daemon.log.WithField(partField, "controller")}
+	daemon.runner = controller.NewRunner(controller.RunnerConfig{
+		Controller: controller.New(controller.Config{
+			Self: self, Now: daemon.clock.Now(), Placer: placer.NewRendezvous(),
+			Records: encoder.Records{}, Sets: encoder.Sets{}, Loads: daemon.dispatcher.Loads,
+		}),
+		Clock: daemon.clock, Store: daemon.store,
+		Peers: daemon.messenger, Traffic: daemon.dispatcher, Failed: failures.note,
+	})
+	late.runner = daemon.runner
+	daemon.peers = messenger.NewServer(messenger.ServerConfig{
+		Handler: peerHandler{Runner: daemon.runner, Dispatcher: daemon.dispatcher},
+		Clock:   daemon.clock, Log: daemon.log.WithField(partField, "messenger"), Traffic: traffic,
+	})
+}
+
+const (
+	// headerTimeout bounds the wait for the header of a request.
+	headerTimeout = 5 * time.Second
+	// idleTimeout closes connections that carry no request.
+	idleTimeout = 2 * time.Minute
+	// maxHeaderBytes bounds the header of a request.
+	maxHeaderBytes = 64 << 10
+)
+
+// buildServers makes the HTTP servers for callers, the backend server and operators.
+func (daemon *daemon) buildServers() {
+	callers := receiver.New(receiver.Config{
+		Snapshots: daemon.runner, Handler: daemon.dispatcher, Clock: daemon.clock, Meter: noMeter{},
+		BodyLimit: daemon.settings.BodyLimit(),
+	})
+	daemon.callers = newServer(callers)
+	daemon.beside = &beside{daemon: daemon}
+	daemon.local = newServer(announcer.New(announcer.Config{
+		Upstream: daemon.upstream, Connect: daemon.beside.connect, Announced: daemon.beside.announced,
+	}).Handler())
+	daemon.admin = newServer(http.NewServeMux())
+}
+
+func newServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
+}
+
+type noMeter struct{}
+
+func (noMeter) Finished(lagoonlanding.Request, lagoonlanding.Reply, time.Duration) {}
+
+// run serves until ctx ends, then hands everything over and returns.
+func (daemon *daemon) run(ctx context.Context) error {
+	control, stopControl := context.WithCancel(context.Background())
+	defer stopControl()
+	daemon.running.Go(func() { daemon.runner.Run(control) })
+	daemon.running.Go(func() { daemon.dispatcher.Run(control) })
+	daemon.start()
+	log := daemon.log.WithField(partField, "lagoond")
+	log.WithFields(logrus.Fields{
+		"name": daemon.settings.Name(), "callers": daemon.settings.CallerListenAddress(), "peers": daemon.settings.PeerListenAddress(),
+	}).Info("Started; waiting for the store and the backend server.")
+	var err error
+	select {
+	case <-ctx.Done():
+	case err = <-daemon.failed:
+	}
+	daemon.stop(log)
+	stopControl()
+	daemon.running.Wait()
+	log.Info("Stopped.")
+	return err
+}
--- /dev/null
+++ b/lagoond/fleet_test.go
@@ -0,0 +1,362 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"lagoonlanding.example/lagoonlanding"
+	"lagoonlanding.example/lagoonlanding/encoder"
+	"lagoonlanding.example/lagoonlanding/invoker"
+	"lagoonlanding.example/lagoonlanding/loader"
+	"lagoonlanding.example/lagoonlanding/publisher"
+	"lagoonlanding.example/lagoonlanding/storer"
+)
+
+// patience bounds the wait for what must happen at some time.
+const patience = 30 * time.Second
+
+// await waits until the condition holds.
+func await(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	ticker := time.NewTicker(20 * time.Millisecond)
+	defer ticker.Stop()
+	for !condition() {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			t.Fatalf("gave up waiting: %s", what)
+		}
+	}
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+func parseSettings(t *testing.T, name string) loader.Settings {
+	t.Helper()
+	text := fmt.Sprintf(`name = %q
+availability-zone = "piraeus"
+region = "attica"
+peer-address = %q
+caller-address = %q
+local-address = %q
+admin-address = %q
+store-url = "http://127.0.0.1:1"
+`, name, freeAddress(t), freeAddress(t), freeAddress(t), freeAddress(t))
+	settings, err := loader.Parse("test.toml", text, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return settings
+}
+
+// backend is a backend server that counts what it ran by idempotency key or path.
+type backend struct {
+	server *httptest.Server
+	runs   atomic.Int64
+}
+
+func (backend *backend) ServeHTTP(writer http.ResponseWriter, message *http.Request) {
+	if message.URL.Path == invoker.ReportPath {
+		data, _ := invoker.EncodeReport(lagoonlanding.NewUpstreamReport(true, 0, 6))
+		_, _ = writer.Write(data)
+		return
+	}
+	body, _ := io.ReadAll(message.Body)
+	backend.runs.Add(1)
+	writer.Header().Set(invoker.HeaderRequestID, message.Header.Get(invoker.HeaderRequestID))
+	_, _ = fmt.Fprintf(writer, "%s %s %s", message.Method, message.URL.Path, body)
+}
+
+// node is one daemon of a fleet with its backend server.
+type node struct {
+	settings loader.Settings
+	daemon   *daemon
+	backend  *backend
+	stop     context.CancelFunc
+	done     chan error
+}
+
+func startNode(t *testing.T, name string, store lagoonlanding.Store) *node {
+	t.Helper()
+	log := logrus.New()
+	if testing.Verbose() {
+		log.SetLevel(logrus.InfoLevel)
+	} else {
+		log.SetOutput(io.Discard)
+	}
+	node := &node{settings: parseSettings(t, name), backend: &backend{}, done: make(chan error, 1)}
+	daemon, err := newDaemon(node.settings, store, log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	node.daemon = daemon
+	node.backend.server = httptest.NewServer(node.backend)
+	ctx, cancel := context.WithCancel(context.Background())
+	node.stop = cancel
+	go func() { node.done <- daemon.run(ctx) }()
+	t.Cleanup(node.backend.server.Close)
+	return node
+}
+
+// end stops the daemon and returns what its run returned.
+func (node *node) end() error {
+	node.stop()
+	err := <-node.done
+	node.done <- err
+	return err
+}
+
+func (node *node) announce(t *testing.T) {
+	t.Helper()
+	address := strings.TrimPrefix(node.backend.server.URL, "http://")
+	body := fmt.Sprintf(`{"service":"status-app","address":%q,"slots":6}`, address)
+	response, err := http.Post("http://"+node.settings.LocalAddress()+"/upstream", "application/json", strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = response.Body.Close()
+	if response.StatusCode != http.StatusNoContent {
+		t.Fatalf("the announcement got status %d", response.StatusCode)
+	}
+}
+
+func (node *node) url(path string) string { return "http://" + node.settings.CallerAddress() + path }
+
+func publish(t *testing.T, store lagoonlanding.Store) {
+	t.Helper()
+	partition := publisher.NewPartition(publisher.PartitionConfig{Name: "attica", Regions: []string{"attica"}, Shards: 16})
+	set := publisher.NewSet(publisher.SetConfig{
+		Version:           1,
+		HomeRegions:       []publisher.HomeRegion{publisher.NewHomeRegion(publisher.HomeRegionConfig{Name: "attica"})},
+		AvailabilityZones: []publisher.AvailabilityZone{publisher.NewAvailabilityZone(publisher.AvailabilityZoneConfig{Name: "piraeus", Region: "attica"})},
+		Services: []publisher.Service{publisher.NewService(publisher.ServiceConfig{
+			Name: "status-app", Divided: true, Partitions: []publisher.Partition{partition}, ChecksFence: true,
+			LongestDeadline: 5 * time.Second, Slots: 6, Connections: 110, Queue: 100,
+		})},
+		Workspaces: []publisher.Workspace{publisher.NewWorkspace(publisher.WorkspaceConfig{Name: "mesh"})},
+		Tenants:    []publisher.Tenant{publisher.NewTenant(publisher.TenantConfig{Name: "mall", Workspace: "mesh", Weight: 1})},
+		Classes:    []publisher.Class{publisher.NewClass(publisher.ClassConfig{Name: "lookup", Cost: 1})},
+		Routes: []publisher.Route{publisher.NewRoute(publisher.RouteConfig{
+			Name: "tags", Path: "/tags/{key}", Service: "status-app", Class: "lookup",
+		})},
+	})
+	data, err := encoder.Sets{}.Encode(set)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := store.Swap(t.Context(), lagoonlanding.SetKey, 0, data); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	fields http.Header
+	body   string
+}
+
+func send(method, url, body string, fields ...string) (answer, error) {
+	message, err := http.NewRequest(method, url, bytes.NewReader([]byte(body)))
+	if err != nil {
+		return answer{}, err
+	}
+	message.Header.Set("Lagoonlanding-Tenant", "mall")
+	for i := 0; i < len(fields); i += 2 {
+		message.Header.Set(fields[i], fields[i+1])
+	}
+	response, err := http.DefaultClient.Do(message)
+	if err != nil {
+		return answer{}, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	return answer{status: response.StatusCode, fields: response.Header, body: string(data)}, err
+}
+
+// startFleet returns daemons of which each serves some keys.
+func startFleet(t *testing.T, store lagoonlanding.Store, size int) []*node {
+	t.Helper()
+	publish(t, store)
+	var nodes []*node
+	for i := range size {
+		node := startNode(t, fmt.Sprintf("status-app-%d", i+1), store)
+		t.Cleanup(func() {
+			if err := node.end(); err != nil {
+				t.Error(err)
+			}
+		})
+		node.announce(t)
+		nodes = append(nodes, node)
+	}
+	await(t, "every daemon owns a key", func() bool {
+		owners := make(map[string]bool)
+		for i := range 40 {
+			got, err := send("GET", nodes[i%size].url(fmt.Sprintf("/tags/%d", i)), "")
+			if err != nil || got.status != http.StatusOK {
+				return false
+			}
+			owners[got.fields.Get("Lagoonlanding-Owner")] = true
+		}
+		return len(owners) == size
+	})
+	return nodes
+}
+
+func TestRequestsReachTheOneOwnerFromEveryDaemon(t *testing.T) {
+	nodes := startFleet(t, storer.NewMemory(), 3)
+	for key := range 20 {
+		var owner string
+		for _, node := range nodes {
+			path := fmt.Sprintf("/tags/%d", key)
+			got, err := send("GET", node.url(path), "")
+			if err != nil || got.status != http.StatusOK || got.body != "GET "+path+" " {
+				t.Fatalf("got %+v, %v", got, err)
+			}
+			if owner == "" {
+				owner = got.fields.Get("Lagoonlanding-Owner")
+			}
+			if got.fields.Get("Lagoonlanding-Owner") != owner {
+				t.Errorf("key %d has the owners %s and %s", key, owner, got.fields.Get("Lagoonlanding-Owner"))
+			}
+		}
+	}
+}
+
+func TestRepeatedIssuanceRunsOnce(t *testing.T) {
+	nodes := startFleet(t, storer.NewMemory(), 3)
+	runs := func() (sum int64) {
+		for _, node := range nodes {
+			sum += node.backend.runs.Load()
+		}
+		return sum
+	}
+	before := runs()
+	ticket, err := send("GET", nodes[0].url("/.lagoonlanding/ticket"), "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i, node := range nodes {
+		got, err := send("POST", node.url("/tags/7"), "issue", "Lagoonlanding-Idempotency-Key", "once",
+			"Lagoonlanding-Ticket", ticket.fields.Get("Lagoonlanding-Ticket"))
+		if err != nil || got.status != http.StatusOK || got.body != "POST /tags/7 issue" {
+			t.Fatalf("got %+v, %v", got, err)
+		}
+		if isRepeated := got.fields.Get("Lagoonlanding-Repeated") == "true"; isRepeated != (i > 0) {
+			t.Errorf("try %d: repeated %v", i, isRepeated)
+		}
+	}
+	if ran := runs() - before; ran != 1 {
+		t.Errorf("the request ran %d times", ran)
+	}
+}
+
+func TestPlannedStopCutsNoRequest(t *testing.T) {
+	nodes := startFleet(t, storer.NewMemory(), 3)
+	ctx, cancel := context.WithCancel(t.Context())
+	failures := make(chan string, 1)
+	sent := make(chan int, 1)
+	go func() {
+		count := 0
+		for ; ctx.Err() == nil; count++ {
+			got, err := send("GET", nodes[count%2].url(fmt.Sprintf("/tags/%d", count%40)), "")
+			if err != nil || got.status != http.StatusOK {
+				select {
+				case failures <- fmt.Sprintf("request %d: %d %s %v", count, got.status, got.body, err):
+				default:
+				}
+			}
+		}
+		sent <- count
+	}()
+	if err := nodes[2].end(); err != nil {
+		t.Error(err)
+	}
+	cancel()
+	t.Logf("%d requests were sent during the stop", <-sent)
+	select {
+	case failure := <-failures:
+		t.Error(failure)
+	default:
+	}
+}
+
+func TestSilentStoreAtStart(t *testing.T) {
+	store := storer.NewMemory()
+	publish(t, store)
+	store.SetDown(true)
+	node := startNode(t, "status-app-1", store)
+	got, err := send("GET", node.url("/.lagoonlanding/ready"), "")
+	if err != nil || got.status != http.StatusServiceUnavailable || !strings.Contains(got.body, "the store has not answered yet") {
+		t.Errorf("got %+v, %v", got, err)
+	}
+	live, err := send("GET", node.url("/.lagoonlanding/live"), "")
+	if err != nil || live.status != http.StatusOK {
+		t.Errorf("got %+v, %v", live, err)
+	}
+	store.SetDown(false)
+	await(t, "the daemon is ready", func() bool {
+		got, err := send("GET", node.url("/.lagoonlanding/ready"), "")
+		return err == nil && got.status == http.StatusOK
+	})
+	if err := node.end(); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestPortInUseIsNamed(t *testing.T) {
+	settings := parseSettings(t, "status-app-1")
+	taken, err := net.Listen("tcp", settings.CallerAddress())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = taken.Close() }()
+	_, err = newDaemon(settings, storer.NewMemory(), logrus.New())
+	if err == nil || !strings.Contains(err.Error(), "caller-listen-address") || !strings.Contains(err.Error(), settings.CallerAddress()) {
+		t.Fatalf("got %v", err)
+	}
+	if exitCode(err) != exitFailure {
+		t.Errorf("got exit code %d", exitCode(err))
+	}
+	again, err := net.Listen("tcp", settings.PeerAddress())
+	if err != nil {
+		t.Errorf("the other listeners were left open: %v", err)
+	} else {
+		_ = again.Close()
+	}
+}
+
+func TestOptions(t *testing.T) {
+	t.Setenv("LAGOOND_STORE_URL", "http://10.0.0.5:2400")
+	parsed, err := parseOptions([]string{"-settings", "a.toml", "-check-settings", "-log-level", "debug"})
+	if err != nil || parsed.settings != "a.toml" || !parsed.checkOnly || len(parsed.overrides) != 2 {
+		t.Errorf("got %+v, %v", parsed, err)
+	}
+	for _, args := range [][]string{{"-colour", "red"}, {"extra"}} {
+		if _, err := parseOptions(args); !errors.Is(err, errUsage) || exitCode(err) != exitSettings {
+			t.Errorf("%v: got %v", args, err)
+		}
+	}
+}
--- /dev/null
+++ b/lagoond/log.go
@@ -0,0 +1,48 @@
+package main
+
+import (
+	"os"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"lagoonlanding.example/lagoonlanding/loader"
+)
+
+// partField is the field that says which part of the daemon writes.
+const partField = "part"
+
+func newLog(settings loader.Settings) *logrus.Logger {
+	log := logrus.New()
+	log.SetOutput(os.Stderr)
+	log.SetLevel(settings.LogLevel())
+	if settings.LogFormat() == loader.LogJSON {
+		log.SetFormatter(&logrus.JSONFormatter{})
+	} else {
+		log.SetFormatter(&logrus.TextFormatter{FullTimestamp: true, DisableColors: true})
+	}
+	return log
+}
+
+// repeatInterval is the time after which a failure that goes on is logged again.
+const repeatInterval = 10 * time.Second
+
+// failureLog logs a failure once while it lasts, so that an outage does not flood the log.
+type failureLog struct {
+	log   *logrus.Entry
+	mutex sync.Mutex
+	last  string
+	next  time.Time
+}
+
+func (failurelog *failureLog) note(err error) {
+	failurelog.mutex.Lock()
+	defer failurelog.mutex.Unlock()
+	now := time.Now()
+	if err.Error() == failurelog.last && now.Before(failurelog.next) {
+		return
+	}
+	failurelog.last, failurelog.next = err.Error(), now.Add(repeatInterval)
+	failurelog.log.WithError(err).Warn("Something went wrong and is tried again.")
+}
