End a planned stop once no other instance can take a role over

It has now left when its shards are handed over and no spare instance could become a witness; the last member of a group has no heir to wait for.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"slices"
 	"time"
 
 	"lagoonlanding.example/lagoonlanding"
@@ -106,16 +107,37 @@
 	}
 }
 
-// HasLeft reports whether no group's newest layout names this instance.
+// HasLeft reports whether no group's newest layout names this instance in a role that another instance could take.
 func (controller *Controller) HasLeft() bool {
 	for _, group := range controller.groups {
-		if group.holder != nil || group.isWitness() {
+		record, ok := controller.directory.record(group.id)
+		if !ok {
+			continue
+		}
+		if group.holder != nil && controller.hasHeir(record.Current()) {
+			return false
+		}
+		if group.isWitness() && controller.hasSpareWitness(record.Current()) {
 			return false
 		}
 	}
 	return true
 }
 
+// hasHeir reports whether another member may own this instance's shards.
+func (controller *Controller) hasHeir(layout lagoonlanding.Layout) bool {
+	return slices.ContainsFunc(layout.Members(), func(member lagoonlanding.Member) bool {
+		return member.ID() != controller.id() && member.State() == lagoonlanding.MemberActive
+	})
+}
+
+// hasSpareWitness reports whether an instance that is no witness yet could become one.
+func (controller *Controller) hasSpareWitness(layout lagoonlanding.Layout) bool {
+	return slices.ContainsFunc(controller.directory.instances(), func(instance lagoonlanding.Instance) bool {
+		return !layout.HasWitness(instance.ID())
+	})
+}
+
 // TakeOutbox returns what there is to do and empties the outbox.
 func (controller *Controller) TakeOutbox() Outbox {
 	outbox := controller.outbox
--- a/lagoond/fleet_test.go
+++ b/lagoond/fleet_test.go
@@ -96,6 +96,19 @@
 	backend  *backend
 	stop     context.CancelFunc
 	done     chan error
+	warnings warnings
+}
+
+// warnings collects what the daemon warned of while it stopped.
+type warnings struct{ late atomic.Bool }
+
+func (warnings *warnings) Levels() []logrus.Level { return []logrus.Level{logrus.WarnLevel} }
+
+func (warnings *warnings) Fire(entry *logrus.Entry) error {
+	if entry.Message == warningLate {
+		warnings.late.Store(true)
+	}
+	return nil
 }
 
 func startNode(t *testing.T, name string, store lagoonlanding.Store) *node {
@@ -107,6 +120,7 @@
 		log.SetOutput(io.Discard)
 	}
 	node := &node{settings: parseSettings(t, name), backend: &backend{}, done: make(chan error, 1)}
+	log.AddHook(&node.warnings)
 	daemon, err := newDaemon(node.settings, store, log)
 	if err != nil {
 		t.Fatal(err)
@@ -294,6 +308,9 @@
 	if err := nodes[2].end(); err != nil {
 		t.Error(err)
 	}
+	if nodes[2].warnings.late.Load() {
+		t.Error("the shards were not handed over in time")
+	}
 	cancel()
 	t.Logf("%d requests were sent during the stop", <-sent)
 	select {
--- a/lagoond/lifecycle.go
+++ b/lagoond/lifecycle.go
@@ -14,6 +14,8 @@
 // lingerTerm is how long a daemon that has handed over still takes requests from those who have not heard of it.
 const lingerTerm = 500 * time.Millisecond
 
+const warningLate = "The shards could not be handed over in time."
+
 // start opens all front ends.
 func (daemon *daemon) start() {
 	daemon.serveHTTP("receiver", daemon.callers, daemon.listeners.caller)
@@ -51,7 +53,7 @@
 	daemon.callers.SetKeepAlivesEnabled(false)
 	daemon.runner.Leave(ctx)
 	if ctx.Err() != nil {
-		log.Warn("The shards could not be handed over in time.")
+		log.Warn(warningLate)
 	}
 	select {
 	case <-daemon.clock.Until(daemon.clock.Now().Add(lingerTerm)):
