--- /dev/null
+++ b/upstreamstandin/announcer/doc.go
@@ -0,0 +1,2 @@
+// Package announcer tells the daemon beside a backend server of it.
+package announcer
--- /dev/null
+++ b/upstreamstandin/receiver/doc.go
@@ -0,0 +1,2 @@
+// Package receiver answers the HTTP requests to the stand-in for a backend server.
+package receiver
--- /dev/null
+++ b/upstreamstandin/receiver/receiver_test.go
@@ -0,0 +1,120 @@
+package receiver
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"lagoonlanding.example/lagoonlanding"
+	"lagoonlanding.example/lagoonlanding/executor"
+	"lagoonlanding.example/lagoonlanding/invoker"
+	"lagoonlanding.example/upstreamstandin/performer"
+)
+
+type wallClock struct{}
+
+func (wallClock) Now() time.Time                            { return time.Now() }
+func (wallClock) Until(deadline time.Time) <-chan time.Time { return time.After(time.Until(deadline)) }
+
+type stand struct {
+	upstream *invoker.Invoker
+	state    *executor.Executor[*performer.Server]
+	runs     *bytes.Buffer
+	url      string
+}
+
+func serve(t *testing.T, config performer.Config, crash func()) stand {
+	t.Helper()
+	state := executor.New(executor.Config[*performer.Server]{State: performer.New(config)})
+	ctx, cancel := context.WithCancel(context.Background())
+	go state.Run(ctx)
+	runs := &bytes.Buffer{}
+	server := httptest.NewServer(New(Config{Executor: state, Name: "u-1", Region: "attica", Runs: runs, Crash: crash}).Handler())
+	t.Cleanup(cancel)
+	t.Cleanup(server.Close)
+	upstream := invoker.New(invoker.Config{Address: strings.TrimPrefix(server.URL, "http://"), Clock: wallClock{}})
+	return stand{upstream: upstream, state: state, runs: runs, url: server.URL}
+}
+
+func request(id string) lagoonlanding.Request {
+	return lagoonlanding.NewRequest(lagoonlanding.RequestConfig{
+		ID: id, IdempotencyKey: "i-1", Method: http.MethodPost, Path: "/tags/7", Deadline: time.Now().Add(time.Minute),
+		Key: lagoonlanding.NewKey("status-app", "mesh", "7"),
+	})
+}
+
+func fence(token uint64) lagoonlanding.Fence {
+	return lagoonlanding.NewFence(lagoonlanding.NewGroupID("status-app", "all"), 2, token)
+}
+
+func TestRunsAreAnsweredAndLogged(t *testing.T) {
+	stand := serve(t, performer.Config{Slots: 1, CheckFence: true}, nil)
+	reply, err := stand.upstream.Serve(t.Context(), request("r-1"), fence(5))
+	if err != nil || reply.Outcome() != lagoonlanding.OutcomeAnswered || !strings.Contains(string(reply.Body()), `"runs":1`) {
+		t.Fatalf("got %v %q, %v", reply.Outcome(), reply.Body(), err)
+	}
+	reply, err = stand.upstream.Serve(t.Context(), request("r-2"), fence(4))
+	if err != nil || reply.Outcome() != lagoonlanding.OutcomeNotRun {
+		t.Errorf("outdated token: %v, %v", reply.Outcome(), err)
+	}
+	log := ""
+	stand.state.Do(func(*performer.Server) { log = stand.runs.String() })
+	if strings.Count(log, "\n") != 1 || !strings.Contains(log, `"token":5`) || !strings.Contains(log, `"key":"mesh/7"`) {
+		t.Errorf("log of runs: %s", log)
+	}
+}
+
+func TestRunEndsWhenItsCallerGoes(t *testing.T) {
+	stand := serve(t, performer.Config{Slots: 1, ServiceTime: time.Hour}, nil)
+	ctx, cancel := context.WithCancel(t.Context())
+	failed := make(chan error)
+	go func() {
+		_, err := stand.upstream.Serve(ctx, request("r-1"), fence(1))
+		failed <- err
+	}()
+	for running := 0; running == 0; {
+		stand.state.Do(func(server *performer.Server) { running = server.Running() })
+	}
+	cancel()
+	if err := <-failed; !errors.Is(err, context.Canceled) {
+		t.Errorf("got %v", err)
+	}
+	for running := 1; running == 1; {
+		stand.state.Do(func(server *performer.Server) { running = server.Running() })
+	}
+}
+
+func TestDrainedServerRefuses(t *testing.T) {
+	stand := serve(t, performer.Config{Slots: 1}, nil)
+	if _, err := http.Post(stand.url+"/.standin/drain", "", nil); err != nil {
+		t.Fatal(err)
+	}
+	reply, err := stand.upstream.Serve(t.Context(), request("r-1"), fence(1))
+	if err != nil || reply.Outcome() != lagoonlanding.OutcomeNotRun {
+		t.Errorf("got %v, %v", reply.Outcome(), err)
+	}
+	report, err := stand.upstream.Report(t.Context())
+	if err != nil || report.IsReady() {
+		t.Errorf("report %v, %v", report, err)
+	}
+}
+
+func TestMarkedRequestCrashes(t *testing.T) {
+	var crashes atomic.Int64
+	stand := serve(t, performer.Config{Slots: 1}, func() {
+		crashes.Add(1)
+		panic(http.ErrAbortHandler)
+	})
+	marked := lagoonlanding.NewRequest(lagoonlanding.RequestConfig{
+		ID: "r-1", Method: http.MethodGet, Path: "/", Headers: []lagoonlanding.Header{lagoonlanding.NewHeader(headerCrash, "true")},
+	})
+	if _, err := stand.upstream.Serve(t.Context(), marked, lagoonlanding.Fence{}); err == nil || crashes.Load() != 1 {
+		t.Errorf("%d crashes, %v", crashes.Load(), err)
+	}
+}
