--- a/upstreamstandin/receiver/receiver.go
+++ b/upstreamstandin/receiver/receiver.go
@@ -18,7 +18,8 @@
 
 const (
 	maxBodyBytes = 4 << 20
-	headerCrash  = "Lagoonlanding-Crash"
+	// headerCrash marks a request that crashes the server; a daemon passes on no caller's field of its own prefix.
+	headerCrash = "Standin-Crash"
 )
 
 // Config holds the parts of a Receiver.
