--- a/soak/checker/checker.go
+++ b/soak/checker/checker.go
@@ -158,6 +158,9 @@
 	checker.layouts[record.Group()] = record.Version()
 }
 
+// Newest returns the version of the group's newest layout in the store.
+func (checker *Checker) Newest(group lagoonlanding.GroupID) uint64 { return checker.layouts[group] }
+
 // Leased notes that an instance has a living lease under a layout of a group while the store holds a newer one.
 func (checker *Checker) Leased(group lagoonlanding.GroupID, instance lagoonlanding.InstanceID, version uint64) {
 	if newest := checker.layouts[group]; version+1 < newest {
--- a/soak/drawer/drawer.go
+++ b/soak/drawer/drawer.go
@@ -17,6 +17,7 @@
 	{kind: KindKill, weight: 6},
 	{kind: KindFreeze, weight: 8, term: 6 * time.Second},
 	{kind: KindRestart, weight: 14},
+	{kind: KindReplace, weight: 4},
 	{kind: KindLeave, weight: 3},
 	{kind: KindCutDaemons, weight: 6, term: 5 * time.Second},
 	{kind: KindCutZone, weight: 3, term: 4 * time.Second},
@@ -39,7 +40,7 @@
 	resendWeight  = 120
 	pauseWeight   = 40
 	// favouredFactor makes the favoured faults of a seed frequent.
-	favouredFactor = 4
+	favouredFactor = 8
 	favouredCount  = 4
 	largestChoice  = 1 << 20
 	longestPause   = 3 * time.Second
--- a/soak/drawer/event.go
+++ b/soak/drawer/event.go
@@ -20,6 +20,8 @@
 	KindFreeze Kind = "freeze"
 	// KindRestart starts a daemon that has ended, as another incarnation that knows nothing.
 	KindRestart Kind = "restart"
+	// KindReplace ends a daemon and starts it anew at once.
+	KindReplace Kind = "replace"
 	// KindLeave asks a daemon to hand over and to end.
 	KindLeave Kind = "leave"
 	// KindCutDaemons cuts two daemons from each other for a term.
@@ -98,3 +100,9 @@
 func (event Event) String() string {
 	return fmt.Sprintf("+%v %s %d %d %v %d", event.After(), event.Kind(), event.Subject(), event.Object(), event.Term(), event.Number())
 }
+
+// Later returns the event with additional time before it.
+func (event Event) Later(term time.Duration) Event {
+	event.config.After += term
+	return event
+}
--- a/soak/player/apply.go
+++ b/soak/player/apply.go
@@ -43,7 +43,7 @@
 		return true
 	}
 	switch event.Kind() {
-	case drawer.KindKill, drawer.KindFreeze, drawer.KindLeave, drawer.KindDrift:
+	case drawer.KindKill, drawer.KindReplace, drawer.KindFreeze, drawer.KindLeave, drawer.KindDrift:
 	default:
 		return false
 	}
@@ -53,6 +53,9 @@
 	switch event.Kind() {
 	case drawer.KindKill:
 		process.kill()
+	case drawer.KindReplace:
+		process.kill()
+		fleet.start(process.slot)
 	case drawer.KindFreeze:
 		process.freeze(event.Term())
 	case drawer.KindLeave:
@@ -63,7 +66,7 @@
 	return true
 }
 
-// restart starts a daemon that has ended; if none has, it replaces the chosen one at once.
+// restart starts a daemon that has ended, if one has.
 func (fleet *Fleet) restart(event drawer.Event) {
 	number := event.Subject() % len(fleet.processes)
 	for offset := range fleet.processes {
@@ -73,10 +76,6 @@
 			return
 		}
 	}
-	if event.Number()%8 == 0 {
-		fleet.processes[number].kill()
-		fleet.start(fleet.shape.slots[number])
-	}
 }
 
 func (fleet *Fleet) applyNetwork(event drawer.Event) bool {
--- a/soak/player/caller.go
+++ b/soak/player/caller.go
@@ -29,7 +29,7 @@
 	maxTries       = 5
 	longestPause   = 2 * time.Second
 	// lostPercent is the share of answers that callers do not get.
-	lostPercent = 4
+	lostPercent = 25
 	longestWait = time.Second
 	probePause  = 20 * time.Millisecond
 )
@@ -42,12 +42,12 @@
 		fleet.counts["caller found no daemon"]++
 		return
 	}
-	if issuer == nil || event.Number()%5 > 0 {
+	if issuer == nil || event.Number()%2 > 0 {
 		issuer = process
 	}
 	workspaces := fleet.shape.workspaces()
 	service := ownedService
-	if event.Number()%4 == 0 {
+	if event.Number()/2%2 == 0 {
 		service = pooledService
 	}
 	workspace := workspaces[event.Object()%len(workspaces)]
--- a/soak/player/fleet.go
+++ b/soak/player/fleet.go
@@ -149,6 +149,25 @@
 	fleet.checker.MayServe(rights)
 }
 
+// checkOutdated checks the rights that a process holds under a layout that is no longer the newest.
+func (fleet *Fleet) checkOutdated(process *Process) {
+	for id, group := range process.snapshot.Groups() {
+		holding, ok := process.snapshot.Holding(id)
+		if !ok || holding.Version() >= fleet.checker.Newest(id) || !process.clock.Now().Before(holding.Deadline()) {
+			continue
+		}
+		fleet.checker.Leased(id, process.id, holding.Version())
+		for shard := range group.Placement().Shards() {
+			right, ok := process.right(id, shard)
+			if !ok {
+				continue
+			}
+			fence := lagoonlanding.NewFence(id, shard, holding.Token(shard))
+			fleet.checker.MayServe(append(fleet.rights(fence, process), right))
+		}
+	}
+}
+
 // heal waits until all faults are over, starts all daemons, takes all zones back and sends a request to each shard.
 func (fleet *Fleet) heal() {
 	fleet.advance(quietTerm)
--- a/soak/player/outbox.go
+++ b/soak/player/outbox.go
@@ -26,6 +26,7 @@
 	if set := process.snapshot.Set(); set != nil {
 		process.fleet.checker.SetSeen(process.id, set.Version())
 	}
+	process.fleet.checkOutdated(process)
 	process.send(outbox)
 	process.useStore(outbox)
 	for _, requested := range outbox.Drains() {
--- a/soak/player/traffic.go
+++ b/soak/player/traffic.go
@@ -15,7 +15,7 @@
 	retryPause   = 40 * time.Millisecond
 	longestSend  = time.Millisecond
 	usualRun     = 30 * time.Millisecond
-	longRunShare = 20
+	longRunShare = 8
 	resetShare   = 15
 	// shortClass is the class of the requests that never run long.
 	shortClass = "short"
@@ -48,7 +48,8 @@
 	fleet := peers.fleet
 	job := fleet.running
 	from := job.process
-	fleet.checkRegion(request, to.Region(), "sent")
+	fleet.checkRegion(request, from.slot.region, "sent from a daemon")
+	fleet.checkRegion(request, to.Region(), "sent to a daemon")
 	source, target := from.place(), fleet.placeOf(to)
 	left := request.Deadline().Sub(from.clock.Now())
 	var reply lagoonlanding.Reply
--- /dev/null
+++ b/soak/shrinker/shrinker_test.go
@@ -0,0 +1,29 @@
+package shrinker
+
+import (
+	"testing"
+	"time"
+
+	"lagoonlanding.example/soak/drawer"
+)
+
+func TestShrinkKeepsWhatFailsAndItsTimes(t *testing.T) {
+	var events []drawer.Event
+	for number := range 100 {
+		events = append(events, drawer.NewEvent(drawer.EventConfig{Number: number, After: time.Second}))
+	}
+	fails := func(events []drawer.Event) bool {
+		found := map[int]bool{}
+		for _, event := range events {
+			found[event.Number()] = true
+		}
+		return found[17] && found[80]
+	}
+	shrunk := Shrink(events, 1000, fails)
+	if len(shrunk) != 2 || shrunk[0].Number() != 17 || shrunk[1].Number() != 80 {
+		t.Fatalf("shrunk to %v", shrunk)
+	}
+	if total := shrunk[0].After() + shrunk[1].After(); total != 81*time.Second {
+		t.Errorf("the events are %v apart", total)
+	}
+}
