Measure the request path against plain baselines, and mend what it showed

Cause: the first runs of the experiments found a retry pause that overflowed after some 40 tries and stopped the process, a ramp that never came back after a silent cold turn, and refusals of a returning instance by picks before its first answer. Ruled out for the ramp: the fake's own collapse; at the top limit with five requests borne of six every request was one too many, the normal service times followed upwards and the state held for good. Too high an estimate also refused every request as too late, so that none could correct it. Change: pauses are bounded; service times count as normal only at the first, at the top and slowly at one; a step up that makes a window 1.5 times slower is taken back and the next one waits twice as long; four slow windows take a step back; with nothing in flight only the deadline itself refuses. A new or returned instance is trusted with one request at once and one more for each 16 answers. Checked: go test ./limiter ./picker ./retrier, go test ./experimenter in measure.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SKIP := $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$',)
 RACE ?= -race
 
-.PHONY: build test format lint unit known-red
+.PHONY: build test format lint unit known-red measure
 
 build:
 	@mkdir -p bin
@@ -26,3 +26,8 @@
 
 known-red:
 	@if grep -q '^test:' KNOWN-RED.txt; then echo "known red:"; cat KNOWN-RED.txt; fi
+
+SEED ?= 1
+
+measure: build
+	@bin/measure -seed $(SEED) -out out
--- a/limiter/place.go
+++ b/limiter/place.go
@@ -17,6 +17,7 @@
 	retryAt   time.Time
 	started   time.Time
 	restart   uint64
+	step      uint64
 }
 
 // Decided returns a channel that is closed once the request has a slot or is refused; the accessors may be used from then on.
--- a/limiter/ramp.go
+++ b/limiter/ramp.go
@@ -12,6 +12,8 @@
 	coldScore = 3
 	// highestScore bounds what one request adds, so that a single slow one does not make a backend server look cold.
 	highestScore = 8
+	// heldWindows is how many windows in a row may be slow before the ramp takes a step back.
+	heldWindows = 4
 	// failedWindow is how many errors among the last completions make a backend server look cold.
 	failedWindow = rampWindow / 2
 	// leastShare is the part of the normal service time that a request takes at the least, as its inverse.
@@ -20,21 +22,32 @@
 	unknownTime = 5 * time.Millisecond
 	// idleTerm is how long a backend server may be without requests before it counts as cold.
 	idleTerm = time.Minute
-	// firstWeight and laterWeight are the shares of a new service time in a class's normal one, as their inverses.
+	// longestWindow bounds the completions that decide on a step after the ramp has fallen while it grew.
+	longestWindow = 8 * rampWindow
+	// firstWeight, warmWeight and coldWeight are the shares of a new service time in a class's normal one, as their
+	// inverses: at first, with all slots open, and with one request at a time, when slowness may be new but lasting.
 	firstWeight = 8
-	laterWeight = 128
+	warmWeight  = 128
+	coldWeight  = 512
 )
 
 // ramp bounds the requests in flight at a backend server that may be cold; it trusts no report, only completions.
 type ramp struct {
-	top     int
-	limit   int
-	normal  map[string]*normal
-	count   int
-	failed  int
-	score   float64
-	last    time.Time
+	top    int
+	limit  int
+	window int
+	normal map[string]*normal
+	count  int
+	failed int
+	score  float64
+	// before is the mean score before the last step up, zero once the step has been judged.
+	before float64
+	// held counts the windows in a row that were too slow to grow and too quick to fall.
+	held int
+	last time.Time
+	// restart counts the falls, and step all changes of the limit.
 	restart uint64
+	step    uint64
 }
 
 type normal struct {
@@ -43,13 +56,23 @@
 }
 
 func newRamp(top int) *ramp {
-	return &ramp{top: top, limit: 1, normal: map[string]*normal{}}
+	return &ramp{top: top, limit: 1, window: rampWindow, normal: map[string]*normal{}}
 }
 
-// fall starts the ramp again from one.
+// fall starts the ramp again from one; it grows more slowly if it falls before it has reached the top.
 func (ramp *ramp) fall() {
-	ramp.limit = 1
+	if ramp.limit > 1 && ramp.limit < ramp.top {
+		ramp.slowDown()
+	}
 	ramp.restart++
+	ramp.set(1)
+}
+
+// set changes the limit; what started under another limit does not count for the next step.
+func (ramp *ramp) set(limit int) {
+	ramp.limit = limit
+	ramp.before, ramp.held = 0, 0
+	ramp.step++
 	ramp.clear()
 }
 
@@ -75,41 +98,74 @@
 	case Reset, Unreachable:
 		ramp.fall()
 	case Shed:
-		ramp.limit = max(ramp.limit-1, 1)
-		ramp.clear()
+		ramp.set(max(ramp.limit-1, 1))
 	case Failed:
 		ramp.failed++
 		if ramp.failed >= failedWindow {
 			ramp.fall()
 		}
 	case Served, Cancelled:
+		if place.step != ramp.step {
+			return
+		}
 		ramp.serve(place.waiting.Class(), now.Sub(place.started), result)
 	}
 }
 
 func (ramp *ramp) serve(class string, took time.Duration, result Result) {
-	score := min(ramp.compare(class, took.Seconds()), highestScore)
+	score := ramp.compare(class, took.Seconds())
 	if result == Cancelled && score < 1 {
 		// A request that was cut off early says nothing of the backend server.
 		return
 	}
 	ramp.score += score
 	ramp.count++
-	if ramp.score < coldScore*rampWindow && ramp.count < rampWindow {
+	if ramp.score < coldScore*float64(ramp.window) && ramp.count < ramp.window {
 		return
 	}
 	mean := ramp.score / float64(ramp.count)
-	failed := ramp.failed
+	hasFailed := ramp.failed > 0
 	ramp.clear()
+	ramp.decide(mean, hasFailed)
+}
+
+// decide moves the limit by the mean score of a window.
+func (ramp *ramp) decide(mean float64, hasFailed bool) {
+	before := ramp.before
+	ramp.before = 0
+	if mean <= steadyScore {
+		ramp.held = 0
+	}
 	switch {
 	case mean >= coldScore && ramp.limit > 1:
 		ramp.fall()
-	case mean <= steadyScore && failed == 0:
-		ramp.limit = min(ramp.limit+1, ramp.top)
+	case before > 0 && mean > steadyScore*before:
+		// The step before was one too many, whatever the normal times are.
+		ramp.retreat()
+	case mean > steadyScore:
+		ramp.held++
+		if ramp.held == heldWindows && ramp.limit > 1 {
+			ramp.retreat()
+		}
+	case hasFailed:
+	case ramp.limit < ramp.top:
+		ramp.set(ramp.limit + 1)
+		ramp.before = mean
+	default:
+		ramp.window = rampWindow
 	}
 }
 
-// compare returns the service time over the normal one of its class, and lets the normal one follow slowly.
+// retreat takes the last step back.
+func (ramp *ramp) retreat() {
+	ramp.slowDown()
+	ramp.set(ramp.limit - 1)
+}
+
+// slowDown makes the ramp wait for more completions before each step.
+func (ramp *ramp) slowDown() { ramp.window = min(2*ramp.window, longestWindow) }
+
+// compare returns the service time over the normal one of its class, and lets the normal one follow.
 func (ramp *ramp) compare(class string, took float64) float64 {
 	known, ok := ramp.normal[class]
 	if !ok {
@@ -118,17 +174,29 @@
 	}
 	score := 1.0
 	if known.mean > 0 {
-		score = took / known.mean
-	}
-	weight := float64(laterWeight)
-	if known.count < rampWindow {
-		weight = firstWeight
+		score = min(took/known.mean, highestScore)
 	}
 	known.count++
-	known.mean += (took - known.mean) / weight
+	if weight := ramp.weight(known); weight > 0 {
+		known.mean += (score - 1) * known.mean / weight
+	}
 	return score
 }
 
+// weight returns how slowly the normal service time follows; it stands still while the ramp grows, since requests that are
+// slow because of too many at once must not pass for normal.
+func (ramp *ramp) weight(known *normal) float64 {
+	switch {
+	case known.count < rampWindow:
+		return firstWeight
+	case ramp.limit == ramp.top:
+		return warmWeight
+	case ramp.limit == 1:
+		return coldWeight
+	}
+	return 0
+}
+
 // least returns the service time that a request of the class takes at the least, zero if it is not known.
 func (ramp *ramp) least(class string) time.Duration {
 	known, ok := ramp.normal[class]
--- a/limiter/server.go
+++ b/limiter/server.go
@@ -186,7 +186,7 @@
 	server.inFlight++
 	server.aloneRun = place.waiting.IsAlone()
 	place.started = now
-	place.restart = server.ramp.restart
+	place.restart, place.step = server.ramp.restart, server.ramp.step
 	place.isRunning = true
 	place.decide(lagoonlanding.ReasonNone)
 }
@@ -200,10 +200,17 @@
 	place.decide(lagoonlanding.ReasonDeadline)
 }
 
-// isLate reports whether the request's deadline cannot be met any more.
+// isLate reports whether the request's deadline cannot be met any more; without a request in flight only the deadline itself
+// counts, so that a wrong estimate cannot keep every request from correcting it.
 func (server *Server) isLate(now time.Time, place *Place) bool {
 	deadline := place.waiting.Deadline()
-	return !deadline.IsZero() && !now.Add(server.ramp.least(place.waiting.Class())).Before(deadline)
+	if deadline.IsZero() {
+		return false
+	}
+	if server.inFlight == 0 {
+		return !now.Before(deadline)
+	}
+	return !now.Add(server.ramp.least(place.waiting.Class())).Before(deadline)
 }
 
 func (server *Server) forget(place *Place) {
@@ -233,7 +240,7 @@
 	defer server.mutex.Unlock()
 	server.config.Slots, server.config.Connections, server.config.Queue = slots, connections, queue
 	server.ramp.top = top(slots, connections)
-	server.ramp.limit = min(server.ramp.limit, server.ramp.top)
+	server.ramp.set(min(server.ramp.limit, server.ramp.top))
 	server.dispatch(now)
 }
 
--- a/limiter/server_test.go
+++ b/limiter/server_test.go
@@ -243,3 +243,56 @@
 		t.Errorf("%d in flight, %d waiting, %d tenants are left", inFlight, waiting, len(server.tenants))
 	}
 }
+
+// TestRampRecoversFromASilentColdTurn lets a backend server that warms more slowly than the ramp grows turn cold without a sign.
+func TestRampRecoversFromASilentColdTurn(t *testing.T) {
+	const warm, step = 160, 32
+	server, now, completed := newServer(false, 200), start, warm
+	type run struct {
+		place  *Place
+		ends   time.Time
+		excess int
+	}
+	var running []run
+	var backlog []*Place
+	full := 0
+	for end := range 3000 {
+		if end == 1000 {
+			completed = 0
+		}
+		var started []*Place
+		for tries := 0; len(running)+len(started) == 0 || len(backlog) < 10; tries++ {
+			if tries > 1000 {
+				t.Fatalf("request %d: the backend server is idle and all requests are refused", end)
+			}
+			backlog = append(backlog, server.Arrive(now, waitingOf("a", until(now.Sub(start)+250*time.Millisecond))))
+			started, backlog = collect(started, backlog)
+		}
+		for _, place := range started {
+			if place.Reason() != lagoonlanding.ReasonNone {
+				continue
+			}
+			excess := max(len(running)+1-min(1+completed/step, 6), 0)
+			factor := (5 - 4*float64(completed)/warm) * float64((1+excess)*(1+excess))
+			running = append(running, run{place: place, ends: now.Add(time.Duration(factor * float64(5*time.Millisecond))), excess: excess})
+		}
+		next := 0
+		for index := range running {
+			if running[index].ends.Before(running[next].ends) {
+				next = index
+			}
+		}
+		now = running[next].ends
+		server.Leave(now, running[next].place, Served)
+		if running[next].excess == 0 {
+			completed = min(completed+1, warm)
+		}
+		running = append(running[:next], running[next+1:]...)
+		if end >= 2500 && server.Limit() == 6 {
+			full++
+		}
+	}
+	if full < 400 {
+		t.Errorf("all slots were open for %d of the last 500 requests", full)
+	}
+}
--- /dev/null
+++ b/measure/experimenter/flood.go
@@ -0,0 +1,56 @@
+package experimenter
+
+import (
+	"fmt"
+	"time"
+
+	"lagoonlanding.example/measure/player"
+	"lagoonlanding.example/measure/tabulator"
+)
+
+// The course of the flood experiment.
+const (
+	floodStart    = 5 * time.Second
+	floodEnd      = 20 * time.Second
+	floodFactor   = 3
+	floodTenants  = 4
+	floodShare    = 0.12
+	floodDeadline = 250 * time.Millisecond
+)
+
+// Flood lets one tenant send several times what the backend server bears.
+func Flood(seed uint64) Result {
+	table := tabulator.NewTable(
+		"One tenant sends 3 times the capacity from 5 s on, four others 12 % each; deadline 250 ms",
+		"others' p99 before in ms", "others' p99 in the flood in ms", "others failed in 1000", "flood answered a second")
+	for _, ordering := range orderings() {
+		before, during, flood := runFlood(seed, ordering)
+		table.Add(ordering.name, before.quantile(99), during.quantile(99), during.failedPerMille(),
+			float64(flood.answered)/(floodEnd-floodStart).Seconds())
+	}
+	return Result{tables: []*tabulator.Table{table}}
+}
+
+func runFlood(seed uint64, ordering ordering) (before, during, flood *tally) {
+	play := player.NewPlayer(seed)
+	node := orderNode(play, ordering)
+	warmUp(play, node)
+	before, during, flood = newTally(), newTally(), newTally()
+	for tenant := range floodTenants {
+		name := ordering.tenant(fmt.Sprint("tenant-", tenant))
+		play.Arrivals(func() float64 { return floodShare * capacity }, floodEnd, func() {
+			tally := before
+			if play.Elapsed() > floodStart {
+				tally = during
+			}
+			submit(play, node, tally, name, "status", draw(play.Random(), meanTime), floodDeadline)
+		})
+	}
+	play.After(floodStart, func() {
+		play.Arrivals(func() float64 { return floodFactor * capacity }, floodEnd, func() {
+			submit(play, node, flood, ordering.tenant("flood"), "status", draw(play.Random(), meanTime), floodDeadline)
+		})
+	})
+	play.Run()
+	return before, during, flood
+}
--- /dev/null
+++ b/measure/experimenter/poison.go
@@ -0,0 +1,166 @@
+package experimenter
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"lagoonlanding.example/lagoonlanding"
+	"lagoonlanding.example/lagoonlanding/limiter"
+	"lagoonlanding.example/lagoonlanding/quarantiner"
+	"lagoonlanding.example/measure/faker"
+	"lagoonlanding.example/measure/player"
+	"lagoonlanding.example/measure/tabulator"
+)
+
+// The course of the experiment with a crashing request.
+const (
+	poisonEnd      = 60 * time.Second
+	poisonResend   = 500 * time.Millisecond
+	poisonDown     = time.Second
+	poisonTell     = 300 * time.Millisecond
+	poisonLoad     = 0.4
+	poisonWarmth   = 12
+	poisonFleet    = 4
+	poisonDeadline = time.Second
+	// poisonRun is how long the request runs before its backend server crashes.
+	poisonRun = 5 * time.Millisecond
+)
+
+// Poison lets a caller re-send a request that crashes each backend server that runs it.
+func Poison(seed uint64) Result {
+	table := tabulator.NewTable(
+		"A request that crashes its backend server (1 s down, then cold) is sent again each 500 ms to 4 instances for 60 s; load 40 %",
+		"crashes", "harmless requests failed in 1000", "harmless p99 in ms", "harmless requests stopped")
+	for _, way := range []struct {
+		name          string
+		isQuarantined bool
+	}{{"no quarantine", false}, {"quarantine", true}} {
+		run := runPoison(seed, way.isQuarantined)
+		table.Add(way.name, float64(run.crashes), run.tally.failedPerMille(), run.tally.quantile(99), float64(run.stopped))
+	}
+	return Result{tables: []*tabulator.Table{table}}
+}
+
+type poisonInstance struct {
+	node       *faker.Node
+	quarantine *quarantiner.Quarantine
+}
+
+type poisonPlay struct {
+	play          *player.Player
+	isQuarantined bool
+	instances     []poisonInstance
+	tally         *tally
+	crashes       int
+	stopped       int
+}
+
+func runPoison(seed uint64, isQuarantined bool) *poisonPlay {
+	play := player.NewPlayer(seed)
+	run := &poisonPlay{play: play, isQuarantined: isQuarantined, tally: newTally()}
+	for index := range poisonFleet {
+		node := newNode(play, false, poisonWarmth)
+		warmUp(play, node)
+		random := rand.New(rand.NewPCG(seed, uint64(index)))
+		run.instances = append(run.instances, poisonInstance{
+			node: node, quarantine: quarantiner.NewQuarantine(quarantiner.Config{Random: random}),
+		})
+	}
+	play.Arrivals(func() float64 { return poisonLoad * poisonFleet * capacity }, poisonEnd, func() {
+		run.send(newPath(play.Random()), run.instances[play.Random().IntN(poisonFleet)])
+	})
+	play.Every(poisonResend, func() bool {
+		run.send("/poison", run.instances[play.Random().IntN(poisonFleet)])
+		return play.Elapsed() < poisonEnd
+	})
+	play.Every(poisonTell, func() bool {
+		run.tell()
+		return play.Elapsed() < poisonEnd
+	})
+	play.Run()
+	return run
+}
+
+// newPath draws one of many keys, of which some are asked for often.
+func newPath(random *rand.Rand) string {
+	const keys = 1000
+	return fmt.Sprint("/tags/", min(int(random.ExpFloat64()*keys/8), keys))
+}
+
+// tell lets each instance tell another one its suspects, as heartbeats do.
+func (poisonplay *poisonPlay) tell() {
+	for _, from := range poisonplay.instances {
+		for _, to := range poisonplay.instances {
+			if from != to {
+				to.quarantine.Merge(poisonplay.play.Now(), from.quarantine.Suspects(poisonplay.play.Now()))
+			}
+		}
+	}
+}
+
+func (poisonplay *poisonPlay) send(path string, instance poisonInstance) {
+	request := lagoonlanding.NewRequest(lagoonlanding.RequestConfig{Method: "GET", Path: path, Idempotent: true})
+	poisonplay.run(request, poisonplay.play.Now(), instance)
+}
+
+func (poisonplay *poisonPlay) run(request lagoonlanding.Request, started time.Time, instance poisonInstance) {
+	treatment := quarantiner.Free
+	if poisonplay.isQuarantined {
+		treatment = instance.quarantine.Check(poisonplay.play.Now(), quarantiner.FingerprintOf(request))
+	}
+	isPoison := request.Path() == "/poison"
+	if treatment == quarantiner.Stopped {
+		if !isPoison {
+			poisonplay.stopped++
+			poisonplay.tally.fail()
+		}
+		return
+	}
+	isAgain := false
+	instance.node.Submit(faker.Job{
+		Waiting: lagoonlanding.NewWaiting(lagoonlanding.WaitingConfig{
+			Tenant: "tags", Class: "status", Deadline: started.Add(poisonDeadline), Alone: treatment == quarantiner.Alone,
+		}),
+		Run: func(done func(limiter.Result)) {
+			run, ok := instance.quarantine.Start(poisonplay.play.Now(), request, treatment)
+			if !ok && poisonplay.isQuarantined {
+				isAgain = true
+				done(limiter.Unsent)
+				return
+			}
+			poisonplay.start(instance, isPoison, func(result limiter.Result) {
+				if run != nil {
+					instance.quarantine.Finish(poisonplay.play.Now(), run, result == limiter.Reset)
+				}
+				done(result)
+			})
+		},
+		Done: func(reason lagoonlanding.Reason, result limiter.Result) {
+			switch {
+			case isAgain:
+				poisonplay.run(request, started, instance)
+			case isPoison:
+			case reason == lagoonlanding.ReasonNone && result == limiter.Served:
+				poisonplay.tally.answer(poisonplay.play.Now().Sub(started))
+			default:
+				poisonplay.tally.fail()
+			}
+		},
+	})
+}
+
+func (poisonplay *poisonPlay) start(instance poisonInstance, isPoison bool, done func(limiter.Result)) {
+	if !isPoison {
+		instance.node.Backend().Start(draw(poisonplay.play.Random(), meanTime), done)
+		return
+	}
+	// The request never ends by itself: the crash breaks it with all others.
+	instance.node.Backend().Start(time.Hour, done)
+	poisonplay.play.After(poisonRun, func() {
+		if instance.node.Backend().IsUp() {
+			poisonplay.crashes++
+			instance.node.Backend().Crash(poisonDown)
+		}
+	})
+}
--- /dev/null
+++ b/measure/experimenter/storm.go
@@ -0,0 +1,180 @@
+package experimenter
+
+import (
+	"fmt"
+	"time"
+
+	"lagoonlanding.example/lagoonlanding"
+	"lagoonlanding.example/lagoonlanding/limiter"
+	"lagoonlanding.example/lagoonlanding/retrier"
+	"lagoonlanding.example/lagoonlanding/scheduler"
+	"lagoonlanding.example/measure/faker"
+	"lagoonlanding.example/measure/player"
+	"lagoonlanding.example/measure/plotter"
+	"lagoonlanding.example/measure/tabulator"
+)
+
+// The course of the retry storm experiment.
+const (
+	stormDown     = 2 * time.Second
+	stormBack     = 7 * time.Second
+	stormEnd      = 15 * time.Second
+	stormLoad     = 0.6
+	stormWarmth   = 12
+	stormDeadline = 2 * time.Second
+	stormPause    = 25 * time.Millisecond
+	stormStep     = 200 * time.Millisecond
+)
+
+// stormWay is one way of trying again that the experiment compares.
+type stormWay struct {
+	name    string
+	budget  retrier.BudgetConfig
+	tries   int
+	noPause bool
+	noRamp  bool
+}
+
+// RetryStorm takes the service down for five seconds while its callers try again.
+func RetryStorm(seed uint64) Result {
+	unlimited := retrier.BudgetConfig{Share: 1000, Burst: 1e9}
+	const many = 1000
+	ways := []stormWay{
+		{name: "unlimited, every 25 ms, no ramp", budget: unlimited, tries: many, noPause: true, noRamp: true},
+		{name: "unlimited, every 25 ms", budget: unlimited, tries: many, noPause: true},
+		{name: "six tries with jitter, no budget", budget: unlimited, tries: 6},
+		{name: "six tries with jitter, budget of a tenth", budget: budgetOfATenth(), tries: 6},
+	}
+	table := tabulator.NewTable(
+		"The service is down from 2 s to 7 s and returns cold; load 60 %, callers wait 2 s",
+		"tries for each request while down", "tries a second in the second after", "time to full service in s", "failed after return in 1000")
+	var lines []*plotter.Line
+	for _, way := range ways {
+		run := runStorm(seed, way)
+		table.Add(way.name, run.triesWhileDown(), float64(run.triesAfter), run.full.Seconds(), run.after.failedPerMille())
+		lines = append(lines, run.line)
+	}
+	return Result{tables: []*tabulator.Table{table}, drawings: []plotter.Drawing{plotter.NewDrawing(plotter.DrawingConfig{
+		Name: "retry-storm", Title: fmt.Sprintf("Tries before and after an outage from 2 s to 7 s (seed %d)", seed),
+		X: "time in s", Y: "tries a second", Lines: lines,
+	})}}
+}
+
+func budgetOfATenth() retrier.BudgetConfig {
+	return retrier.BudgetConfig{Share: retrier.DefaultShare, Burst: retrier.DefaultBurst}
+}
+
+type stormRun struct {
+	play       *player.Player
+	way        stormWay
+	node       *faker.Node
+	retrier    *retrier.Retrier
+	after      *tally
+	line       *plotter.Line
+	tries      int
+	firstDown  int
+	triesDown  int
+	triesAfter int
+	answered   int
+	full       time.Duration
+}
+
+func (stormrun *stormRun) triesWhileDown() float64 {
+	return float64(stormrun.triesDown) / float64(max(stormrun.firstDown, 1))
+}
+
+func runStorm(seed uint64, way stormWay) *stormRun {
+	play := player.NewPlayer(seed)
+	run := &stormRun{play: play, way: way, after: newTally(), line: plotter.NewLine(way.name), full: stormEnd - stormBack}
+	run.retrier = retrier.NewRetrier(retrier.Config{
+		Budget: retrier.NewBudget(way.budget), Tries: way.tries, Pause: stormPause, Random: play.Random(),
+	})
+	run.node = faker.NewNode(faker.NodeConfig{
+		Player:  play,
+		Backend: faker.NewBackend(faker.BackendConfig{Player: play, Slots: slots, Warmth: stormWarmth}),
+		Limiter: limiter.NewServer(limiter.Config{
+			Slots: slots, Connections: connections, Queue: queue, Order: scheduler.NewOrder(slots), Warm: way.noRamp,
+		}),
+	})
+	warmUp(play, run.node)
+	play.Arrivals(func() float64 { return stormLoad * capacity }, stormEnd, run.arrive)
+	play.After(stormDown, func() { run.node.Backend().SetDown(true) })
+	play.After(stormBack, func() {
+		run.node.Backend().SetDown(false)
+		run.node.Backend().Chill()
+	})
+	play.Every(stormStep, run.watch)
+	play.Run()
+	return run
+}
+
+func (stormrun *stormRun) arrive() {
+	stormrun.retrier.Start()
+	if stormrun.isDown() {
+		stormrun.firstDown++
+	}
+	request := lagoonlanding.NewRequest(lagoonlanding.RequestConfig{
+		Idempotent: true, Deadline: stormrun.play.Now().Add(stormDeadline),
+	})
+	stormrun.try(request, stormrun.play.Now(), 1)
+}
+
+func (stormrun *stormRun) isDown() bool {
+	return stormrun.play.Elapsed() >= stormDown && stormrun.play.Elapsed() < stormBack
+}
+
+func (stormrun *stormRun) try(request lagoonlanding.Request, started time.Time, tries int) {
+	stormrun.tries++
+	if stormrun.isDown() {
+		stormrun.triesDown++
+	}
+	if since := stormrun.play.Elapsed() - stormBack; since >= 0 && since < time.Second {
+		stormrun.triesAfter++
+	}
+	isAfter := stormrun.play.Elapsed() >= stormBack
+	stormrun.node.Submit(faker.Job{
+		Waiting: lagoonlanding.NewWaiting(lagoonlanding.WaitingConfig{Tenant: "tags", Class: "status", Deadline: request.Deadline()}),
+		Took:    draw(stormrun.play.Random(), meanTime),
+		Done: func(reason lagoonlanding.Reason, result limiter.Result) {
+			if reason == lagoonlanding.ReasonNone && result == limiter.Served {
+				stormrun.answered++
+				if isAfter {
+					stormrun.after.answer(stormrun.play.Now().Sub(started))
+				}
+				return
+			}
+			stormrun.again(request, started, tries, reason)
+		},
+	})
+}
+
+// again tries once more if the way allows it.
+func (stormrun *stormRun) again(request lagoonlanding.Request, started time.Time, tries int, reason lagoonlanding.Reason) {
+	if reason == lagoonlanding.ReasonNone {
+		reason = lagoonlanding.ReasonUpstreamFailed
+	}
+	now := stormrun.play.Now()
+	at, ok := stormrun.retrier.Retry(now, request, lagoonlanding.Refuse(request, reason), tries)
+	if stormrun.way.noPause {
+		at, ok = now.Add(stormPause), now.Add(stormPause).Before(request.Deadline())
+	}
+	if !ok {
+		if stormrun.play.Elapsed() >= stormBack {
+			stormrun.after.fail()
+		}
+		return
+	}
+	stormrun.play.After(at.Sub(now), func() { stormrun.try(request, started, tries+1) })
+}
+
+// watch notes the rate of tries and when the service is full again.
+func (stormrun *stormRun) watch() bool {
+	elapsed := stormrun.play.Elapsed()
+	stormrun.line.Add(elapsed.Seconds(), float64(stormrun.tries)/stormStep.Seconds())
+	rate := float64(stormrun.answered) / stormStep.Seconds()
+	if since := elapsed - stormBack; since > 0 && rate >= coldFull*stormLoad*capacity-3*coldNoise {
+		stormrun.full = min(stormrun.full, since)
+	}
+	stormrun.tries, stormrun.answered = 0, 0
+	return elapsed < stormEnd
+}
--- /dev/null
+++ b/measure/faker/node.go
@@ -0,0 +1,104 @@
+package faker
+
+import (
+	"time"
+
+	"lagoonlanding.example/lagoonlanding"
+	"lagoonlanding.example/lagoonlanding/limiter"
+	"lagoonlanding.example/measure/player"
+)
+
+// NodeConfig describes a Node.
+type NodeConfig struct {
+	// Player plays the experiment.
+	Player *player.Player
+	// Backend is the backend server beside the daemon.
+	Backend *Backend
+	// Limiter guards the backend server.
+	Limiter *limiter.Server
+}
+
+// Node is an instance: the limiter of its daemon and the backend server beside it.
+type Node struct {
+	config  NodeConfig
+	pending []*job
+	polling bool
+}
+
+// Job is one request to a Node.
+type Job struct {
+	// Waiting describes the request to the limiter.
+	Waiting lagoonlanding.Waiting
+	// Took is how long the request takes at a warm backend server.
+	Took time.Duration
+	// Run starts the request at the backend server; nil for Backend.Start.
+	Run func(done func(limiter.Result))
+	// Done gets the reason of a refusal, or how the request has left its slot.
+	Done func(reason lagoonlanding.Reason, result limiter.Result)
+}
+
+type job struct {
+	job   Job
+	place *limiter.Place
+}
+
+// NewNode returns the instance that the configuration describes.
+func NewNode(config NodeConfig) *Node { return &Node{config: config} }
+
+// Backend returns the backend server beside the daemon.
+func (node *Node) Backend() *Backend { return node.config.Backend }
+
+// Limiter returns the limiter of the daemon.
+func (node *Node) Limiter() *limiter.Server { return node.config.Limiter }
+
+// Submit gives the request to the limiter, which calls Done in the end.
+func (node *Node) Submit(request Job) {
+	now := node.config.Player.Now()
+	added := &job{job: request, place: node.config.Limiter.Arrive(now, request.Waiting)}
+	node.pending = append(node.pending, added)
+	if deadline := request.Waiting.Deadline(); !deadline.IsZero() {
+		node.config.Player.After(deadline.Sub(now), func() {
+			node.config.Limiter.Abandon(node.config.Player.Now(), added.place, lagoonlanding.ReasonDeadline)
+			node.poll()
+		})
+	}
+	node.poll()
+}
+
+// poll goes on with the requests that the limiter has decided.
+func (node *Node) poll() {
+	if node.polling {
+		return
+	}
+	node.polling = true
+	defer func() { node.polling = false }()
+	for index := 0; index < len(node.pending); {
+		one := node.pending[index]
+		select {
+		case <-one.place.Decided():
+			node.pending = append(node.pending[:index], node.pending[index+1:]...)
+			node.decided(one)
+			// What follows may have decided earlier requests.
+			index = 0
+		default:
+			index++
+		}
+	}
+}
+
+func (node *Node) decided(one *job) {
+	if reason := one.place.Reason(); reason != lagoonlanding.ReasonNone {
+		one.job.Done(reason, 0)
+		return
+	}
+	done := func(result limiter.Result) {
+		node.config.Limiter.Leave(node.config.Player.Now(), one.place, result)
+		one.job.Done(lagoonlanding.ReasonNone, result)
+		node.poll()
+	}
+	if one.job.Run != nil {
+		one.job.Run(done)
+		return
+	}
+	node.config.Backend.Start(one.job.Took, done)
+}
--- /dev/null
+++ b/measure/tabulator/doc.go
@@ -0,0 +1,2 @@
+// Package tabulator writes the results of experiments as tables.
+package tabulator
--- a/picker/least.go
+++ b/picker/least.go
@@ -158,5 +158,5 @@
 	if known.count == 0 {
 		mean += [distances]time.Duration{0, zoneTime, regionTime}[away].Seconds()
 	}
-	return mean * (1 + least.tracker.load(now, known)/float64(max(least.config.Slots, 1)))
+	return mean * (1 + least.tracker.load(now, known)/known.trusted(least.config.Slots))
 }
--- a/picker/tracker.go
+++ b/picker/tracker.go
@@ -19,6 +19,10 @@
 	reportHalfLife = 500 * time.Millisecond
 	// sampleWeight is the share of a new time in an instance's mean, as its inverse.
 	sampleWeight = 8
+	// absentTerm is how long an instance is no candidate before it counts as new, since it may return cold.
+	absentTerm = 3 * time.Second
+	// probationStep is how many answers a new instance needs to be trusted with one more request at once.
+	probationStep = 16
 	// trackTerm is how long an instance is remembered that is no candidate any more.
 	trackTerm = time.Minute
 )
@@ -51,6 +55,9 @@
 		known = &track{mean: tracker.usual}
 		tracker.tracks[id] = known
 	}
+	if now.Sub(known.seen) > absentTerm {
+		known.count = 0
+	}
 	known.seen = now
 	return known
 }
@@ -90,6 +97,11 @@
 	return float64(known.inFlight) + others*halved(now.Sub(known.reportAt), reportHalfLife)
 }
 
+// trusted returns how many requests at once this daemon trusts the instance with, of so many slots.
+func (track *track) trusted(slots int) float64 {
+	return float64(max(min(1+track.count/probationStep, slots), 1))
+}
+
 func (tracker *tracker) prune(now time.Time) {
 	if now.Sub(tracker.pruned) < trackTerm {
 		return
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -18,6 +18,8 @@
 	DefaultTries = 3
 	// DefaultPause bounds the pause before the first retry; each later one may be twice as long.
 	DefaultPause = 10 * time.Millisecond
+	// longestPause bounds the pause before any retry.
+	longestPause = 400 * time.Millisecond
 )
 
 // Config holds what a Retrier is built from; zero stands for the default.
@@ -75,7 +77,11 @@
 func (retrier *Retrier) pause(tries int) time.Duration {
 	retrier.mutex.Lock()
 	defer retrier.mutex.Unlock()
-	bound := retrier.config.Pause << (tries - 1)
+	bound := retrier.config.Pause
+	for try := 1; try < tries && bound < longestPause; try++ {
+		bound *= 2
+	}
+	bound = max(min(bound, longestPause), 1)
 	return time.Duration(retrier.config.Random.Int64N(int64(bound)))
 }
 
--- a/retrier/retrier_test.go
+++ b/retrier/retrier_test.go
@@ -63,3 +63,12 @@
 		t.Errorf("%d retries for %d first tries", retries, first)
 	}
 }
+
+func TestLateTriesPauseNoLongerThanTheBound(t *testing.T) {
+	request := lagoonlanding.NewRequest(lagoonlanding.RequestConfig{Idempotent: true})
+	retrier := NewRetrier(Config{Tries: 200, Random: rand.New(rand.NewPCG(1, 7))})
+	at, ok := retrier.Retry(start, request, lagoonlanding.Refuse(request, lagoonlanding.ReasonMoving), 199)
+	if !ok || at.Sub(start) >= longestPause {
+		t.Errorf("got %v, %v", at.Sub(start), ok)
+	}
+}
