--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -49,6 +49,7 @@
 	counter  *counter
 	guard    guard
 	loads    *loads
+	members  *members
 	services services
 }
 
@@ -63,7 +64,7 @@
 	if config.Picker == nil {
 		config.Picker = leastPicker(config.Link)
 	}
-	return &Dispatcher{config: config, counter: newCounter(), loads: newLoads()}
+	return &Dispatcher{config: config, counter: newCounter(), loads: newLoads(), members: newMembers()}
 }
 
 // Dispatch returns what became of the request; ctx ends at the request's deadline or when its caller goes away.
@@ -81,6 +82,19 @@
 	}
 }
 
+// Run ends forwarded requests to instances that are lost, until ctx ends.
+func (dispatcher *Dispatcher) Run(ctx context.Context) {
+	for {
+		changed := dispatcher.config.Snapshots.Changed()
+		dispatcher.members.update(dispatcher.config.Snapshots.Current())
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
 // OnForward serves a request that another instance has forwarded.
 func (dispatcher *Dispatcher) OnForward(ctx context.Context, request lagoonlanding.Request) lagoonlanding.Reply {
 	return dispatcher.Dispatch(ctx, request)
@@ -121,7 +135,8 @@
 		changed = step.finished
 	case retryLater:
 		at, ok := dispatcher.config.Retrier.Retry(dispatcher.config.Clock.Now(), request, step.reply, tries)
-		if !ok && !isTransient(step.reply) {
+		// Without the budget only a change of ownership helps, which may have come during the try.
+		if !ok && !isTransient(step.reply) && step.reply.Reason() != lagoonlanding.ReasonConnectionLost {
 			return false
 		}
 		if ok {
--- a/dispatcher/pick.go
+++ b/dispatcher/pick.go
@@ -23,7 +23,7 @@
 	ctx context.Context, snapshot *router.Snapshot, decision router.Decision, request lagoonlanding.Request,
 ) Step {
 	if request.Hops() > 0 {
-		return final(dispatcher.run(ctx, request, lagoonlanding.Fence{}).By(snapshot.Self()))
+		return dispatcher.serveMember(ctx, snapshot, request)
 	}
 	name := request.Key().Service()
 	published, _ := snapshot.Set().Service(name)
@@ -41,6 +41,15 @@
 	return dispatcher.serveHedged(ctx, choice, at)
 }
 
+// serveMember serves the request with the backend server beside this instance, which must still be a member.
+func (dispatcher *Dispatcher) serveMember(ctx context.Context, snapshot *router.Snapshot, request lagoonlanding.Request) Step {
+	self := snapshot.Self()
+	if !snapshot.IsLeased(dispatcher.config.Clock.Now(), request.Key().Service()) {
+		return Step{reply: lagoonlanding.Refuse(request, lagoonlanding.ReasonLeaseLapsed).By(self), retry: retryAtChange}
+	}
+	return final(dispatcher.run(ctx, request, lagoonlanding.Fence{}).By(self))
+}
+
 // serveOne sends the request to one picked instance.
 func (dispatcher *Dispatcher) serveOne(ctx context.Context, choice choice) Step {
 	picked, reason := choice.service.picker.Pick(dispatcher.config.Clock.Now(), choice.candidates, len(choice.request.Body()))
@@ -57,7 +66,7 @@
 	defer choice.service.inFlight.Add(-1)
 	var step Step
 	if self := choice.snapshot.Self(); picked.ID() == self.ID() {
-		step = Step{reply: dispatcher.run(ctx, choice.request, lagoonlanding.Fence{}).By(self)}
+		step = dispatcher.serveMember(ctx, choice.snapshot, choice.request)
 	} else {
 		step = dispatcher.forward(ctx, choice.snapshot, picked, choice.request)
 	}
--- a/dispatcher/pick_test.go
+++ b/dispatcher/pick_test.go
@@ -11,6 +11,7 @@
 	"lagoonlanding.example/lagoonlanding/deduplicator"
 	"lagoonlanding.example/lagoonlanding/publisher"
 	"lagoonlanding.example/lagoonlanding/quarantiner"
+	"lagoonlanding.example/lagoonlanding/retrier"
 	"lagoonlanding.example/lagoonlanding/router"
 )
 
@@ -29,10 +30,13 @@
 	return passed
 }
 
-type fixedSource struct{ snapshot *router.Snapshot }
+type fixedSource struct {
+	snapshot *router.Snapshot
+	changed  chan struct{}
+}
 
 func (fixedsource fixedSource) Current() *router.Snapshot { return fixedsource.snapshot }
-func (fixedsource fixedSource) Changed() <-chan struct{}  { return nil }
+func (fixedsource fixedSource) Changed() <-chan struct{}  { return fixedsource.changed }
 
 // scriptedPeers answers forwarded requests by the name of the instance.
 type scriptedPeers struct {
@@ -91,6 +95,7 @@
 	group := router.NewGroup(lagoonlanding.NewRecord(id, layout, lagoonlanding.Layout{}, 1), lagoonlanding.NewPlacement(nil))
 	return router.NewSnapshot(router.SnapshotConfig{
 		Self: self, Set: set, Revision: 1, Groups: map[lagoonlanding.GroupID]router.Group{id: group},
+		Holdings: map[lagoonlanding.GroupID]router.Holding{id: router.NewHolding(router.HoldingConfig{Version: 1, Deadline: began.Add(time.Minute)})},
 	})
 }
 
@@ -148,21 +153,48 @@
 	}
 }
 
+func TestReadWithoutBudgetIsTriedAgainAtAChange(t *testing.T) {
+	tries := 0
+	peers := scriptedPeers{answer: func(_ context.Context, to string, request lagoonlanding.Request) (lagoonlanding.Reply, error) {
+		tries++
+		if tries < 3 {
+			return lagoonlanding.Reply{}, fmt.Errorf("connection reset")
+		}
+		return answered(request, to), nil
+	}}
+	changed := make(chan struct{})
+	close(changed)
+	dispatcher := New(Config{
+		Snapshots: fixedSource{snapshot: sharedSnapshot(outsider, member("a", "piraeus")), changed: changed},
+		Clock:     standingClock{}, Peers: peers,
+		Retrier: retrier.NewRetrier(retrier.Config{Budget: retrier.NewBudget(retrier.BudgetConfig{}), Random: newRandom()}),
+	})
+	if reply := dispatcher.Dispatch(t.Context(), read(1, "/bays")); reply.Outcome() != lagoonlanding.OutcomeAnswered {
+		t.Errorf("got %v %q after %d tries", reply.Outcome(), reply.Reason(), tries)
+	}
+}
+
 func TestReadIsTriedAgainAfterALostPeerButNotAfterALostUpstream(t *testing.T) {
 	for _, isPeerLost := range []bool{true, false} {
+		ctx, cancel := context.WithCancel(t.Context())
 		tries := 0
 		peers := scriptedPeers{answer: func(_ context.Context, _ string, request lagoonlanding.Request) (lagoonlanding.Reply, error) {
 			tries++
+			if tries == maxTries {
+				// From here on the read would wait for a change of ownership until its deadline.
+				cancel()
+			}
 			if isPeerLost {
 				return lagoonlanding.Reply{}, fmt.Errorf("connection reset")
 			}
 			return lagoonlanding.Unknown(request, lagoonlanding.ReasonConnectionLost), nil
 		}}
 		dispatcher := newDispatcher(standingClock{isPassing: true}, sharedSnapshot(outsider, member("a", "piraeus")), peers, nil)
-		reply := dispatcher.Dispatch(t.Context(), read(1, "/bays"))
+		reply := dispatcher.Dispatch(ctx, read(1, "/bays"))
 		if reply.Outcome() != lagoonlanding.OutcomeUnknown || isPeerLost != (tries > 1) {
 			t.Errorf("lost peer %v: %v after %d tries", isPeerLost, reply.Outcome(), tries)
 		}
+		cancel()
 	}
 }
 
--- a/router/snapshot.go
+++ b/router/snapshot.go
@@ -79,6 +79,8 @@
 	Set *publisher.Set
 	// Revision is the store revision up to which the directory is known.
 	Revision uint64
+	// Changes counts the changes of Groups.
+	Changes uint64
 	// Groups are all known groups.
 	Groups map[lagoonlanding.GroupID]Group
 	// Holdings are the rights of this instance.
@@ -113,6 +115,9 @@
 	return group, ok
 }
 
+// Changes returns the count of changes of the groups.
+func (snapshot *Snapshot) Changes() uint64 { return snapshot.config.Changes }
+
 // Groups returns all known groups; callers do not change the map.
 func (snapshot *Snapshot) Groups() map[lagoonlanding.GroupID]Group { return snapshot.config.Groups }
 
@@ -121,3 +126,13 @@
 	holding, ok := snapshot.config.Holdings[id]
 	return holding, ok
 }
+
+// IsLeased reports whether this instance holds a living lease in some group of the service, so that its published set is in force.
+func (snapshot *Snapshot) IsLeased(now time.Time, service string) bool {
+	for id, holding := range snapshot.config.Holdings {
+		if id.Service() == service && now.Before(holding.Deadline()) {
+			return true
+		}
+	}
+	return false
+}
