--- a/dispatcher/pick.go
+++ b/dispatcher/pick.go
@@ -23,7 +23,7 @@
 	ctx context.Context, snapshot *router.Snapshot, decision router.Decision, request lagoonlanding.Request,
 ) Step {
 	if request.Hops() > 0 {
-		return dispatcher.serveMember(ctx, snapshot, request)
+		return dispatcher.runPicked(ctx, snapshot, request)
 	}
 	name := request.Key().Service()
 	published, _ := snapshot.Set().Service(name)
@@ -41,13 +41,13 @@
 	return dispatcher.serveHedged(ctx, choice, at)
 }
 
-// serveMember serves the request with the backend server beside this instance, which must still be a member.
-func (dispatcher *Dispatcher) serveMember(ctx context.Context, snapshot *router.Snapshot, request lagoonlanding.Request) Step {
-	self := snapshot.Self()
+// runPicked runs a request here that any member may serve; without a lease the published set may be out of force.
+func (dispatcher *Dispatcher) runPicked(ctx context.Context, snapshot *router.Snapshot, request lagoonlanding.Request) Step {
 	if !snapshot.IsLeased(dispatcher.config.Clock.Now(), request.Key().Service()) {
-		return Step{reply: lagoonlanding.Refuse(request, lagoonlanding.ReasonLeaseLapsed).By(self), retry: retryAtChange}
+		refusal := lagoonlanding.Refuse(request, lagoonlanding.ReasonLeaseLapsed)
+		return Step{reply: refusal.By(snapshot.Self()), retry: retryAtChange}
 	}
-	return final(dispatcher.run(ctx, request, lagoonlanding.Fence{}).By(self))
+	return final(dispatcher.run(ctx, request, lagoonlanding.Fence{}).By(snapshot.Self()))
 }
 
 // serveOne sends the request to one picked instance.
@@ -65,8 +65,8 @@
 	choice.service.inFlight.Add(1)
 	defer choice.service.inFlight.Add(-1)
 	var step Step
-	if self := choice.snapshot.Self(); picked.ID() == self.ID() {
-		step = dispatcher.serveMember(ctx, choice.snapshot, choice.request)
+	if picked.ID() == choice.snapshot.Self().ID() {
+		step = dispatcher.runPicked(ctx, choice.snapshot, choice.request)
 	} else {
 		step = dispatcher.forward(ctx, choice.snapshot, picked, choice.request)
 	}
--- a/measure/experimenter/poison.go
+++ b/measure/experimenter/poison.go
@@ -22,6 +22,7 @@
 	poisonLoad     = 0.4
 	poisonWarmth   = 12
 	poisonFleet    = 4
+	poisonService  = "status-app"
 	poisonDeadline = time.Second
 	// poisonRun is how long the request runs before its backend server crashes.
 	poisonRun = 5 * time.Millisecond
@@ -93,14 +94,14 @@
 	for _, from := range poisonplay.instances {
 		for _, to := range poisonplay.instances {
 			if from != to {
-				to.quarantine.Merge(poisonplay.play.Now(), from.quarantine.Suspects(poisonplay.play.Now()))
+				to.quarantine.Merge(poisonplay.play.Now(), from.quarantine.Suspects(poisonplay.play.Now(), poisonService))
 			}
 		}
 	}
 }
 
 func (poisonplay *poisonPlay) send(path string, instance poisonInstance) {
-	request := lagoonlanding.NewRequest(lagoonlanding.RequestConfig{Method: "GET", Path: path, Idempotent: true})
+	request := lagoonlanding.NewRequest(lagoonlanding.RequestConfig{Method: "GET", Path: path, Idempotent: true, Key: lagoonlanding.NewKey(poisonService, "tags", path)})
 	poisonplay.run(request, poisonplay.play.Now(), instance)
 }
 
--- a/quarantiner/quarantine_test.go
+++ b/quarantiner/quarantine_test.go
@@ -82,17 +82,17 @@
 func TestFleetSharesSuspects(t *testing.T) {
 	first, second, third := newQuarantine(1), newQuarantine(2), newQuarantine(3)
 	crashAlone(t, first, "/poison")
-	second.Merge(start, first.Suspects(start))
+	second.Merge(start, first.Suspects(start, "archive"))
 	expect(t, second, start, "/poison", Alone)
 	crashAlone(t, second, "/poison")
-	third.Merge(start, second.Suspects(start))
-	third.Merge(start, first.Suspects(start))
+	third.Merge(start, second.Suspects(start, "archive"))
+	third.Merge(start, first.Suspects(start, "archive"))
 	crashAlone(t, third, "/poison")
 	for _, quarantine := range []*Quarantine{first, second} {
-		quarantine.Merge(start, third.Suspects(start))
+		quarantine.Merge(start, third.Suspects(start, "archive"))
 		expect(t, quarantine, start, "/poison", Stopped)
 	}
-	if diff := cmp.Diff(first.Suspects(start), second.Suspects(start), cmp.AllowUnexported(Suspect{}, Crash{})); diff != "" {
+	if diff := cmp.Diff(first.Suspects(start, "archive").Suspects(), second.Suspects(start, "archive").Suspects(), cmp.AllowUnexported(lagoonlanding.Suspect{}, lagoonlanding.Crash{})); diff != "" {
 		t.Errorf("instances that have told each other differ: %s", diff)
 	}
 }
@@ -112,7 +112,7 @@
 			}
 			crashes++
 			for _, other := range fleet {
-				other.Merge(start, instance.Suspects(start))
+				other.Merge(start, instance.Suspects(start, "archive"))
 			}
 		}
 		if crashes != MaxCrashes {
@@ -165,7 +165,7 @@
 	for i := range MaxSuspects + 10 {
 		crashAlone(t, quarantine, fmt.Sprint("/other-", i))
 	}
-	if got := len(quarantine.Suspects(start)); got > MaxSuspects {
+	if got := len(quarantine.Suspects(start, "archive").Suspects()); got > MaxSuspects {
 		t.Errorf("%d suspects", got)
 	}
 	crashAlone(t, quarantine, "/poison")
