Let instances tell each other which requests crash backend servers

Cause: the quarantine knew the crashes beside its own daemon alone, so a caller that goes from instance to instance could crash three servers at each. Weighed: riding on renewals, which reach witnesses and not the members; a notice to every daemon, which is not bounded. A key's requests only run at members of its service's groups, so these are told, within the home regions of the suspect's workspace, by fingerprint; each answers with what it knows, so that a newcomer learns at its first crash. Change: SuspectPeers and SuspectHandler beside Peers (messenger and dispatcher carry them without further wiring), form and fuzz target in encoder. Fingerprints are computed while something is suspect only. A told suspect expires with its last crash (test failed first: it was kept for a full term after each telling). Checked: go test -race ./quarantiner ./dispatcher ./messenger ./encoder; 10 s of FuzzSuspectNotice.

--- a/dispatcher/pick_test.go
+++ b/dispatcher/pick_test.go
@@ -242,3 +242,58 @@
 		t.Errorf("%d crashes", upstream.crashes)
 	}
 }
+
+// fleetPeers joins dispatchers by name; what they tell each other arrives before accuse returns to its caller's next request.
+type fleetPeers struct {
+	lagoonlanding.Peers
+	others map[string]*Dispatcher
+	told   *sync.WaitGroup
+}
+
+func (fleetpeers fleetPeers) Accuse(
+	_ context.Context, to lagoonlanding.Instance, notice lagoonlanding.SuspectNotice,
+) (lagoonlanding.SuspectNotice, error) {
+	defer fleetpeers.told.Done()
+	return fleetpeers.others[to.ID().Name()].OnSuspects(notice), nil
+}
+
+// TestFleetStopsACrashingRequest re-sends a crashing request to three instances in turn.
+func TestFleetStopsACrashingRequest(t *testing.T) {
+	members := []lagoonlanding.Member{member("a", "piraeus"), member("b", "piraeus"), member("c", "piraeus")}
+	peers := fleetPeers{others: map[string]*Dispatcher{}, told: &sync.WaitGroup{}}
+	upstream := &crashingUpstream{}
+	for _, one := range members {
+		peers.others[one.ID().Name()] = newDispatcher(standingClock{}, sharedSnapshot(one.Instance(), members...), peers, upstream)
+	}
+	for try := range 12 {
+		crashes := upstream.crashes
+		dispatcher := peers.others[members[try%len(members)].ID().Name()]
+		peers.told.Add(2)
+		dispatcher.Dispatch(t.Context(), read(try, "/poison").Forwarded())
+		if upstream.crashes == crashes {
+			peers.told.Add(-2)
+		}
+		peers.told.Wait()
+	}
+	if upstream.crashes != quarantiner.MaxCrashes {
+		t.Errorf("%d crashes in the fleet", upstream.crashes)
+	}
+}
+
+func TestSuspectsStayWithinHomeRegions(t *testing.T) {
+	set := publisher.NewSet(publisher.SetConfig{Workspaces: []publisher.Workspace{
+		publisher.NewWorkspace(publisher.WorkspaceConfig{Name: "home", HomeRegions: []string{"attica"}}),
+		publisher.NewWorkspace(publisher.WorkspaceConfig{Name: "open"}),
+	}})
+	snapshot := router.NewSnapshot(router.SnapshotConfig{Set: set})
+	var suspects []lagoonlanding.Suspect
+	for _, workspace := range []string{"home", "open", "gone"} {
+		suspects = append(suspects, lagoonlanding.NewSuspect(lagoonlanding.SuspectConfig{Workspace: workspace}))
+	}
+	notice := lagoonlanding.NewSuspectNotice("bay-directory", "attica", suspects)
+	for region, want := range map[string]int{"attica": 2, "macedonia": 1} {
+		if got := len(within(snapshot, notice, region).Suspects()); got != want {
+			t.Errorf("%s may know %d suspects, want %d", region, got, want)
+		}
+	}
+}
--- a/dispatcher/serve.go
+++ b/dispatcher/serve.go
@@ -52,7 +52,7 @@
 // run waits for a slot and passes the request to the backend server beside this instance.
 func (dispatcher *Dispatcher) run(ctx context.Context, request lagoonlanding.Request, fence lagoonlanding.Fence) lagoonlanding.Reply {
 	for {
-		treatment := dispatcher.config.Quarantine.Check(dispatcher.config.Clock.Now(), quarantiner.FingerprintOf(request))
+		treatment := dispatcher.config.Quarantine.Check(dispatcher.config.Clock.Now(), request)
 		if treatment == quarantiner.Stopped {
 			return lagoonlanding.Refuse(request, lagoonlanding.ReasonQuarantined)
 		}
@@ -68,7 +68,9 @@
 		}
 		reply := dispatcher.send(ctx, request, fence)
 		now := dispatcher.config.Clock.Now()
-		dispatcher.config.Quarantine.Finish(now, run, hasCrashed(ctx, reply))
+		if dispatcher.config.Quarantine.Finish(now, run, hasCrashed(ctx, reply)) {
+			dispatcher.accuse(request.Key().Service())
+		}
 		server.Leave(now, place, result(ctx, reply))
 		return reply
 	}
--- /dev/null
+++ b/encoder/suspect_test.go
@@ -0,0 +1,60 @@
+package encoder
+
+import (
+	"bytes"
+	"encoding/gob"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"lagoonlanding.example/lagoonlanding"
+)
+
+func sampleNotice(now time.Time) lagoonlanding.SuspectNotice {
+	return lagoonlanding.NewSuspectNotice("archive", "doto", []lagoonlanding.Suspect{
+		lagoonlanding.NewSuspect(lagoonlanding.SuspectConfig{
+			Fingerprint: lagoonlanding.Fingerprint{1, 2}, Workspace: "scripts", Expires: now.Add(time.Minute),
+			Crashes: []lagoonlanding.Crash{lagoonlanding.NewCrash(7, true), lagoonlanding.NewCrash(9, false)},
+			Cleared: []lagoonlanding.Crash{lagoonlanding.NewCrash(9, false)},
+		}),
+	})
+}
+
+func TestSuspectNoticeArrivesWhole(t *testing.T) {
+	got, err := FromSuspectNotice(sampleNotice(senderNow), senderNow).Value(receiverNow)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(sampleNotice(receiverNow), got, exported); diff != "" {
+		t.Error(diff)
+	}
+	if _, err := (SuspectNotice{Suspects: make([]Suspect, maxSuspects+1)}).Value(receiverNow); err == nil {
+		t.Error("a notice without bound was taken")
+	}
+}
+
+func FuzzSuspectNotice(f *testing.F) {
+	var seed bytes.Buffer
+	if err := gob.NewEncoder(&seed).Encode(FromSuspectNotice(sampleNotice(senderNow), senderNow)); err != nil {
+		f.Fatal(err)
+	}
+	f.Add(seed.Bytes())
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var form SuspectNotice
+		if gob.NewDecoder(bytes.NewReader(data)).Decode(&form) != nil {
+			return
+		}
+		notice, err := form.Value(receiverNow)
+		if err != nil {
+			return
+		}
+		again, err := FromSuspectNotice(notice, receiverNow).Value(receiverNow)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(notice, again, exported); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
--- a/measure/experimenter/poison.go
+++ b/measure/experimenter/poison.go
@@ -94,7 +94,8 @@
 	for _, from := range poisonplay.instances {
 		for _, to := range poisonplay.instances {
 			if from != to {
-				to.quarantine.Merge(poisonplay.play.Now(), from.quarantine.Suspects(poisonplay.play.Now(), poisonService))
+				notice := lagoonlanding.NewSuspectNotice(poisonService, "attica", from.quarantine.Suspects(poisonplay.play.Now(), poisonService))
+				to.quarantine.Merge(poisonplay.play.Now(), notice)
 			}
 		}
 	}
@@ -108,7 +109,7 @@
 func (poisonplay *poisonPlay) run(request lagoonlanding.Request, started time.Time, instance poisonInstance) {
 	treatment := quarantiner.Free
 	if poisonplay.isQuarantined {
-		treatment = instance.quarantine.Check(poisonplay.play.Now(), quarantiner.FingerprintOf(request))
+		treatment = instance.quarantine.Check(poisonplay.play.Now(), request)
 	}
 	isPoison := request.Path() == "/poison"
 	if treatment == quarantiner.Stopped {
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -100,6 +100,12 @@
 	return ask[lagoonlanding.GroupStatus, encoder.GroupStatus](ctx, messenger, to, LaneTransfer, methodStatus, form)
 }
 
+// Accuse tells the instance of suspects and returns those that it knows.
+func (messenger *Messenger) Accuse(ctx context.Context, to lagoonlanding.Instance, notice lagoonlanding.SuspectNotice) (lagoonlanding.SuspectNotice, error) {
+	form := encoder.FromSuspectNotice(notice, messenger.clock.Now())
+	return ask[lagoonlanding.SuspectNotice, encoder.SuspectNotice](ctx, messenger, to, LaneTransfer, methodAccuse, form)
+}
+
 // Forward passes a caller's request on and cancels it at the peer once ctx ends.
 func (messenger *Messenger) Forward(ctx context.Context, to lagoonlanding.Instance, request lagoonlanding.Request) (lagoonlanding.Reply, error) {
 	number := messenger.number.Add(1)
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -45,6 +45,10 @@
 	return lagoonlanding.NewGroupStatus(lagoonlanding.GroupStatusConfig{Group: request.Group(), Version: 4, Acting: true})
 }
 
+func (handler *handler) OnSuspects(notice lagoonlanding.SuspectNotice) lagoonlanding.SuspectNotice {
+	return lagoonlanding.NewSuspectNotice(notice.Service(), "doto", nil)
+}
+
 func (handler *handler) OnDirectory(request lagoonlanding.DirectoryRequest) lagoonlanding.DirectoryReply {
 	return lagoonlanding.NewDirectoryReply(lagoonlanding.NewListing(nil, request.After()+1))
 }
@@ -134,6 +138,8 @@
 	expect(t, joined, lagoonlanding.NewJoinReply(true), err)
 	status, err := messenger.Status(ctx, to, lagoonlanding.NewStatusRequest(group))
 	expect(t, status, lagoonlanding.NewGroupStatus(lagoonlanding.GroupStatusConfig{Group: group, Version: 4, Acting: true}), err)
+	suspects, err := messenger.Accuse(ctx, to, lagoonlanding.NewSuspectNotice("s", "dohoku", nil))
+	expect(t, suspects, lagoonlanding.NewSuspectNotice("s", "doto", nil), err)
 	directory, err := messenger.Directory(ctx, to, lagoonlanding.NewDirectoryRequest(6))
 	expect(t, directory, lagoonlanding.NewDirectoryReply(lagoonlanding.NewListing(nil, 7)), err)
 	taken, err := messenger.HandOver(ctx, to, lagoonlanding.NewHandoverRequest(lagoonlanding.HandoverConfig{Group: group}))
--- a/messenger/session.go
+++ b/messenger/session.go
@@ -21,6 +21,7 @@
 	methodDirectory = "Directory"
 	methodNotify    = "Notify"
 	methodHandOver  = "HandOver"
+	methodAccuse    = "Accuse"
 	methodForward   = "Forward"
 	methodCancel    = "Cancel"
 )
@@ -129,6 +130,18 @@
 	return nil
 }
 
+// Accuse takes suspects and answers with those that this instance knows.
+func (session *session) Accuse(form encoder.SuspectNotice, answer *encoder.SuspectNotice) error {
+	handler, ok := session.server.handler.(lagoonlanding.SuspectHandler)
+	if !ok {
+		return nil
+	}
+	now := session.now()
+	return respond(now, form, answer, handler.OnSuspects, func(notice lagoonlanding.SuspectNotice) encoder.SuspectNotice {
+		return encoder.FromSuspectNotice(notice, now)
+	})
+}
+
 // Forward serves a forwarded request; what cannot be decoded is refused, as it was not run.
 func (session *session) Forward(form encoder.ForwardCall, answer *encoder.Reply) error {
 	defer session.finish(form.Number)
--- a/quarantiner/quarantine.go
+++ b/quarantiner/quarantine.go
@@ -57,11 +57,9 @@
 
 // Run is one request in flight.
 type Run struct {
-	fingerprint lagoonlanding.Fingerprint
-	service     string
-	workspace   string
-	alone       bool
-	crashes     uint64
+	request lagoonlanding.Request
+	alone   bool
+	crashes uint64
 }
 
 // NewQuarantine returns a quarantine without suspects.
@@ -70,26 +68,22 @@
 }
 
 // Check returns how the request may run.
-func (quarantine *Quarantine) Check(now time.Time, fingerprint lagoonlanding.Fingerprint) Treatment {
+func (quarantine *Quarantine) Check(now time.Time, request lagoonlanding.Request) Treatment {
 	quarantine.mutex.Lock()
 	defer quarantine.mutex.Unlock()
-	return quarantine.check(now, fingerprint)
+	return quarantine.check(now, request)
 }
 
 // Start notes that the request goes to the backend server; it is false if the request may not run this way any more, so
 // that copies which were queued before a crash do not follow it unchecked.
 func (quarantine *Quarantine) Start(now time.Time, request lagoonlanding.Request, treatment Treatment) (*Run, bool) {
-	fingerprint := FingerprintOf(request)
 	quarantine.mutex.Lock()
 	defer quarantine.mutex.Unlock()
-	current := quarantine.check(now, fingerprint)
+	current := quarantine.check(now, request)
 	if current == Stopped || current == Alone && treatment != Alone {
 		return nil, false
 	}
-	run := &Run{
-		fingerprint: fingerprint, service: request.Key().Service(), workspace: request.Key().Workspace(),
-		alone: treatment == Alone, crashes: quarantine.crashes,
-	}
+	run := &Run{request: request, alone: treatment == Alone, crashes: quarantine.crashes}
 	quarantine.running[run] = true
 	return run, true
 }
@@ -104,14 +98,17 @@
 		quarantine.crash(now)
 	}
 	delete(quarantine.running, run)
-	if known, ok := quarantine.suspects[run.fingerprint]; ok && run.alone && !crashed {
+	if !run.alone || crashed {
+		return isFirst
+	}
+	if known, ok := quarantine.suspects[FingerprintOf(run.request)]; ok {
 		known.clear()
 	}
 	return isFirst
 }
 
 // Suspects returns what other instances of the service should know, ordered by fingerprint.
-func (quarantine *Quarantine) Suspects(now time.Time, service string) lagoonlanding.SuspectNotice {
+func (quarantine *Quarantine) Suspects(now time.Time, service string) []lagoonlanding.Suspect {
 	quarantine.mutex.Lock()
 	defer quarantine.mutex.Unlock()
 	quarantine.expire(now)
@@ -125,7 +122,7 @@
 		x, y := a.Fingerprint(), b.Fingerprint()
 		return bytes.Compare(x[:], y[:])
 	})
-	return lagoonlanding.NewSuspectNotice(service, suspects)
+	return suspects
 }
 
 // Merge takes in what another instance knows.
@@ -137,21 +134,24 @@
 		if len(suspect.Crashes()) > maxCrashes || len(suspect.Cleared()) > maxCrashes || !suspect.Expires().After(now) {
 			continue
 		}
-		known := quarantine.record(now, suspect.Fingerprint(), notice.Service(), suspect.Workspace())
-		if expires := suspect.Expires(); expires.After(known.expires) && !expires.After(now.Add(Term)) {
-			known.expires = expires
-		}
-		for _, crash := range suspect.Crashes() {
-			known.crashes[crash] = true
+		expires := suspect.Expires()
+		if latest := now.Add(Term); expires.After(latest) {
+			expires = latest
 		}
-		for _, crash := range suspect.Cleared() {
-			known.cleared[crash] = true
+		known := quarantine.record(expires, suspect.Fingerprint(), notice.Service(), suspect.Workspace())
+		if expires.After(known.expires) {
+			known.expires = expires
 		}
+		known.merge(suspect)
 	}
 }
 
-func (quarantine *Quarantine) check(now time.Time, fingerprint lagoonlanding.Fingerprint) Treatment {
-	known, ok := quarantine.suspects[fingerprint]
+// check computes no fingerprint while nothing is suspect.
+func (quarantine *Quarantine) check(now time.Time, request lagoonlanding.Request) Treatment {
+	if len(quarantine.suspects) == 0 {
+		return Free
+	}
+	known, ok := quarantine.suspects[FingerprintOf(request)]
 	if !ok || now.After(known.expires) {
 		return Free
 	}
@@ -170,7 +170,8 @@
 	quarantine.crashes++
 	crash := lagoonlanding.NewCrash(quarantine.config.Random.Uint64(), len(quarantine.running) == 1)
 	for run := range quarantine.running {
-		known := quarantine.record(now, run.fingerprint, run.service, run.workspace)
+		key := run.request.Key()
+		known := quarantine.record(now.Add(Term), FingerprintOf(run.request), key.Service(), key.Workspace())
 		known.expires = now.Add(Term)
 		if len(known.crashes) < maxCrashes {
 			known.crashes[crash] = true
@@ -178,7 +179,8 @@
 	}
 }
 
-func (quarantine *Quarantine) record(now time.Time, fingerprint lagoonlanding.Fingerprint, service, workspace string) *record {
+// record returns what is known of a fingerprint, and begins it with the time at which it expires.
+func (quarantine *Quarantine) record(expires time.Time, fingerprint lagoonlanding.Fingerprint, service, workspace string) *record {
 	known, ok := quarantine.suspects[fingerprint]
 	if ok {
 		return known
@@ -187,7 +189,7 @@
 		quarantine.displace()
 	}
 	known = &record{
-		service: service, workspace: workspace, expires: now.Add(Term),
+		service: service, workspace: workspace, expires: expires,
 		crashes: map[lagoonlanding.Crash]bool{}, cleared: map[lagoonlanding.Crash]bool{},
 	}
 	quarantine.suspects[fingerprint] = known
--- a/quarantiner/quarantine_test.go
+++ b/quarantiner/quarantine_test.go
@@ -25,11 +25,16 @@
 
 func expect(t *testing.T, quarantine *Quarantine, now time.Time, path string, want Treatment) {
 	t.Helper()
-	if got := quarantine.Check(now, FingerprintOf(request(path))); got != want {
+	if got := quarantine.Check(now, request(path)); got != want {
 		t.Fatalf("%s is treated as %d, want %d", path, got, want)
 	}
 }
 
+// told returns what the instance tells others.
+func told(quarantine *Quarantine) lagoonlanding.SuspectNotice {
+	return lagoonlanding.NewSuspectNotice("archive", "doto", quarantine.Suspects(start, "archive"))
+}
+
 // crashAlone lets a request run alone into a crash.
 func crashAlone(t *testing.T, quarantine *Quarantine, path string) {
 	t.Helper()
@@ -82,21 +87,29 @@
 func TestFleetSharesSuspects(t *testing.T) {
 	first, second, third := newQuarantine(1), newQuarantine(2), newQuarantine(3)
 	crashAlone(t, first, "/poison")
-	second.Merge(start, first.Suspects(start, "archive"))
+	second.Merge(start, told(first))
 	expect(t, second, start, "/poison", Alone)
 	crashAlone(t, second, "/poison")
-	third.Merge(start, second.Suspects(start, "archive"))
-	third.Merge(start, first.Suspects(start, "archive"))
+	third.Merge(start, told(second))
+	third.Merge(start, told(first))
 	crashAlone(t, third, "/poison")
 	for _, quarantine := range []*Quarantine{first, second} {
-		quarantine.Merge(start, third.Suspects(start, "archive"))
+		quarantine.Merge(start, told(third))
 		expect(t, quarantine, start, "/poison", Stopped)
 	}
-	if diff := cmp.Diff(first.Suspects(start, "archive").Suspects(), second.Suspects(start, "archive").Suspects(), cmp.AllowUnexported(lagoonlanding.Suspect{}, lagoonlanding.Crash{})); diff != "" {
+	if diff := cmp.Diff(first.Suspects(start, "archive"), second.Suspects(start, "archive"), cmp.AllowUnexported(lagoonlanding.Suspect{}, lagoonlanding.Crash{})); diff != "" {
 		t.Errorf("instances that have told each other differ: %s", diff)
 	}
 }
 
+func TestToldSuspectsExpireWithTheirLastCrash(t *testing.T) {
+	first, second := newQuarantine(1), newQuarantine(2)
+	crashAlone(t, first, "/poison")
+	second.Merge(start.Add(Term/2), told(first))
+	expect(t, second, start.Add(Term), "/poison", Alone)
+	expect(t, second, start.Add(Term+1), "/poison", Free)
+}
+
 // TestRandomFleetStopsPoison lets callers re-send a crashing request among harmless ones to instances that tell each other after each crash.
 func TestRandomFleetStopsPoison(t *testing.T) {
 	for seed := range uint64(20) {
@@ -112,14 +125,14 @@
 			}
 			crashes++
 			for _, other := range fleet {
-				other.Merge(start, instance.Suspects(start, "archive"))
+				other.Merge(start, told(instance))
 			}
 		}
 		if crashes != MaxCrashes {
 			t.Errorf("seed %d: the request crashed %d backend servers", seed, crashes)
 		}
 		for i := range 40 {
-			if fleet[0].Check(start, FingerprintOf(request(fmt.Sprint("/good-", i)))) == Stopped {
+			if fleet[0].Check(start, request(fmt.Sprint("/good-", i))) == Stopped {
 				t.Errorf("seed %d: a harmless request was stopped", seed)
 			}
 		}
@@ -131,7 +144,7 @@
 	var together []*Run
 	poisoned := false
 	for _, path := range paths {
-		if quarantine.Check(start, FingerprintOf(request(path))) == Free {
+		if quarantine.Check(start, request(path)) == Free {
 			run, _ := quarantine.Start(start, request(path), Free)
 			together = append(together, run)
 			poisoned = poisoned || path == "/poison"
@@ -144,7 +157,7 @@
 		return true
 	}
 	for _, path := range paths {
-		switch quarantine.Check(start, FingerprintOf(request(path))) {
+		switch quarantine.Check(start, request(path)) {
 		case Stopped:
 			*refused++
 		case Alone:
@@ -165,7 +178,7 @@
 	for i := range MaxSuspects + 10 {
 		crashAlone(t, quarantine, fmt.Sprint("/other-", i))
 	}
-	if got := len(quarantine.Suspects(start, "archive").Suspects()); got > MaxSuspects {
+	if got := len(quarantine.Suspects(start, "archive")); got > MaxSuspects {
 		t.Errorf("%d suspects", got)
 	}
 	crashAlone(t, quarantine, "/poison")
--- a/quarantiner/record.go
+++ b/quarantiner/record.go
@@ -28,6 +28,20 @@
 	return count
 }
 
+// merge adds what another instance knows, within the bound.
+func (record *record) merge(suspect lagoonlanding.Suspect) {
+	for _, crash := range suspect.Crashes() {
+		if len(record.crashes) < maxCrashes {
+			record.crashes[crash] = true
+		}
+	}
+	for _, crash := range suspect.Cleared() {
+		if record.crashes[crash] {
+			record.cleared[crash] = true
+		}
+	}
+}
+
 // clear notes that the request ran alone without a crash; what crashed while it ran alone still counts.
 func (record *record) clear() {
 	for crash := range record.crashes {
--- a/suspect.go
+++ b/suspect.go
@@ -72,17 +72,21 @@
 // SuspectNotice tells another instance of the suspects of a service.
 type SuspectNotice struct {
 	service  string
+	region   string
 	suspects []Suspect
 }
 
-// NewSuspectNotice returns the notice of a service's suspects.
-func NewSuspectNotice(service string, suspects []Suspect) SuspectNotice {
-	return SuspectNotice{service: service, suspects: suspects}
+// NewSuspectNotice returns the notice of a service's suspects by an instance in the region.
+func NewSuspectNotice(service, region string, suspects []Suspect) SuspectNotice {
+	return SuspectNotice{service: service, region: region, suspects: suspects}
 }
 
 // Service returns the name of the service whose backend servers crashed.
 func (suspectnotice SuspectNotice) Service() string { return suspectnotice.service }
 
+// Region returns the region of the instance that gives the notice, which bounds what it may be told in return.
+func (suspectnotice SuspectNotice) Region() string { return suspectnotice.region }
+
 // Suspects returns the suspects.
 func (suspectnotice SuspectNotice) Suspects() []Suspect { return suspectnotice.suspects }
 
