--- a/announcer/announcement.go
+++ b/announcer/announcement.go
@@ -21,6 +21,7 @@
 	service string
 	address string
 	slots   int
+	start   string
 }
 
 // Service returns the name of the service that the backend server runs.
@@ -32,10 +33,14 @@
 // Slots returns how many requests it runs at once.
 func (announcement Announcement) Slots() int { return announcement.slots }
 
+// Start tells runs of the backend server apart, empty if it does not tell.
+func (announcement Announcement) Start() string { return announcement.start }
+
 type announcementJSON struct {
 	Service string `json:"service"`
 	Address string `json:"address"`
 	Slots   int    `json:"slots"`
+	Start   string `json:"start"`
 }
 
 // decode reads and checks an announcement.
@@ -59,5 +64,5 @@
 	if form.Slots < 1 || form.Slots > maxSlots {
 		return Announcement{}, fmt.Errorf("slots are %d, outside 1 to %d", form.Slots, maxSlots)
 	}
-	return Announcement{service: form.Service, address: form.Address, slots: form.Slots}, nil
+	return Announcement{service: form.Service, address: form.Address, slots: form.Slots, start: form.Start}, nil
 }
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -24,6 +24,8 @@
 	Upstream lagoonlanding.Upstream
 	// Ledger holds the recent non-idempotent requests.
 	Ledger *deduplicator.Ledger
+	// Retried is told why a request is attempted again; nil for nobody.
+	Retried func(lagoonlanding.Reason)
 }
 
 // Dispatcher is the traffic path of one instance; it is safe for use by many goroutines.
@@ -52,6 +54,9 @@
 		if !dispatcher.await(ctx, step, changed) {
 			return step.reply
 		}
+		if dispatcher.config.Retried != nil {
+			dispatcher.config.Retried(step.reply.Reason())
+		}
 	}
 }
 
--- a/lagoond/daemon.go
+++ b/lagoond/daemon.go
@@ -21,6 +21,7 @@
 	"lagoonlanding.example/lagoonlanding/messenger"
 	"lagoonlanding.example/lagoonlanding/placer"
 	"lagoonlanding.example/lagoonlanding/receiver"
+	"lagoonlanding.example/lagoonlanding/reporter"
 	"lagoonlanding.example/lagoonlanding/router"
 	"lagoonlanding.example/lagoonlanding/timekeeper"
 )
@@ -35,6 +36,8 @@
 	runner     *controller.Runner
 	dispatcher *dispatcher.Dispatcher
 	messenger  *messenger.Messenger
+	traffic    *messenger.Traffic
+	reporter   *reporter.Reporter
 	peers      *messenger.Server
 	callers    *http.Server
 	local      *http.Server
@@ -71,7 +74,7 @@
 	}
 	daemon := &daemon{
 		settings: settings, log: log, clock: timekeeper.Clock{}, listeners: opened, failed: make(chan error, 1),
-		store: store, upstream: announcer.NewUpstream(),
+		store: store, upstream: announcer.NewUpstream(), traffic: &messenger.Traffic{},
 	}
 	daemon.buildControl(lagoonlanding.NewInstance(lagoonlanding.InstanceConfig{
 		ID:               lagoonlanding.NewInstanceID(settings.Name(), incarnation),
@@ -95,16 +98,16 @@
 
 // buildControl makes the control thread, the traffic path and the way to other daemons.
 func (daemon *daemon) buildControl(self lagoonlanding.Instance) {
-	traffic := &messenger.Traffic{}
 	daemon.messenger = messenger.New(messenger.Config{
-		Clock: daemon.clock, MaxConnections: daemon.settings.PeerConnections(), Traffic: traffic,
+		Clock: daemon.clock, MaxConnections: daemon.settings.PeerConnections(), Traffic: daemon.traffic,
 	})
 	late := &snapshots{}
+	failures := &failureLog{log: daemon.log.WithField(partField, "controller")}
+	daemon.reporter = reporter.New(reporter.Config{Snapshots: late, Failed: failures.note})
 	daemon.dispatcher = dispatcher.New(dispatcher.Config{
 		Snapshots: late, Clock: daemon.clock, Peers: daemon.messenger, Upstream: daemon.upstream,
-		Ledger: deduplicator.NewLedger(deduplicator.Config{}),
+		Ledger: deduplicator.NewLedger(deduplicator.Config{}), Retried: daemon.reporter.Retried,
 	})
-	failures := &failureLog{log: daemon.log.WithField(partField, "controller")}
 	daemon.runner = controller.NewRunner(controller.RunnerConfig{
 		Controller: controller.New(controller.Config{
 			Self: self, Now: daemon.clock.Now(), Placer: placer.NewRendezvous(),
@@ -116,7 +119,7 @@
 	late.runner = daemon.runner
 	daemon.peers = messenger.NewServer(messenger.ServerConfig{
 		Handler: peerHandler{Runner: daemon.runner, Dispatcher: daemon.dispatcher},
-		Clock:   daemon.clock, Log: daemon.log.WithField(partField, "messenger"), Traffic: traffic,
+		Clock:   daemon.clock, Log: daemon.log.WithField(partField, "messenger"), Traffic: daemon.traffic,
 	})
 }
 
@@ -132,7 +135,7 @@
 // buildServers makes the HTTP servers for callers, the backend server and operators.
 func (daemon *daemon) buildServers() {
 	callers := receiver.New(receiver.Config{
-		Snapshots: daemon.runner, Handler: daemon.dispatcher, Clock: daemon.clock, Meter: noMeter{},
+		Snapshots: daemon.runner, Handler: daemon.dispatcher, Clock: daemon.clock, Meter: daemon.reporter,
 		BodyLimit: daemon.settings.BodyLimit(),
 	})
 	daemon.callers = newServer(callers)
@@ -140,7 +143,9 @@
 	daemon.local = newServer(announcer.New(announcer.Config{
 		Upstream: daemon.upstream, Connect: daemon.beside.connect, Announced: daemon.beside.announced,
 	}).Handler())
-	daemon.admin = newServer(http.NewServeMux())
+	admin := http.NewServeMux()
+	admin.Handle("GET /metrics", daemon.reporter.Handler())
+	daemon.admin = newServer(admin)
 }
 
 func newServer(handler http.Handler) *http.Server {
@@ -149,16 +154,13 @@
 	}
 }
 
-type noMeter struct{}
-
-func (noMeter) Finished(lagoonlanding.Request, lagoonlanding.Reply, time.Duration) {}
-
 // run serves until ctx ends, then hands everything over and returns.
 func (daemon *daemon) run(ctx context.Context) error {
 	control, stopControl := context.WithCancel(context.Background())
 	defer stopControl()
 	daemon.running.Go(func() { daemon.runner.Run(control) })
 	daemon.running.Go(func() { daemon.dispatcher.Run(control) })
+	daemon.running.Go(func() { daemon.reporter.Watch(control, daemon.traffic) })
 	daemon.start()
 	log := daemon.log.WithField(partField, "lagoond")
 	log.WithFields(logrus.Fields{
@@ -172,6 +174,9 @@
 	daemon.stop(log)
 	stopControl()
 	daemon.running.Wait()
+	if closing := daemon.reporter.Close(); closing != nil {
+		log.WithError(closing).Warn("The metrics were not closed.")
+	}
 	log.Info("Stopped.")
 	return err
 }
