Add the demonstration of both deployments

make demo brings up the store, 12 daemons and 12 backend servers as processes on loopback, sends a mixed load whose callers resend with the same idempotency key and ticket, kills one owner and replaces it, takes a zone out and returns it, and compares what callers were told with what the servers wrote down before each answer, so a killed server can hide no run.

--- a/Makefile
+++ b/Makefile
@@ -4,13 +4,22 @@
 SKIP := $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$',)
 RACE ?= -race
 
-.PHONY: build test format lint unit known-red
+.PHONY: build demo faults test format lint unit known-red
 
 build:
 	@mkdir -p bin
 	@go build ./...
 	@for module in $(PROGRAMS); do (cd $$module && go build -o $(CURDIR)/bin/ .) || exit 1; done
 
+DEPLOYMENT ?= karotsaki
+KEEP ?=
+
+demo: build
+	@bin/demo -deployment $(DEPLOYMENT) $(if $(KEEP),-keep)
+
+faults: build
+	@bin/demo -deployment $(DEPLOYMENT) -faults
+
 test: format lint unit known-red
 
 format:
--- /dev/null
+++ b/demo/caller/client.go
@@ -0,0 +1,136 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"lagoonlanding.example/demo/deployer"
+)
+
+const (
+	connectionsPerDaemon = 64
+	maxAnswerBytes       = 1 << 20
+	// graceTime is how long a caller waits for the refusal of a daemon after its own deadline.
+	graceTime = 500 * time.Millisecond
+)
+
+// reply is the answer to one try.
+type reply struct {
+	outcome Outcome
+	reason  string
+	owner   string
+}
+
+// Client sends single tries.
+type Client struct {
+	client *http.Client
+}
+
+// NewClient returns a client with kept connections.
+func NewClient() *Client {
+	return &Client{client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: connectionsPerDaemon}}}
+}
+
+// Ticket returns a ticket of the daemon, empty if there is none.
+func (client *Client) Ticket(ctx context.Context, place deployer.Place) string {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+place.CallerAddress()+"/.lagoonlanding/ticket", nil)
+	if err != nil {
+		return ""
+	}
+	response, err := client.client.Do(request)
+	if err != nil {
+		return ""
+	}
+	defer func() { _ = response.Body.Close() }()
+	_, _ = io.Copy(io.Discard, response.Body)
+	return response.Header.Get("Lagoonlanding-Ticket")
+}
+
+// Read asks once for a key and returns the owner that answered; it is false if the key was not answered.
+func (client *Client) Read(ctx context.Context, place deployer.Place, service deployer.Service, tenant deployer.Tenant, key string, wait time.Duration) (string, bool) {
+	reply := client.send(ctx, place, Operation{service: service, tenant: tenant, key: key}, wait)
+	return reply.owner, reply.outcome == OutcomeAnswered
+}
+
+func (client *Client) send(ctx context.Context, place deployer.Place, operation Operation, wait time.Duration) reply {
+	ctx, cancel := context.WithTimeout(ctx, wait+graceTime)
+	defer cancel()
+	request, err := newRequest(ctx, place, operation, wait)
+	if err != nil {
+		return reply{outcome: OutcomeNotRun, reason: err.Error()}
+	}
+	response, err := client.client.Do(request)
+	if err != nil {
+		return failed(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err != nil {
+		return failed(err)
+	}
+	got := reply{
+		outcome: Outcome(response.Header.Get("Lagoonlanding-Outcome")),
+		reason:  response.Header.Get("Lagoonlanding-Reason"),
+		owner:   response.Header.Get("Lagoonlanding-Owner"),
+	}
+	switch got.outcome {
+	case OutcomeAnswered:
+		return checked(got, response.StatusCode, body, operation)
+	case OutcomeNotRun, OutcomeUnknown:
+		return got
+	}
+	return reply{outcome: OutcomeUnknown, reason: "no-outcome-" + strconv.Itoa(response.StatusCode)}
+}
+
+func newRequest(ctx context.Context, place deployer.Place, operation Operation, wait time.Duration) (*http.Request, error) {
+	method, body := http.MethodGet, io.Reader(nil)
+	if operation.write {
+		method, body = http.MethodPost, strings.NewReader(`{"note":"demo"}`)
+	}
+	url := "http://" + place.CallerAddress() + operation.service.Path() + operation.key
+	request, err := http.NewRequestWithContext(ctx, method, url, body)
+	if err != nil {
+		return nil, fmt.Errorf("make the request: %w", err)
+	}
+	request.Header.Set("Lagoonlanding-Tenant", operation.tenant.Name())
+	request.Header.Set("Lagoonlanding-Deadline", strconv.FormatInt(wait.Milliseconds(), 10))
+	if operation.write {
+		request.Header.Set("Lagoonlanding-Idempotency-Key", operation.idempotencyKey)
+		request.Header.Set("Lagoonlanding-Ticket", operation.ticket)
+	}
+	return request, nil
+}
+
+type answerJSON struct {
+	Key string `json:"key"`
+}
+
+// checked makes sure that the answer is the whole one to this operation.
+func checked(got reply, status int, body []byte, operation Operation) reply {
+	if status != http.StatusOK {
+		got.outcome, got.reason = OutcomeUnknown, "status-"+strconv.Itoa(status)
+		return got
+	}
+	var answer answerJSON
+	if err := json.Unmarshal(body, &answer); err != nil || answer.Key != operation.tenant.Workspace()+"/"+operation.key {
+		got.outcome = OutcomeMismatched
+	}
+	return got
+}
+
+// failed tells a daemon that could not be reached from one that may have taken the request.
+func failed(err error) reply {
+	var operror *net.OpError
+	if errors.As(err, &operror) && operror.Op == "dial" {
+		return reply{outcome: OutcomeNotRun, reason: "no-daemon"}
+	}
+	return reply{outcome: OutcomeUnknown, reason: "connection-lost"}
+}
--- /dev/null
+++ b/demo/checker/doc.go
@@ -0,0 +1,2 @@
+// Package checker compares what callers were told with what backend servers ran.
+package checker
--- /dev/null
+++ b/demo/demonstrator/keep.go
@@ -0,0 +1,21 @@
+package demonstrator
+
+import "context"
+
+// Keep prints what to try and waits for the end of ctx.
+func (demonstrator *Demonstrator) Keep(ctx context.Context) error {
+	print := demonstrator.config.Printer
+	plan := demonstrator.config.Plan
+	for _, place := range demonstrator.config.Fleet.Places() {
+		print.Step("%s: callers http://%s, operators http://%s", place.Name(), place.CallerAddress(), place.AdminAddress())
+	}
+	service, tenant := plan.Services()[0], plan.Tenants()[0]
+	daemon := "http://" + demonstrator.config.Fleet.Places()[0].CallerAddress()
+	url := daemon + service.Path() + "k-1"
+	print.Step("try: curl -i -H 'lagoonlanding-tenant: %s' %s", tenant.Name(), url)
+	print.Step("try: curl -s %s/.lagoonlanding/ticket", daemon)
+	print.Step("try: curl -i -X POST -H 'lagoonlanding-tenant: %s' -H 'lagoonlanding-idempotency-key: first' -H 'lagoonlanding-ticket: TICKET' %s", tenant.Name(), url)
+	print.Step("an interrupt stops everything")
+	<-ctx.Done()
+	return nil
+}
--- /dev/null
+++ b/demo/deployer/doc.go
@@ -0,0 +1,2 @@
+// Package deployer describes the deployments of the demonstration and brings their processes up.
+package deployer
--- /dev/null
+++ b/demo/printer/doc.go
@@ -0,0 +1,2 @@
+// Package printer prints the progress and the tables of the demonstration.
+package printer
--- /dev/null
+++ b/demo/printer/printer.go
@@ -0,0 +1,140 @@
+package printer
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"lagoonlanding.example/demo/caller"
+	"lagoonlanding.example/demo/checker"
+	"lagoonlanding.example/demo/deployer"
+)
+
+const shownReasons = 6
+
+// Printer writes to one output.
+type Printer struct {
+	output  io.Writer
+	started time.Time
+}
+
+// New returns a printer that counts the time from now on.
+func New(output io.Writer) *Printer { return &Printer{output: output, started: time.Now()} }
+
+// Step prints a line of progress.
+func (printer *Printer) Step(format string, values ...any) {
+	_, _ = fmt.Fprintf(printer.output, "%5.1fs  %s\n", time.Since(printer.started).Seconds(), fmt.Sprintf(format, values...))
+}
+
+// Row is a line of the table: a measure with its value.
+type Row struct {
+	measure string
+	value   string
+}
+
+// NewRow returns the line of a measure.
+func NewRow(measure, format string, values ...any) Row {
+	return Row{measure: measure, value: fmt.Sprintf(format, values...)}
+}
+
+// Table prints lines in two columns.
+func (printer *Printer) Table(rows []Row) {
+	writer := tabwriter.NewWriter(printer.output, 0, 0, 2, ' ', 0)
+	for _, row := range rows {
+		_, _ = fmt.Fprintf(writer, "%s\t%s\n", row.measure, row.value)
+	}
+	_ = writer.Flush()
+}
+
+// Outcomes returns the lines of what callers were told and what was checked.
+func Outcomes(results []caller.Result, verdict checker.Verdict) []Row {
+	counts := make(map[caller.Outcome]int)
+	tries := 0
+	for _, result := range results {
+		counts[result.Outcome()]++
+		tries += result.Tries()
+	}
+	refused, why := refusals(results)
+	return []Row{
+		NewRow("sent", "%d in %d tries", len(results), tries),
+		NewRow("tries refused, not run", "%d%s", refused, why),
+		NewRow("answered", "%d", counts[caller.OutcomeAnswered]),
+		NewRow("refused, not run", "%d%s", counts[caller.OutcomeNotRun], reasons(results, caller.OutcomeNotRun)),
+		NewRow("outcome unknown", "%d%s", counts[caller.OutcomeUnknown], reasons(results, caller.OutcomeUnknown)),
+		NewRow("doubled", "%d %s", len(verdict.Doubled()), some(verdict.Doubled())),
+		NewRow("lost", "%d %s", len(verdict.Lost()), some(verdict.Lost())),
+		NewRow("refused but run", "%d %s", len(verdict.Untrue()), some(verdict.Untrue())),
+		NewRow("served outside region", "%d", verdict.Outside()),
+		NewRow("mismatched answers", "%d", verdict.Mismatched()),
+	}
+}
+
+// Latencies returns the lines of the latency by service.
+func Latencies(plan deployer.Plan, results []caller.Result) []Row {
+	var rows []Row
+	for _, service := range plan.Services() {
+		var latencies []time.Duration
+		for _, result := range results {
+			if result.Operation().Service() == service && result.Outcome() == caller.OutcomeAnswered {
+				latencies = append(latencies, result.Latency())
+			}
+		}
+		slices.Sort(latencies)
+		rows = append(rows, NewRow("p50, p99 of "+service.Name(), "%s, %s",
+			Milliseconds(percentile(latencies, 50)), Milliseconds(percentile(latencies, 99))))
+	}
+	return rows
+}
+
+// Milliseconds returns the time in milliseconds.
+func Milliseconds(duration time.Duration) string {
+	return fmt.Sprintf("%.1f ms", float64(duration)/float64(time.Millisecond))
+}
+
+func percentile(sorted []time.Duration, percent int) time.Duration {
+	if len(sorted) == 0 {
+		return 0
+	}
+	return sorted[min(len(sorted)*percent/100, len(sorted)-1)]
+}
+
+func reasons(results []caller.Result, outcome caller.Outcome) string {
+	counts := make(map[string]int)
+	for _, result := range results {
+		if result.Outcome() == outcome {
+			counts[result.Reason()]++
+		}
+	}
+	return list(counts)
+}
+
+func refusals(results []caller.Result) (int, string) {
+	counts := make(map[string]int)
+	total := 0
+	for _, result := range results {
+		for _, reason := range result.Refusals() {
+			counts[reason]++
+			total++
+		}
+	}
+	return total, list(counts)
+}
+
+func list(counts map[string]int) string {
+	var texts []string
+	for reason, count := range counts {
+		texts = append(texts, fmt.Sprintf("%s %d", reason, count))
+	}
+	if len(texts) == 0 {
+		return ""
+	}
+	slices.Sort(texts)
+	return " (" + strings.Join(texts[:min(len(texts), shownReasons)], ", ") + ")"
+}
+
+func some(keys []string) string {
+	return strings.Join(keys[:min(len(keys), shownReasons)], " ")
+}
--- /dev/null
+++ b/demo/relayer/network.go
@@ -0,0 +1,134 @@
+package relayer
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+)
+
+// Route is a listener whose connections are carried to a target.
+type Route struct {
+	// Listen is the address that the relay listens on.
+	Listen string
+	// Target is the address that connections are carried to.
+	Target string
+	// From names the process that connects; empty if it is found by the connection.
+	From string
+	// To names the process behind the target.
+	To string
+}
+
+// Network holds the cuts between processes.
+type Network struct {
+	processes func() map[string]int
+	mutex     sync.Mutex
+	cut       func(from, to string) bool
+	changed   chan struct{}
+}
+
+// New returns a network without cuts; processes gives the process ids by name.
+func New(processes func() map[string]int) *Network {
+	return &Network{processes: processes, changed: make(chan struct{}), cut: func(string, string) bool { return false }}
+}
+
+// Cut holds all bytes between the processes for which the function is true, until Heal.
+func (network *Network) Cut(cut func(from, to string) bool) {
+	network.mutex.Lock()
+	defer network.mutex.Unlock()
+	network.cut = cut
+	close(network.changed)
+	network.changed = make(chan struct{})
+}
+
+// Heal ends all cuts and lets the held bytes go on.
+func (network *Network) Heal() {
+	network.Cut(func(string, string) bool { return false })
+}
+
+// pass waits until bytes may go from one process to another; it is false if ctx ends first.
+func (network *Network) pass(ctx context.Context, from, to string) bool {
+	for {
+		network.mutex.Lock()
+		cut, changed := network.cut(from, to), network.changed
+		network.mutex.Unlock()
+		if !cut {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// Relay carries the connections of the route until ctx ends.
+func (network *Network) Relay(ctx context.Context, route Route) error {
+	listener, err := net.Listen("tcp", route.Listen)
+	if err != nil {
+		return fmt.Errorf("listen on %s for the relay to %s: %w", route.Listen, route.To, err)
+	}
+	context.AfterFunc(ctx, func() { _ = listener.Close() })
+	go func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go network.carry(ctx, route, connection)
+		}
+	}()
+	return nil
+}
+
+func (network *Network) carry(ctx context.Context, route Route, near net.Conn) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer func() { _ = near.Close() }()
+	from := route.From
+	if from == "" {
+		from = owner(near.RemoteAddr(), network.processes())
+	}
+	// The answer to the connection comes back, so a cut of either way keeps it from being made.
+	if !network.pass(ctx, from, route.To) || !network.pass(ctx, route.To, from) {
+		return
+	}
+	far, err := net.Dial("tcp", route.Target)
+	if err != nil {
+		return
+	}
+	defer func() { _ = far.Close() }()
+	stop := context.AfterFunc(ctx, func() {
+		_ = near.Close()
+		_ = far.Close()
+	})
+	defer stop()
+	var ways sync.WaitGroup
+	ways.Go(func() { network.copy(ctx, cancel, near, far, from, route.To) })
+	ways.Go(func() { network.copy(ctx, cancel, far, near, route.To, from) })
+	ways.Wait()
+}
+
+const bufferBytes = 64 << 10
+
+// copy ends the whole connection with its source.
+func (network *Network) copy(ctx context.Context, cancel context.CancelFunc, source, target net.Conn, from, to string) {
+	defer cancel()
+	buffer := make([]byte, bufferBytes)
+	for {
+		count, err := source.Read(buffer)
+		// The end of a connection crosses a cut as little as its bytes do.
+		if !network.pass(ctx, from, to) {
+			return
+		}
+		if count > 0 {
+			if _, err := target.Write(buffer[:count]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/demo/relayer/network_test.go
@@ -0,0 +1,84 @@
+package relayer
+
+import (
+	"io"
+	"net"
+	"os"
+	"testing"
+)
+
+// echo serves one connection that returns what it gets.
+func echo(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		connection, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = connection.Close() }()
+		_, _ = io.Copy(connection, connection)
+	}()
+	return listener.Addr().String()
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+func TestCutHoldsBytesUntilItHeals(t *testing.T) {
+	network := New(func() map[string]int { return map[string]int{"a": os.Getpid()} })
+	listen := freeAddress(t)
+	if err := network.Relay(t.Context(), Route{Listen: listen, Target: echo(t), To: "b"}); err != nil {
+		t.Fatal(err)
+	}
+	connection, err := net.Dial("tcp", listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = connection.Close() }()
+	exchange := func(text string) string {
+		got := make([]byte, len(text))
+		_, _ = connection.Write([]byte(text))
+		_, _ = io.ReadFull(connection, got)
+		return string(got)
+	}
+	if got := exchange("one"); got != "one" {
+		t.Fatalf("without a cut: %q", got)
+	}
+	asked := make(chan struct{})
+	heal := make(chan struct{})
+	cuts := 0
+	network.Cut(func(from, to string) bool {
+		if from != "b" || to != "a" {
+			return false
+		}
+		if cuts++; cuts == 1 {
+			close(asked)
+		}
+		return true
+	})
+	go func() {
+		<-asked
+		close(heal)
+		network.Heal()
+	}()
+	if got := exchange("two"); got != "two" {
+		t.Fatalf("after the cut: %q", got)
+	}
+	select {
+	case <-heal:
+	default:
+		t.Error("the bytes crossed the cut")
+	}
+}
