--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -92,13 +92,14 @@
 
 // isPassing reports whether the cause may be gone, or absent elsewhere, within the time of a request.
 //
-// A lost connection is not among them: the request may have crashed its backend server and would crash the next.
+// The caller does not ask for a request that lost the connection to its backend server: it may have crashed it.
 func isPassing(reason lagoonlanding.Reason) bool {
 	switch reason {
 	case lagoonlanding.ReasonNoOwner, lagoonlanding.ReasonMoving, lagoonlanding.ReasonLeaseLapsed, lagoonlanding.ReasonNotReady,
 		lagoonlanding.ReasonUnreachable, lagoonlanding.ReasonQueueFull, lagoonlanding.ReasonTicketAhead,
 		lagoonlanding.ReasonUpstreamRefused, lagoonlanding.ReasonUpstreamFailed, lagoonlanding.ReasonUpstreamCold,
-		lagoonlanding.ReasonMismatchedAnswer, lagoonlanding.ReasonShuttingDown, lagoonlanding.ReasonHopLimit:
+		lagoonlanding.ReasonConnectionLost, lagoonlanding.ReasonMismatchedAnswer, lagoonlanding.ReasonShuttingDown,
+		lagoonlanding.ReasonHopLimit:
 		return true
 	}
 	return false
