--- a/grouper/witness.go
+++ b/grouper/witness.go
@@ -12,10 +12,12 @@
 func nextWitnesses(config ProposalConfig, members []lagoonlanding.Member) []lagoonlanding.Instance {
 	current := config.Record.Current().Witnesses()
 	candidates := candidatesOf(config, members)
-	unfit := firstUnfit(config, current, candidates)
-	if unfit >= 0 {
-		kept := slices.Delete(slices.Clone(current), unfit, unfit+1)
-		return fill(kept, candidates, len(current))
+	if unfit := firstUnfit(config, current); unfit >= 0 {
+		if hasOther(current, candidates) {
+			kept := slices.Delete(slices.Clone(current), unfit, unfit+1)
+			return fill(kept, candidates, len(current))
+		}
+		return shrink(config, current)
 	}
 	if len(current) < WitnessCount {
 		// An even number of witnesses tolerates no more losses than one fewer does.
@@ -53,19 +55,26 @@
 		!config.ZonesOut[instance.AvailabilityZone()]
 }
 
-// firstUnfit returns the index of a witness to replace; lost ones come first, ones that leave only if there is a replacement.
-func firstUnfit(config ProposalConfig, current, candidates []lagoonlanding.Instance) int {
+// firstUnfit returns the index of a witness to replace, lost ones before those that leave; it is negative if all are fit.
+func firstUnfit(config ProposalConfig, current []lagoonlanding.Instance) int {
 	for i, witness := range current {
 		if config.Unreachable[witness.ID()] || config.Lost[witness.ID()] {
 			return i
 		}
 	}
-	for i, witness := range current {
-		if !isFit(config, witness) && hasOther(current, candidates) {
-			return i
-		}
+	return slices.IndexFunc(current, func(witness lagoonlanding.Instance) bool { return !isFit(config, witness) })
+}
+
+// shrink leaves one witness if some leave for good and none can replace them: a majority that includes ended ones is lost sooner.
+//
+// Witnesses that are only out of reach stay, since they may be well and this instance cut off.
+func shrink(config ProposalConfig, current []lagoonlanding.Instance) []lagoonlanding.Instance {
+	leaves := slices.ContainsFunc(current, func(witness lagoonlanding.Instance) bool { return config.Leaving[witness.ID()] })
+	fit := slices.IndexFunc(current, func(witness lagoonlanding.Instance) bool { return isFit(config, witness) })
+	if !leaves || fit < 0 {
+		return current
 	}
-	return -1
+	return []lagoonlanding.Instance{current[fit]}
 }
 
 func hasOther(current, candidates []lagoonlanding.Instance) bool {
