--- a/lagoond/daemon.go
+++ b/lagoond/daemon.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"lagoonlanding.example/lagoonlanding"
+	"lagoonlanding.example/lagoonlanding/administrator"
 	"lagoonlanding.example/lagoonlanding/announcer"
 	"lagoonlanding.example/lagoonlanding/controller"
 	"lagoonlanding.example/lagoonlanding/deduplicator"
@@ -45,6 +46,8 @@
 	upstream   *announcer.Upstream
 	beside     *beside
 	failed     chan error
+	drained    chan struct{}
+	drainOnce  sync.Once
 	running    sync.WaitGroup
 }
 
@@ -74,7 +77,8 @@
 	}
 	daemon := &daemon{
 		settings: settings, log: log, clock: timekeeper.Clock{}, listeners: opened, failed: make(chan error, 1),
-		store: store, upstream: announcer.NewUpstream(), traffic: &messenger.Traffic{},
+		drained: make(chan struct{}),
+		store:   store, upstream: announcer.NewUpstream(), traffic: &messenger.Traffic{},
 	}
 	daemon.buildControl(lagoonlanding.NewInstance(lagoonlanding.InstanceConfig{
 		ID:               lagoonlanding.NewInstanceID(settings.Name(), incarnation),
@@ -83,7 +87,10 @@
 		AvailabilityZone: settings.AvailabilityZone(),
 		Region:           settings.Region(),
 	}))
-	daemon.buildServers()
+	if err := daemon.buildServers(); err != nil {
+		opened.close()
+		return nil, err
+	}
 	return daemon, nil
 }
 
@@ -111,7 +118,7 @@
 	daemon.runner = controller.NewRunner(controller.RunnerConfig{
 		Controller: controller.New(controller.Config{
 			Self: self, Now: daemon.clock.Now(), Placer: placer.NewRendezvous(),
-			Records: encoder.Records{}, Sets: encoder.Sets{}, Loads: daemon.dispatcher.Loads,
+			Records: encoder.Records{}, Sets: encoder.Sets{}, Differences: encoder.Sets{}, Loads: daemon.dispatcher.Loads,
 		}),
 		Clock: daemon.clock, Store: daemon.store,
 		Peers: daemon.messenger, Traffic: daemon.dispatcher, Failed: failures.note,
@@ -133,7 +140,7 @@
 )
 
 // buildServers makes the HTTP servers for callers, the backend server and operators.
-func (daemon *daemon) buildServers() {
+func (daemon *daemon) buildServers() error {
 	callers := receiver.New(receiver.Config{
 		Snapshots: daemon.runner, Handler: daemon.dispatcher, Clock: daemon.clock, Meter: daemon.reporter,
 		BodyLimit: daemon.settings.BodyLimit(),
@@ -143,11 +150,29 @@
 	daemon.local = newServer(announcer.New(announcer.Config{
 		Upstream: daemon.upstream, Connect: daemon.beside.connect, Announced: daemon.beside.announced,
 	}).Handler())
+	operators, err := daemon.newAdministrator()
+	if err != nil {
+		return oops.In("administrator").Wrapf(err, "open the operators' API")
+	}
 	admin := http.NewServeMux()
 	admin.Handle("GET /metrics", daemon.reporter.Handler())
+	admin.Handle("/", operators.Handler())
 	daemon.admin = newServer(admin)
+	return nil
 }
 
+func (daemon *daemon) newAdministrator() (*administrator.Administrator, error) {
+	return administrator.New(administrator.Config{
+		Address: daemon.settings.AdminAddress(), KeyFile: daemon.settings.AdminKeyFile(), Store: daemon.store,
+		Records: encoder.Records{}, Sets: encoder.Sets{}, Placer: placer.NewRendezvous(), Peers: daemon.messenger,
+		Clock: daemon.clock, Snapshots: daemon.runner, Status: daemon.runner.Status, Drain: daemon.drain,
+		Log: daemon.log.WithField(partField, "administrator"),
+	})
+}
+
+// drain starts the planned stop.
+func (daemon *daemon) drain() { daemon.drainOnce.Do(func() { close(daemon.drained) }) }
+
 func newServer(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
@@ -169,6 +194,7 @@
 	var err error
 	select {
 	case <-ctx.Done():
+	case <-daemon.drained:
 	case err = <-daemon.failed:
 	}
 	daemon.stop(log)
