Measure each hop with real processes by make bench

The same load goes to the backend server directly, through the owner's daemon, and through another daemon to the owner's, in one run; processor time and allocations come from the daemons' own metrics.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SKIP := $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$',)
 RACE ?= -race
 
-.PHONY: build demo faults test format lint unit known-red soak
+.PHONY: build bench demo faults test format lint unit known-red soak
 
 build:
 	@mkdir -p bin
@@ -20,6 +20,9 @@
 faults: build
 	@bin/demo -deployment $(DEPLOYMENT) -faults
 
+bench: build
+	@bin/bench
+
 test: format lint unit known-red
 
 format:
--- /dev/null
+++ b/bench/main.go
@@ -0,0 +1,66 @@
+// Command bench measures what each daemon on the way of a request adds, against the same load sent to the backend server directly.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/peterbourgon/ff/v3"
+)
+
+// options are what the command line says.
+type options struct {
+	binaries string
+	port     int
+	duration time.Duration
+	rate     int
+	workers  int
+	backend  string
+	daemon   string
+}
+
+func parse(args []string) (options, error) {
+	flags := flag.NewFlagSet("bench", flag.ContinueOnError)
+	var options options
+	flags.StringVar(&options.binaries, "binaries", "bin", "folder of the programs")
+	flags.IntVar(&options.port, "port", 25000, "first of the ports on loopback")
+	flags.DurationVar(&options.duration, "duration", 5*time.Second, "length of each measurement")
+	flags.IntVar(&options.rate, "rate", 1000, "requests a second of the paced load")
+	flags.IntVar(&options.workers, "workers", 32, "connections of the load")
+	flags.StringVar(&options.backend, "backend", "", "serve as a backend server at this address")
+	flags.StringVar(&options.daemon, "daemon", "", "daemon to which the backend server announces itself")
+	if err := ff.Parse(flags, args, ff.WithEnvVarPrefix("LAGOONLANDING_BENCH")); err != nil {
+		return options, fmt.Errorf("read the flags: %w", err)
+	}
+	return options, nil
+}
+
+func main() {
+	if err := run(os.Args[1:]); err != nil {
+		fmt.Fprintln(os.Stderr, "bench:", err)
+		os.Exit(1)
+	}
+}
+
+func run(args []string) error {
+	options, err := parse(args)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if options.backend != "" {
+		return serveBackend(ctx, options.backend, options.daemon)
+	}
+	fleet, err := startFleet(ctx, options)
+	if err != nil {
+		return err
+	}
+	defer fleet.stop()
+	return measure(ctx, options, fleet)
+}
--- a/reporter/reporter.go
+++ b/reporter/reporter.go
@@ -77,6 +77,7 @@
 		config.MaxTenants = defaultMaxTenants
 	}
 	registry := client.NewRegistry()
+	registry.MustRegister(client.NewGoCollector(), client.NewProcessCollector(client.ProcessCollectorOpts{}))
 	sink := prometheus.NewReporter(prometheus.Options{
 		Registerer: registry, Gatherer: registry, OnRegisterError: config.Failed,
 	})
