--- a/lagoond/fleet_test.go
+++ b/lagoond/fleet_test.go
@@ -26,7 +26,7 @@
 const patience = 30 * time.Second
 
 // await waits until the condition holds.
-func await(t *testing.T, what string, condition func() bool) {
+func await(t testing.TB, what string, condition func() bool) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), patience)
 	defer cancel()
@@ -41,7 +41,7 @@
 	}
 }
 
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -51,7 +51,7 @@
 	return listener.Addr().String()
 }
 
-func parseSettings(t *testing.T, name string) loader.Settings {
+func parseSettings(t testing.TB, name string) loader.Settings {
 	t.Helper()
 	text := fmt.Sprintf(`name = %q
 availability-zone = "piraeus"
@@ -109,7 +109,7 @@
 	return nil
 }
 
-func startNode(t *testing.T, name string, store lagoonlanding.Store) *node {
+func startNode(t testing.TB, name string, store lagoonlanding.Store) *node {
 	t.Helper()
 	log := logrus.New()
 	if testing.Verbose() {
@@ -140,7 +140,7 @@
 	return err
 }
 
-func (node *node) announce(t *testing.T) {
+func (node *node) announce(t testing.TB) {
 	t.Helper()
 	address := strings.TrimPrefix(node.backend.server.URL, "http://")
 	body := fmt.Sprintf(`{"service":"status-app","address":%q,"slots":6}`, address)
@@ -156,7 +156,7 @@
 
 func (node *node) url(path string) string { return "http://" + node.settings.CallerAddress() + path }
 
-func publish(t *testing.T, store lagoonlanding.Store) {
+func publish(t testing.TB, store lagoonlanding.Store) {
 	t.Helper()
 	partition := publisher.NewPartition(publisher.PartitionConfig{Name: "attica", Regions: []string{"attica"}, Shards: 16})
 	set := publisher.NewSet(publisher.SetConfig{
@@ -209,7 +209,7 @@
 }
 
 // startFleet returns daemons of which each serves some keys.
-func startFleet(t *testing.T, store lagoonlanding.Store, size int) []*node {
+func startFleet(t testing.TB, store lagoonlanding.Store, size int) []*node {
 	t.Helper()
 	publish(t, store)
 	var nodes []*node
