--- a/lagoond/daemon_test.go
+++ b/lagoond/daemon_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
@@ -193,3 +195,26 @@
 		}
 	}
 }
+
+func TestCheckSettings(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "lagoond.toml")
+	text := `name = "status-app-1"
+availability-zone = "piraeus"
+region = "attica"
+peer-address = "10.0.0.1:7000"
+caller-address = "10.0.0.1:8000"
+local-address = "127.0.0.1:9000"
+admin-address = "127.0.0.1:9100"
+store-url = "http://10.0.0.5:2400"
+`
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := run([]string{"-settings", path, "-check-settings"}); err != nil {
+		t.Errorf("got %v", err)
+	}
+	err := run([]string{"-settings", path, "-check-settings", "-body-limit", "0"})
+	if err == nil || exitCode(err) != exitSettings || !strings.Contains(err.Error(), "body-limit: 0 is outside") {
+		t.Errorf("got %v", err)
+	}
+}
--- a/loader/checker.go
+++ b/loader/checker.go
@@ -29,22 +29,29 @@
 	file   string
 	lines  map[string]int
 	form   *form
-	faults Faults
+	// overridden are the settings that the file does not decide.
+	overridden map[string]bool
+	faults     Faults
 }
 
+// overrideSource stands in place of the file for settings that the file does not decide.
+const overrideSource = "command line or environment"
+
 func (checker *checker) add(key, format string, values ...any) {
-	checker.faults = append(checker.faults, Fault{
-		file: checker.file, line: checker.lines[key], key: key, problem: fmt.Sprintf(format, values...),
-	})
+	fault := Fault{file: checker.file, line: checker.lines[key], key: key, problem: fmt.Sprintf(format, values...)}
+	if checker.overridden[key] {
+		fault.file, fault.line = overrideSource, 0
+	}
+	checker.faults = append(checker.faults, fault)
 }
 
 // override sets the field with the key to the value.
 func (checker *checker) override(override Override) {
+	checker.overridden[override.key] = true
 	if !isKey(override.key) {
 		checker.add(override.key, "there is no such setting")
 		return
 	}
-	checker.lines[override.key] = 0
 	form := reflect.ValueOf(checker.form).Elem()
 	for i := range form.NumField() {
 		if form.Type().Field(i).Tag.Get("toml") != override.key {
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -47,7 +47,7 @@
 	if err != nil {
 		return Settings{}, Faults{syntaxFault(file, err)}
 	}
-	checker := &checker{file: file, lines: linesOf(text), form: &form}
+	checker := &checker{file: file, lines: linesOf(text), form: &form, overridden: make(map[string]bool)}
 	for _, key := range meta.Undecoded() {
 		checker.add(key.String(), "there is no such setting")
 	}
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -81,7 +81,13 @@
 
 func TestOverrideOfUnknownOrBrokenSetting(t *testing.T) {
 	_, err := Parse("f.toml", whole, []Override{NewOverride("body-limit", "many"), NewOverride("colour", "red")})
-	if err == nil || !strings.Contains(err.Error(), `body-limit: "many" is not a number`) || !strings.Contains(err.Error(), "colour") {
+	for _, want := range []string{`command line or environment: body-limit: "many" is not a number`, "command line or environment: colour"} {
+		if err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("got %v, want %q in it", err, want)
+		}
+	}
+	_, err = Parse("f.toml", whole, []Override{NewOverride("log-format", "xml")})
+	if err == nil || !strings.HasPrefix(err.Error(), "command line or environment: log-format") {
 		t.Errorf("got %v", err)
 	}
 }
