--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -33,6 +33,8 @@
 	Upstream lagoonlanding.Upstream
 	// Ledger holds the recent non-idempotent requests.
 	Ledger *deduplicator.Ledger
+	// Retried is told why a request is attempted again; nil for nobody.
+	Retried func(lagoonlanding.Reason)
 	// Retrier decides on further tries at other instances; nil stands for one with a budget of its own.
 	Retrier *retrier.Retrier
 	// Quarantine knows the requests that crash backend servers; nil stands for an empty one.
@@ -81,6 +83,9 @@
 			return step.After(earlier).reply
 		}
 		earlier = step.After(earlier)
+		if dispatcher.config.Retried != nil {
+			dispatcher.config.Retried(step.reply.Reason())
+		}
 	}
 }
 
--- a/lagoond/daemon.go
+++ b/lagoond/daemon.go
@@ -6,12 +6,14 @@
 	"encoding/binary"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/samber/oops"
 	"github.com/sirupsen/logrus"
 
 	"lagoonlanding.example/lagoonlanding"
+	"lagoonlanding.example/lagoonlanding/administrator"
 	"lagoonlanding.example/lagoonlanding/announcer"
 	"lagoonlanding.example/lagoonlanding/controller"
 	"lagoonlanding.example/lagoonlanding/deduplicator"
@@ -21,6 +23,7 @@
 	"lagoonlanding.example/lagoonlanding/messenger"
 	"lagoonlanding.example/lagoonlanding/placer"
 	"lagoonlanding.example/lagoonlanding/receiver"
+	"lagoonlanding.example/lagoonlanding/reporter"
 	"lagoonlanding.example/lagoonlanding/router"
 	"lagoonlanding.example/lagoonlanding/timekeeper"
 )
@@ -35,6 +38,8 @@
 	runner     *controller.Runner
 	dispatcher *dispatcher.Dispatcher
 	messenger  *messenger.Messenger
+	traffic    *messenger.Traffic
+	reporter   *reporter.Reporter
 	peers      *messenger.Server
 	callers    *http.Server
 	local      *http.Server
@@ -42,6 +47,9 @@
 	upstream   *announcer.Upstream
 	beside     *beside
 	failed     chan error
+	drained    chan struct{}
+	drainOnce  sync.Once
+	closing    atomic.Bool
 	running    sync.WaitGroup
 }
 
@@ -71,7 +79,8 @@
 	}
 	daemon := &daemon{
 		settings: settings, log: log, clock: timekeeper.Clock{}, listeners: opened, failed: make(chan error, 1),
-		store: store, upstream: announcer.NewUpstream(),
+		drained: make(chan struct{}),
+		store:   store, upstream: announcer.NewUpstream(), traffic: &messenger.Traffic{},
 	}
 	daemon.buildControl(lagoonlanding.NewInstance(lagoonlanding.InstanceConfig{
 		ID:               lagoonlanding.NewInstanceID(settings.Name(), incarnation),
@@ -80,7 +89,10 @@
 		AvailabilityZone: settings.AvailabilityZone(),
 		Region:           settings.Region(),
 	}))
-	daemon.buildServers()
+	if err := daemon.buildServers(); err != nil {
+		opened.close()
+		return nil, err
+	}
 	return daemon, nil
 }
 
@@ -95,20 +107,20 @@
 
 // buildControl makes the control thread, the traffic path and the way to other daemons.
 func (daemon *daemon) buildControl(self lagoonlanding.Instance) {
-	traffic := &messenger.Traffic{}
 	daemon.messenger = messenger.New(messenger.Config{
-		Clock: daemon.clock, MaxConnections: daemon.settings.PeerConnections(), Traffic: traffic,
+		Clock: daemon.clock, MaxConnections: daemon.settings.PeerConnections(), Traffic: daemon.traffic,
 	})
 	late := &snapshots{}
+	failures := &failureLog{log: daemon.log.WithField(partField, "controller")}
+	daemon.reporter = reporter.New(reporter.Config{Snapshots: late, Failed: failures.note})
 	daemon.dispatcher = dispatcher.New(dispatcher.Config{
 		Snapshots: late, Clock: daemon.clock, Peers: daemon.messenger, Upstream: daemon.upstream,
-		Ledger: deduplicator.NewLedger(deduplicator.Config{}),
+		Ledger: deduplicator.NewLedger(deduplicator.Config{}), Retried: daemon.reporter.Retried,
 	})
-	failures := &failureLog{log: daemon.log.WithField(partField, "controller")}
 	daemon.runner = controller.NewRunner(controller.RunnerConfig{
 		Controller: controller.New(controller.Config{
 			Self: self, Now: daemon.clock.Now(), Placer: placer.NewRendezvous(),
-			Records: encoder.Records{}, Sets: encoder.Sets{}, Loads: daemon.dispatcher.Loads,
+			Records: encoder.Records{}, Sets: encoder.Sets{}, Differences: encoder.Sets{}, Loads: daemon.dispatcher.Loads,
 		}),
 		Clock: daemon.clock, Store: daemon.store,
 		Peers: daemon.messenger, Traffic: daemon.dispatcher, Failed: failures.note,
@@ -116,7 +128,7 @@
 	late.runner = daemon.runner
 	daemon.peers = messenger.NewServer(messenger.ServerConfig{
 		Handler: peerHandler{Runner: daemon.runner, Dispatcher: daemon.dispatcher},
-		Clock:   daemon.clock, Log: daemon.log.WithField(partField, "messenger"), Traffic: traffic,
+		Clock:   daemon.clock, Log: daemon.log.WithField(partField, "messenger"), Traffic: daemon.traffic,
 	})
 }
 
@@ -130,17 +142,49 @@
 )
 
 // buildServers makes the HTTP servers for callers, the backend server and operators.
-func (daemon *daemon) buildServers() {
+func (daemon *daemon) buildServers() error {
 	callers := receiver.New(receiver.Config{
-		Snapshots: daemon.runner, Handler: daemon.dispatcher, Clock: daemon.clock, Meter: noMeter{},
+		Snapshots: daemon.runner, Handler: daemon.dispatcher, Clock: daemon.clock, Meter: daemon.reporter,
 		BodyLimit: daemon.settings.BodyLimit(),
 	})
-	daemon.callers = newServer(callers)
+	daemon.callers = newServer(daemon.closeWhileStopping(callers))
 	daemon.beside = &beside{daemon: daemon}
 	daemon.local = newServer(announcer.New(announcer.Config{
 		Upstream: daemon.upstream, Connect: daemon.beside.connect, Announced: daemon.beside.announced,
 	}).Handler())
-	daemon.admin = newServer(http.NewServeMux())
+	operators, err := daemon.newAdministrator()
+	if err != nil {
+		return oops.In("administrator").Wrapf(err, "open the operators' API")
+	}
+	admin := http.NewServeMux()
+	admin.Handle("GET /metrics", daemon.reporter.Handler())
+	admin.Handle("/", operators.Handler())
+	daemon.admin = newServer(admin)
+	return nil
+}
+
+func (daemon *daemon) newAdministrator() (*administrator.Administrator, error) {
+	return administrator.New(administrator.Config{
+		Address: daemon.settings.AdminAddress(), KeyFile: daemon.settings.AdminKeyFile(), Store: daemon.store,
+		Records: encoder.Records{}, Sets: encoder.Sets{}, Placer: placer.NewRendezvous(), Peers: daemon.messenger,
+		Clock: daemon.clock, Snapshots: daemon.runner, Status: daemon.runner.Status, Drain: daemon.drain,
+		Log: daemon.log.WithField(partField, "administrator"),
+	})
+}
+
+// drain starts the planned stop.
+func (daemon *daemon) drain() { daemon.drainOnce.Do(func() { close(daemon.drained) }) }
+
+// closeWhileStopping ends each connection with its next answer while the daemon stops.
+//
+// Closing the idle ones at once would cut requests that are on their way over them.
+func (daemon *daemon) closeWhileStopping(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, message *http.Request) {
+		if daemon.closing.Load() {
+			writer.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(writer, message)
+	})
 }
 
 func newServer(handler http.Handler) *http.Server {
@@ -149,16 +193,13 @@
 	}
 }
 
-type noMeter struct{}
-
-func (noMeter) Finished(lagoonlanding.Request, lagoonlanding.Reply, time.Duration) {}
-
 // run serves until ctx ends, then hands everything over and returns.
 func (daemon *daemon) run(ctx context.Context) error {
 	control, stopControl := context.WithCancel(context.Background())
 	defer stopControl()
 	daemon.running.Go(func() { daemon.runner.Run(control) })
 	daemon.running.Go(func() { daemon.dispatcher.Run(control) })
+	daemon.running.Go(func() { daemon.reporter.Watch(control, daemon.traffic) })
 	daemon.start()
 	log := daemon.log.WithField(partField, "lagoond")
 	log.WithFields(logrus.Fields{
@@ -167,11 +208,15 @@
 	var err error
 	select {
 	case <-ctx.Done():
+	case <-daemon.drained:
 	case err = <-daemon.failed:
 	}
 	daemon.stop(log)
 	stopControl()
 	daemon.running.Wait()
+	if closing := daemon.reporter.Close(); closing != nil {
+		log.WithError(closing).Warn("The metrics were not closed.")
+	}
 	log.Info("Stopped.")
 	return err
 }
