--- a/Makefile
+++ b/Makefile
@@ -52,3 +52,8 @@
 measure:
 	@cd measure && go build -o $(CURDIR)/bin/measure .
 	@bin/measure -seed $(SEED) -out out
+
+# mutants builds the soak with one fault each and fails if no seed finds one of them.
+MUTANT_SEEDS ?= 16
+mutants:
+	@cd soak && go build -o $(CURDIR)/bin/soak . && $(CURDIR)/bin/soak -mutants $(MUTANT_SEEDS) -steps 2000
--- a/controller/coordinate.go
+++ b/controller/coordinate.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"lagoonlanding.example/lagoonlanding"
@@ -55,6 +56,8 @@
 	for _, instance := range group.joining {
 		config.Joining = append(config.Joining, instance)
 	}
+	// Of two runs at one address the later in this order joins, so the order must not vary.
+	slices.SortFunc(config.Joining, func(a, b lagoonlanding.Instance) int { return grouper.CompareIDs(a.ID(), b.ID()) })
 	return config
 }
 
