--- /dev/null
+++ b/soak/player/golden_test.go
@@ -0,0 +1,80 @@
+package player
+
+import (
+	"flag"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"lagoonlanding.example/soak/drawer"
+)
+
+var update = flag.Bool("update", false, "write the golden files anew")
+
+// session builds the events of a golden file.
+type session struct{ events []drawer.Event }
+
+// traffic sends a request each 50 ms, by turns to all daemons.
+func (session *session) traffic(term time.Duration) {
+	const interval = 50 * time.Millisecond
+	for at := time.Duration(0); at < term; at += interval {
+		number := len(session.events)
+		session.add(drawer.EventConfig{Kind: drawer.KindRequest, After: interval, Subject: number * 7, Object: number * 3, Number: number*5 + 1})
+	}
+}
+
+func (session *session) add(config drawer.EventConfig) {
+	session.events = append(session.events, drawer.NewEvent(config))
+}
+
+func TestGoldenSessions(t *testing.T) {
+	var loss, zone, outage session
+	loss.traffic(time.Second)
+	loss.add(drawer.EventConfig{Kind: drawer.KindKill, Subject: 0})
+	loss.traffic(4 * time.Second)
+	loss.add(drawer.EventConfig{Kind: drawer.KindRestart, Subject: 0})
+	loss.traffic(2 * time.Second)
+
+	zone.traffic(time.Second)
+	zone.add(drawer.EventConfig{Kind: drawer.KindZoneOut, Subject: 1})
+	zone.traffic(4 * time.Second)
+	zone.add(drawer.EventConfig{Kind: drawer.KindZoneReturn, Subject: 1})
+	zone.traffic(3 * time.Second)
+
+	outage.traffic(time.Second)
+	outage.add(drawer.EventConfig{Kind: drawer.KindStoreDown, Term: 6 * time.Second})
+	outage.traffic(time.Second)
+	outage.add(drawer.EventConfig{Kind: drawer.KindKill, Subject: 0})
+	outage.traffic(8 * time.Second)
+
+	for name, session := range map[string]session{"loss": loss, "zone-out-and-return": zone, "store-outage": outage} {
+		t.Run(name, func(t *testing.T) { compareGolden(t, name, session.events) })
+	}
+}
+
+func compareGolden(t *testing.T, name string, events []drawer.Event) {
+	t.Helper()
+	var lines []string
+	report := New(Config{Seed: 1, Note: func(line string) { lines = append(lines, line) }}).Play(events)
+	for _, violation := range report.Violations {
+		t.Error(violation)
+	}
+	got := strings.Join(lines, "\n") + "\n"
+	path := filepath.Join("testdata", name+".golden")
+	if *update {
+		if err := os.WriteFile(path, []byte(got), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(string(want), got); diff != "" {
+		t.Errorf("the session differs from %s; run with -update if it should:\n%s", path, diff)
+	}
+}
