--- a/demo/demonstrator/demonstrator.go
+++ b/demo/demonstrator/demonstrator.go
@@ -225,8 +225,9 @@
 // other returns a daemon that the event doesn't hit.
 func (demonstrator *Demonstrator) other(avoid string) deployer.Place {
 	places := demonstrator.config.Fleet.Places()
-	for _, place := range places[1:] {
-		if place.Name() != avoid {
+	zone := demonstrator.config.Plan.Zones()[1]
+	for _, place := range places {
+		if place.Zone() == zone && !place.Service().IsDivided() && place.Name() != avoid {
 			return place
 		}
 	}
--- a/demo/main.go
+++ b/demo/main.go
@@ -28,6 +28,7 @@
 	port       int
 	keep       bool
 	faults     bool
+	only       string
 }
 
 func main() {
@@ -50,6 +51,7 @@
 	flags.IntVar(&options.port, "port", 21000, "first of the ports on loopback")
 	flags.BoolVar(&options.keep, "keep", false, "stay up and print what to try, until an interrupt")
 	flags.BoolVar(&options.faults, "faults", false, "run the faults in place of the demonstration")
+	flags.StringVar(&options.only, "only", "", "run only the faults whose name contains the text")
 	if err := ff.Parse(flags, args, ff.WithEnvVarPrefix("LAGOONLANDING_DEMO")); err != nil {
 		return options, fmt.Errorf("read the flags: %w", err)
 	}
@@ -100,5 +102,8 @@
 	if options.keep {
 		return true, demonstrator.Keep(ctx)
 	}
+	if options.faults {
+		return demonstrator.RunFaults(ctx, options.only)
+	}
 	return demonstrator.Run(ctx)
 }
