Bound each poll of a watch of the store

Each poll now asks for an answer within 4 s and is given up after 5 s. The new test fails without the bound.

--- a/storer/client.go
+++ b/storer/client.go
@@ -6,23 +6,34 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"time"
 
 	"lagoonlanding.example/lagoonlanding"
 	"lagoonlanding.example/lagoonlanding/storer/encoder"
 )
 
+const (
+	// defaultWatchTerm is a trade: a shorter one costs the store more calls, a longer one leaves a lost watch unnoticed for longer.
+	defaultWatchTerm = 4 * time.Second
+	// watchGrace is how long the answer to a watch may take beyond its term.
+	watchGrace = time.Second
+)
+
 // Config holds the parts of a Client.
 type Config struct {
 	// URL is the base address of the store, such as http://10.0.0.5:2400.
 	URL string
 	// Client sends the calls; nil for http.DefaultClient.
 	Client *http.Client
+	// WatchTerm is how long the store may leave a watch without an answer; zero for the default.
+	WatchTerm time.Duration
 }
 
 // Client calls the platform's store over HTTP.
 type Client struct {
-	url    string
-	client *http.Client
+	url       string
+	client    *http.Client
+	watchTerm time.Duration
 }
 
 var _ lagoonlanding.Store = (*Client)(nil)
@@ -33,7 +44,10 @@
 	if client == nil {
 		client = http.DefaultClient
 	}
-	return &Client{url: config.URL, client: client}
+	if config.WatchTerm == 0 {
+		config.WatchTerm = defaultWatchTerm
+	}
+	return &Client{url: config.URL, client: client, watchTerm: config.WatchTerm}
 }
 
 // Get reads one entry and fails with ErrNotFound if there is none.
@@ -69,16 +83,24 @@
 }
 
 // Watch waits until an entry under the prefix is newer than the revision, or ctx ends, and returns the newer entries.
+//
+// It asks again and again, because a store that has lost a call would otherwise be waited for without end.
 func (client *Client) Watch(ctx context.Context, prefix string, after uint64) (lagoonlanding.Listing, error) {
-	query := url.Values{"prefix": {prefix}, "after": {strconv.FormatUint(after, 10)}}
+	query := url.Values{"prefix": {prefix}, "after": {strconv.FormatUint(after, 10)}, "wait": {client.watchTerm.String()}}
 	for {
-		body, err := client.call(ctx, call{method: http.MethodGet, path: "/watch", query: query})
-		if err != nil {
-			return lagoonlanding.Listing{}, err
-		}
-		listing, err := encoder.DecodeListing(body)
+		listing, err := client.poll(ctx, query)
 		if err != nil || len(listing.Entries()) > 0 {
 			return listing, err
 		}
 	}
 }
+
+func (client *Client) poll(ctx context.Context, query url.Values) (lagoonlanding.Listing, error) {
+	ctx, cancel := context.WithTimeout(ctx, client.watchTerm+watchGrace)
+	defer cancel()
+	body, err := client.call(ctx, call{method: http.MethodGet, path: "/watch", query: query})
+	if err != nil {
+		return lagoonlanding.Listing{}, err
+	}
+	return encoder.DecodeListing(body)
+}
--- a/storer/client_test.go
+++ b/storer/client_test.go
@@ -82,6 +82,24 @@
 	}
 }
 
+func TestWatchOfASilentStoreEnds(t *testing.T) {
+	client := New(Config{URL: "http://127.0.0.1:1", Client: &http.Client{Transport: expiring{}}})
+	if _, err := client.Watch(t.Context(), "a", 7); !errors.Is(err, lagoonlanding.ErrUnavailable) {
+		t.Errorf("got %v", err)
+	}
+}
+
+// expiring fails a call that has a deadline and never answers another one.
+type expiring struct{}
+
+func (expiring) RoundTrip(request *http.Request) (*http.Response, error) {
+	if _, ok := request.Context().Deadline(); ok {
+		return nil, context.DeadlineExceeded
+	}
+	<-request.Context().Done()
+	return nil, request.Context().Err()
+}
+
 func status(code int) http.HandlerFunc {
 	return func(writer http.ResponseWriter, _ *http.Request) { writer.WriteHeader(code) }
 }
--- a/storestandin/receiver/entries.go
+++ b/storestandin/receiver/entries.go
@@ -71,7 +71,12 @@
 		fail(writer, err)
 		return
 	}
-	listing, err := receiver.await(request, request.FormValue("prefix"), after)
+	wait, err := time.ParseDuration(request.FormValue("wait"))
+	if err != nil {
+		fail(writer, err)
+		return
+	}
+	listing, err := receiver.await(request, request.FormValue("prefix"), after, min(wait, maxWatchTerm))
 	if err != nil {
 		fail(writer, err)
 		return
@@ -81,8 +86,8 @@
 }
 
 // await returns the newer entries, or an empty listing once the term of the watch has passed.
-func (receiver *Receiver) await(request *http.Request, prefix string, after uint64) (lagoonlanding.Listing, error) {
-	term := time.After(watchTerm)
+func (receiver *Receiver) await(request *http.Request, prefix string, after uint64, wait time.Duration) (lagoonlanding.Listing, error) {
+	term := time.After(wait)
 	for {
 		var listing lagoonlanding.Listing
 		var changed <-chan struct{}
--- a/storestandin/receiver/receiver.go
+++ b/storestandin/receiver/receiver.go
@@ -11,8 +11,8 @@
 	"lagoonlanding.example/storestandin/provider"
 )
 
-// watchTerm bounds how long a watch waits before it answers that nothing has changed.
-const watchTerm = 30 * time.Second
+// maxWatchTerm bounds how long a watch waits before it answers that nothing has changed.
+const maxWatchTerm = 30 * time.Second
 
 // Receiver maps HTTP calls to calls on the store's state.
 type Receiver struct {
