--- a/controller/cluster_test.go
+++ b/controller/cluster_test.go
@@ -219,28 +219,36 @@
 
 // checkOwners fails the test if two instances may serve one shard.
 func (cluster *cluster) checkOwners() {
-	for shard := range testShards {
-		if owners := cluster.owners(shard); len(owners) > 1 {
+	for shard, owners := range cluster.allOwners() {
+		if len(owners) > 1 {
 			cluster.t.Fatalf("%v serve shard %d", owners, shard)
 		}
 	}
 }
 
-func (cluster *cluster) owners(shard int) []string {
-	var owners []string
+// allOwners returns the names of the instances that may serve each shard.
+func (cluster *cluster) allOwners() [testShards][]string {
+	var owners [testShards][]string
 	for _, name := range cluster.order {
-		holding, ok := cluster.nodes[name].Snapshot().Holding(testGroup)
-		if ok && !cluster.dead[name] && holding.Token(shard) > 0 && cluster.now.Before(holding.Deadline()) {
-			owners = append(owners, name)
+		group := cluster.nodes[name].groups[testGroup]
+		if cluster.dead[name] || group == nil || group.holder == nil || !cluster.now.Before(group.holder.Deadline()) {
+			continue
+		}
+		for shard, token := range group.holder.Tokens() {
+			if token > 0 {
+				owners[shard] = append(owners[shard], name)
+			}
 		}
 	}
 	return owners
 }
 
+func (cluster *cluster) owners(shard int) []string { return cluster.allOwners()[shard] }
+
 func (cluster *cluster) served() int {
 	served := 0
-	for shard := range testShards {
-		served += len(cluster.owners(shard))
+	for _, owners := range cluster.allOwners() {
+		served += len(owners)
 	}
 	return served
 }
