--- /dev/null
+++ b/slopes/sizer/steady.go
@@ -0,0 +1,122 @@
+package sizer
+
+import (
+	"fmt"
+	"runtime"
+	"time"
+
+	"lagoonlanding.example/lagoonlanding"
+	"lagoonlanding.example/lagoonlanding/controller"
+	"lagoonlanding.example/lagoonlanding/encoder"
+	"lagoonlanding.example/lagoonlanding/placer"
+)
+
+// Steady is what a quiet group costs its daemons for each second, without the carriage of messages.
+type Steady struct {
+	Members int
+	Shards  int
+	Groups  int
+	// Coordinator, Witness and Member are processor time for each second.
+	Coordinator time.Duration
+	Witness     time.Duration
+	Member      time.Duration
+	// Renewals are the renewals that a witness answers each second.
+	Renewals float64
+	// StoreCalls are the calls of the whole group to the store after the first second, waiting watches not counted again.
+	StoreCalls int
+}
+
+const (
+	steadySeconds = 20
+	steadySet     = 1
+)
+
+type node struct {
+	controller *controller.Controller
+	spent      time.Duration
+	answered   int
+}
+
+// MeasureSteady runs the control code of one whole group whose directory knows the given number of groups.
+func MeasureSteady(members, shards, groups int) (Steady, error) {
+	listing, err := listingOf(groups, members, shards, 1)
+	if err != nil {
+		return Steady{}, err
+	}
+	nodes := make(map[lagoonlanding.InstanceID]*node)
+	var order []*node
+	for number := range members {
+		self := instanceOf(0, number)
+		node := &node{controller: controller.New(controller.Config{
+			Self: self, Now: start, Placer: placer.NewRendezvous(), Records: encoder.Records{}, Sets: encoder.Sets{},
+		})}
+		node.controller.Watched(start, listing, nil)
+		nodes[self.ID()] = node
+		order = append(order, node)
+	}
+	runtime.GC()
+	calls := 0
+	for step := range steadySeconds * 10 {
+		now := start.Add(time.Duration(step) * controller.TickInterval)
+		if step == 10 {
+			calls = 0
+			for _, node := range order {
+				node.spent, node.answered = 0, 0
+			}
+		}
+		for _, node := range order {
+			node.run(func() { node.controller.Tick(now) }, now, nodes, &calls)
+		}
+	}
+	seconds := float64(steadySeconds - 1)
+	per := func(index int) time.Duration { return time.Duration(float64(order[index].spent) / seconds) }
+	return Steady{
+		Members: members, Shards: shards, Groups: groups, Coordinator: per(0), Witness: per(1), Member: per(members - 1),
+		Renewals: float64(order[1].answered) / seconds, StoreCalls: calls,
+	}, nil
+}
+
+// run handles one event, publishes the snapshot as the control thread does, and carries the messages.
+func (node *node) run(handle func(), now time.Time, nodes map[lagoonlanding.InstanceID]*node, calls *int) {
+	before := time.Now()
+	handle()
+	outbox := node.controller.TakeOutbox()
+	_ = node.controller.Snapshot()
+	node.spent += time.Since(before)
+	*calls += len(outbox.Swaps()) + len(outbox.Reads())
+	for _, renewal := range outbox.Renewals() {
+		target, ok := nodes[renewal.To().ID()]
+		if !ok {
+			continue
+		}
+		var reply lagoonlanding.RenewReply
+		target.answered++
+		target.run(func() { reply = target.controller.OnRenew(now, renewal.Request()) }, now, nodes, calls)
+		node.run(func() { node.controller.Renewed(now, renewal, reply, nil) }, now, nodes, calls)
+	}
+	for _, clearance := range outbox.Clearances() {
+		target, ok := nodes[clearance.To().ID()]
+		if !ok {
+			continue
+		}
+		var reply lagoonlanding.ClearanceReply
+		target.run(func() { reply = target.controller.OnClear(now, clearance.Request()) }, now, nodes, calls)
+		node.run(func() { node.controller.Cleared(now, clearance, reply, nil) }, now, nodes, calls)
+	}
+}
+
+func listingOf(groups, members, shards int, version uint64) (lagoonlanding.Listing, error) {
+	value, err := encoder.Sets{}.Encode(setOf(steadySet, groups, shards, 0))
+	if err != nil {
+		return lagoonlanding.Listing{}, fmt.Errorf("encode the set: %w", err)
+	}
+	entries := []lagoonlanding.Entry{lagoonlanding.NewEntry(lagoonlanding.SetKey, value, 1)}
+	for group := range groups {
+		_, entry, err := recordOf(group, members, shards, version, uint64(group+2))
+		if err != nil {
+			return lagoonlanding.Listing{}, err
+		}
+		entries = append(entries, entry)
+	}
+	return lagoonlanding.NewListing(entries, uint64(groups+2)), nil
+}
