--- a/loader/checker.go
+++ b/loader/checker.go
@@ -26,9 +26,9 @@
 
 // checker collects all that is wrong with the settings.
 type checker struct {
-	file   string
-	lines  map[string]int
-	form   *form
+	file  string
+	lines map[string]int
+	form  *form
 	// overridden are the settings that the file does not decide.
 	overridden map[string]bool
 	faults     Faults
--- a/messenger/bench_test.go
+++ b/messenger/bench_test.go
@@ -6,6 +6,7 @@
 	"encoding/gob"
 	"encoding/json"
 	"net/rpc"
+	"runtime"
 	"testing"
 	"time"
 
@@ -116,3 +117,28 @@
 	}
 	b.ReportMetric(float64(size), "wire-B/op")
 }
+
+// BenchmarkConnection opens connections that each carry one message and reports the memory of both ends.
+func BenchmarkConnection(b *testing.B) {
+	messenger, to, _ := start(b, &handler{})
+	messenger.pool.limit = 1 << 20
+	before := inUse()
+	for number := 0; b.Loop(); number++ {
+		link, err := messenger.pool.link(context.Background(), place{address: to.PeerAddress(), lane: LaneControl, number: number})
+		if err != nil {
+			b.Fatal(err)
+		}
+		form := encoder.FromRenewRequest(renewal())
+		if err := link.call(context.Background(), methodRenew, form, &encoder.RenewReply{}); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(inUse()-before)/float64(b.N), "held-B/op")
+}
+
+func inUse() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapInuse + stats.StackInuse
+}
--- a/messenger/link.go
+++ b/messenger/link.go
@@ -46,10 +46,18 @@
 	return !link.lane.IsControl() || !isSilent
 }
 
+// isIdle reports whether no call waits for its answer.
 func (link *link) isIdle() bool {
 	link.codec.mutex.Lock()
 	defer link.codec.mutex.Unlock()
-	return link.codec.pending == 0
+	return link.codec.closed || link.codec.pending == 0
+}
+
+// isSpent reports whether the connection has ended or has carried nothing for long.
+func (link *link) isSpent(now time.Time) bool {
+	link.codec.mutex.Lock()
+	defer link.codec.mutex.Unlock()
+	return link.codec.closed || link.codec.pending == 0 && now.Sub(link.codec.lastUse) >= idleLimit
 }
 
 func (link *link) lastUse() time.Time {
--- a/messenger/pool.go
+++ b/messenger/pool.go
@@ -18,6 +18,10 @@
 	keepAlive = time.Second
 	// lostProbes is the number of unanswered probes after which a connection is closed.
 	lostProbes = 3
+	// idleLimit is how long a connection is kept without a message.
+	idleLimit = time.Minute
+	// sweepInterval is the least time between two looks for idle connections.
+	sweepInterval = 5 * time.Second
 )
 
 var errTooManyConnections = errors.New("the limit of connections to peers is reached")
@@ -29,7 +33,9 @@
 	dial    func(ctx context.Context, address string) (net.Conn, error)
 	mutex   sync.Mutex
 	used    int
-	places  map[place]*slot
+	// nextSweep is when connections are next looked through for idle ones.
+	nextSweep time.Time
+	places    map[place]*slot
 }
 
 // place is where one connection belongs.
@@ -121,6 +127,16 @@
 	}
 }
 
+// tryTake takes the turn unless another has it.
+func (slot *slot) tryTake() bool {
+	select {
+	case slot.turn <- struct{}{}:
+		return true
+	default:
+		return false
+	}
+}
+
 func (slot *slot) release() { <-slot.turn }
 
 // note keeps the outcome of an attempt to connect.
@@ -180,6 +196,7 @@
 func (pool *pool) reserve() error {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
+	pool.sweep(time.Now())
 	if pool.used >= pool.limit && !pool.evict() {
 		return errTooManyConnections
 	}
@@ -187,13 +204,29 @@
 	return nil
 }
 
+// sweep closes connections that have been idle for long and forgets places without one.
+func (pool *pool) sweep(now time.Time) {
+	if now.Before(pool.nextSweep) {
+		return
+	}
+	pool.nextSweep = now.Add(sweepInterval)
+	for where, slot := range pool.places {
+		if !slot.tryTake() {
+			continue
+		}
+		isUnused := slot.link == nil && now.After(slot.retryAt)
+		if isUnused || slot.link != nil && slot.link.isSpent(now) {
+			pool.forget(where, slot)
+		}
+		slot.release()
+	}
+}
+
 func (pool *pool) evict() bool {
 	var oldest place
 	var victim *slot
 	for where, slot := range pool.places {
-		select {
-		case slot.turn <- struct{}{}:
-		default:
+		if !slot.tryTake() {
 			continue
 		}
 		isCandidate := slot.link != nil && slot.link.isIdle()
@@ -209,25 +242,29 @@
 	if victim == nil {
 		return false
 	}
-	victim.link.close()
-	victim.link, victim.evicted = nil, true
-	delete(pool.places, oldest)
+	pool.forget(oldest, victim)
 	victim.release()
-	pool.used--
 	return true
 }
 
+// forget takes a slot, whose turn the caller holds, out of the pool; those who wait for it come back for a new one.
+func (pool *pool) forget(where place, slot *slot) {
+	if slot.link != nil {
+		slot.link.close()
+		slot.link = nil
+		pool.used--
+	}
+	slot.evicted = true
+	delete(pool.places, where)
+}
+
 func (pool *pool) close() {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
-	for _, slot := range pool.places {
-		select {
-		case slot.turn <- struct{}{}:
-			if slot.link != nil {
-				slot.link.close()
-			}
+	for where, slot := range pool.places {
+		if slot.tryTake() {
+			pool.forget(where, slot)
 			slot.release()
-		default:
 		}
 	}
 }
--- a/messenger/server_test.go
+++ b/messenger/server_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"testing"
+	"time"
 
 	"lagoonlanding.example/lagoonlanding"
 )
@@ -155,3 +156,30 @@
 		}
 	}
 }
+
+func TestIdleConnectionsAreClosed(t *testing.T) {
+	handler := &handler{forward: func(_ context.Context, request lagoonlanding.Request) lagoonlanding.Reply { return answered(request) }}
+	_, first, _ := start(t, handler)
+	_, second, _ := start(t, handler)
+	messenger := New(Config{Clock: wallClock{}})
+	defer messenger.Close()
+	if _, err := messenger.Forward(patience(t), first, request(nil)); err != nil {
+		t.Fatal(err)
+	}
+	messenger.pool.mutex.Lock()
+	messenger.pool.nextSweep = time.Time{}
+	for _, slot := range messenger.pool.places {
+		slot.link.codec.mutex.Lock()
+		slot.link.codec.lastUse = time.Now().Add(-idleLimit)
+		slot.link.codec.mutex.Unlock()
+	}
+	messenger.pool.mutex.Unlock()
+	if _, err := messenger.Forward(patience(t), second, request(nil)); err != nil {
+		t.Fatal(err)
+	}
+	messenger.pool.mutex.Lock()
+	defer messenger.pool.mutex.Unlock()
+	if messenger.pool.used != 1 || len(messenger.pool.places) != 1 {
+		t.Errorf("%d connections of %d places are open", messenger.pool.used, len(messenger.pool.places))
+	}
+}
