--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SKIP := $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$',)
 RACE ?= -race
 
-.PHONY: build bench demo faults test format lint unit known-red soak
+.PHONY: build bench demo faults measure test format lint unit known-red soak mutants slopes
 
 build:
 	@mkdir -p bin
@@ -47,3 +47,8 @@
 soak:
 	@cd soak && go build -o $(CURDIR)/bin/soak .
 	@for seed in $(SEEDS); do bin/soak -seed $$seed -steps $(STEPS) || exit 1; done
+
+# measure runs the experiments on the request path and draws them under out/.
+measure:
+	@cd measure && go build -o $(CURDIR)/bin/measure .
+	@bin/measure -seed $(SEED) -out out
--- a/quarantiner/fingerprint.go
+++ b/quarantiner/fingerprint.go
@@ -7,11 +7,8 @@
 	"lagoonlanding.example/lagoonlanding"
 )
 
-// Fingerprint tells requests with the same contents from others without holding the contents.
-type Fingerprint [16]byte
-
 // FingerprintOf returns the fingerprint of a request; its idempotency key and ID do not count, since a caller may renew them.
-func FingerprintOf(request lagoonlanding.Request) Fingerprint {
+func FingerprintOf(request lagoonlanding.Request) lagoonlanding.Fingerprint {
 	hash := sha256.New()
 	parts := [][]byte{
 		[]byte(request.Key().Service()), []byte(request.Key().Workspace()), []byte(request.Key().Name()),
@@ -23,5 +20,5 @@
 		_, _ = hash.Write(length[:])
 		_, _ = hash.Write(part)
 	}
-	return Fingerprint(hash.Sum(nil)[:16])
+	return lagoonlanding.Fingerprint(hash.Sum(nil)[:16])
 }
