--- a/reporter/reporter.go
+++ b/reporter/reporter.go
@@ -8,6 +8,7 @@
 	"time"
 
 	client "github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 
@@ -77,7 +78,7 @@
 		config.MaxTenants = defaultMaxTenants
 	}
 	registry := client.NewRegistry()
-	registry.MustRegister(client.NewGoCollector(), client.NewProcessCollector(client.ProcessCollectorOpts{}))
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	sink := prometheus.NewReporter(prometheus.Options{
 		Registerer: registry, Gatherer: registry, OnRegisterError: config.Failed,
 	})
