End orders when the store never answers, and count members of zones that are out

Cause: a publish hung for ten minutes against a frozen store stand-in; the plan counted members of a zone that is out as active, since the layout now has a state of its own for them. Ruled out: a time-out in the HTTP client of the store, which would cut its watches. Change: each call of submitter and conductor ends after 2 s; planner takes MemberOut out and back; status names it zone-out. Conclusion: an order always ends with a true verdict.

--- a/administrator/inspection.go
+++ b/administrator/inspection.go
@@ -66,10 +66,7 @@
 }
 
 func (inspection inspection) member(member lagoonlanding.Member) encoder.Member {
-	form := encoder.Member{Instance: member.ID().String(), Zone: member.Instance().AvailabilityZone(), State: "active"}
-	if member.State() == lagoonlanding.MemberLeaving {
-		form.State = "leaving"
-	}
+	form := encoder.Member{Instance: member.ID().String(), Zone: member.Instance().AvailabilityZone(), State: stateName(member.State())}
 	var lapses time.Time
 	for _, status := range inspection.useful() {
 		for _, known := range status.Members() {
@@ -109,3 +106,15 @@
 	}
 	return limits
 }
+
+func stateName(state lagoonlanding.MemberState) string {
+	switch state {
+	case lagoonlanding.MemberActive:
+		return "active"
+	case lagoonlanding.MemberOut:
+		return "zone-out"
+	case lagoonlanding.MemberLeaving:
+		return "leaving"
+	}
+	return "unknown"
+}
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -16,6 +16,8 @@
 )
 
 const (
+	// listTimeout is when the answer of the store to a listing is taken for lost.
+	listTimeout = 2 * time.Second
 	// submitTimeout bounds the tries to write a set.
 	submitTimeout = 10 * time.Second
 	// zoneTries is how often a zone's change is made anew after another operator's publish.
@@ -78,6 +80,8 @@
 }
 
 func (conductor *Conductor) groups(ctx context.Context) (map[lagoonlanding.GroupID]router.Group, error) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
 	listing, err := conductor.config.Store.List(ctx, lagoonlanding.GroupPrefix)
 	if err != nil {
 		return nil, oops.In("conductor").Wrapf(err, "reading the groups' records")
--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -6,6 +6,7 @@
 	"math/rand"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
@@ -184,3 +185,26 @@
 func named(id string) publisher.Publication {
 	return publisher.NewPublication(publisher.PublicationConfig{ID: id})
 }
+
+// frozenStore takes calls and never answers them.
+type frozenStore struct{ lagoonlanding.Store }
+
+func (frozenstore frozenStore) Get(ctx context.Context, _ string) (lagoonlanding.Entry, error) {
+	<-ctx.Done()
+	return lagoonlanding.Entry{}, ctx.Err()
+}
+
+// TestOrdersEndThoughTheStoreNeverAnswers was red while only the write was bounded in time.
+func TestOrdersEndThoughTheStoreNeverAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		conductor := newConductor(frozenStore{})
+		for name, outcome := range map[string]Outcome{
+			"publish": conductor.Publish(t.Context(), Order{Set: publisher.NewSet(pairedSet(1))}),
+			"zone":    conductor.SetZone(t.Context(), ZoneOrder{Zone: "nayoro", Out: true}),
+		} {
+			if outcome.Verdict() != NotWritten || outcome.Err() == nil {
+				t.Errorf("%s: %v, %v", name, outcome.Verdict(), outcome.Err())
+			}
+		}
+	})
+}
--- a/planner/group.go
+++ b/planner/group.go
@@ -40,8 +40,13 @@
 	for _, member := range layout.Members() {
 		state := member.State()
 		zone, ok := builder.config.New.AvailabilityZone(member.Instance().AvailabilityZone())
-		if !permitted || ok && zone.IsOut() {
+		switch {
+		case !permitted:
 			state = lagoonlanding.MemberLeaving
+		case state == lagoonlanding.MemberActive && ok && zone.IsOut():
+			state = lagoonlanding.MemberOut
+		case state == lagoonlanding.MemberOut && ok && !zone.IsOut():
+			state = lagoonlanding.MemberActive
 		}
 		members = append(members, lagoonlanding.NewMember(member.Instance(), state, member.Weight()))
 	}
@@ -69,30 +74,32 @@
 	slotsBefore := slotsOf(builder.config.Old, id.Service())
 	slotsAfter := slotsOf(builder.config.New, id.Service())
 	for i, member := range before.Members() {
-		if member.State() != lagoonlanding.MemberActive {
-			continue
-		}
 		region := member.Instance().Region()
 		capacity := builder.capacity(id.Service(), member.Instance())
 		isFirst := !builder.counted[member.ID()]
 		builder.counted[member.ID()] = true
-		result.slotsBefore += slotsBefore
-		result.regionsBefore[region]++
-		if isFirst {
-			capacity.before += slotsBefore
-		}
-		if after.Members()[i].State() != lagoonlanding.MemberActive {
-			continue
+		if member.State() == lagoonlanding.MemberActive {
+			result.slotsBefore += slotsBefore
+			result.regionsBefore[region]++
+			capacity.before += slotsOnce(isFirst, slotsBefore)
 		}
-		result.slotsAfter += slotsAfter
-		result.regionsAfter[region]++
-		if isFirst {
-			capacity.after += slotsAfter
+		if after.Members()[i].State() == lagoonlanding.MemberActive {
+			result.slotsAfter += slotsAfter
+			result.regionsAfter[region]++
+			capacity.after += slotsOnce(isFirst, slotsAfter)
 		}
 	}
 	return result
 }
 
+// slotsOnce counts the slots of an instance in the first of its groups only.
+func slotsOnce(isFirst bool, slots int) int {
+	if isFirst {
+		return slots
+	}
+	return 0
+}
+
 func slotsOf(set *publisher.Set, name string) int {
 	if set == nil {
 		return 0
--- a/submitter/history.go
+++ b/submitter/history.go
@@ -33,7 +33,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = submitter.config.Store.Swap(ctx, historyKey(set.Version()), kept.Revision(), value)
+	_, err = submitter.swap(ctx, historyKey(set.Version()), kept.Revision(), value)
 	if errors.Is(err, lagoonlanding.ErrConflict) {
 		// Another publisher has kept it.
 		return nil
@@ -46,7 +46,7 @@
 
 // kept returns what stands in the place of the version.
 func (submitter *Submitter) kept(ctx context.Context, version uint64) (Held, error) {
-	entry, err := submitter.config.Store.Get(ctx, historyKey(version))
+	entry, err := submitter.get(ctx, historyKey(version))
 	if errors.Is(err, lagoonlanding.ErrNotFound) {
 		return Held{}, nil
 	}
@@ -62,7 +62,9 @@
 
 // History returns the kept sets, the newest first.
 func (submitter *Submitter) History(ctx context.Context) ([]*publisher.Set, error) {
-	listing, err := submitter.config.Store.List(ctx, lagoonlanding.HistoryPrefix)
+	limited, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	listing, err := submitter.config.Store.List(limited, lagoonlanding.HistoryPrefix)
 	if err != nil {
 		return nil, oops.In("submitter").Wrapf(err, "reading the history")
 	}
--- a/submitter/submitter.go
+++ b/submitter/submitter.go
@@ -11,8 +11,12 @@
 	"lagoonlanding.example/lagoonlanding/publisher"
 )
 
-// retryInterval is the time between two tries of a write whose answer was lost.
-const retryInterval = 200 * time.Millisecond
+const (
+	// retryInterval is the time between two tries of a write whose answer was lost.
+	retryInterval = 200 * time.Millisecond
+	// callTimeout is when the answer to a call of the store is taken for lost.
+	callTimeout = 2 * time.Second
+)
 
 // Config holds what a Submitter works with.
 type Config struct {
@@ -32,7 +36,7 @@
 
 // Read returns the set that the store holds.
 func (submitter *Submitter) Read(ctx context.Context) (Held, error) {
-	entry, err := submitter.config.Store.Get(ctx, lagoonlanding.SetKey)
+	entry, err := submitter.get(ctx, lagoonlanding.SetKey)
 	if errors.Is(err, lagoonlanding.ErrNotFound) {
 		return Held{}, nil
 	}
@@ -70,7 +74,7 @@
 func (submitter *Submitter) write(ctx context.Context, held Held, candidate *publisher.Set, value []byte) Submission {
 	mayBeWritten := false
 	for {
-		_, err := submitter.config.Store.Swap(ctx, lagoonlanding.SetKey, held.Revision(), value)
+		_, err := submitter.swap(ctx, lagoonlanding.SetKey, held.Revision(), value)
 		switch {
 		case err == nil:
 			return NewSubmission(Written, candidate, nil)
@@ -125,6 +129,18 @@
 	return NewSubmission(Outrun, now.Set(), lagoonlanding.ErrConflict), nil
 }
 
+func (submitter *Submitter) get(ctx context.Context, key string) (lagoonlanding.Entry, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return submitter.config.Store.Get(ctx, key)
+}
+
+func (submitter *Submitter) swap(ctx context.Context, key string, expected uint64, value []byte) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return submitter.config.Store.Swap(ctx, key, expected, value)
+}
+
 func (submitter *Submitter) pause(ctx context.Context) bool {
 	select {
 	case <-ctx.Done():
