--- a/quarantiner/quarantine.go
+++ b/quarantiner/quarantine.go
@@ -50,100 +50,108 @@
 	config Config
 
 	mutex    sync.Mutex
-	suspects map[Fingerprint]*record
+	suspects map[lagoonlanding.Fingerprint]*record
 	running  map[*Run]bool
 	crashes  uint64
 }
 
 // Run is one request in flight.
 type Run struct {
-	fingerprint Fingerprint
-	workspace   string
-	alone       bool
-	crashes     uint64
+	request lagoonlanding.Request
+	alone   bool
+	crashes uint64
 }
 
 // NewQuarantine returns a quarantine without suspects.
 func NewQuarantine(config Config) *Quarantine {
-	return &Quarantine{config: config, suspects: map[Fingerprint]*record{}, running: map[*Run]bool{}}
+	return &Quarantine{config: config, suspects: map[lagoonlanding.Fingerprint]*record{}, running: map[*Run]bool{}}
 }
 
 // Check returns how the request may run.
-func (quarantine *Quarantine) Check(now time.Time, fingerprint Fingerprint) Treatment {
+func (quarantine *Quarantine) Check(now time.Time, request lagoonlanding.Request) Treatment {
 	quarantine.mutex.Lock()
 	defer quarantine.mutex.Unlock()
-	return quarantine.check(now, fingerprint)
+	return quarantine.check(now, request)
 }
 
 // Start notes that the request goes to the backend server; it is false if the request may not run this way any more, so
 // that copies which were queued before a crash do not follow it unchecked.
 func (quarantine *Quarantine) Start(now time.Time, request lagoonlanding.Request, treatment Treatment) (*Run, bool) {
-	fingerprint := FingerprintOf(request)
 	quarantine.mutex.Lock()
 	defer quarantine.mutex.Unlock()
-	current := quarantine.check(now, fingerprint)
+	current := quarantine.check(now, request)
 	if current == Stopped || current == Alone && treatment != Alone {
 		return nil, false
 	}
-	run := &Run{
-		fingerprint: fingerprint, workspace: request.Key().Workspace(),
-		alone: treatment == Alone, crashes: quarantine.crashes,
-	}
+	run := &Run{request: request, alone: treatment == Alone, crashes: quarantine.crashes}
 	quarantine.running[run] = true
 	return run, true
 }
 
-// Finish notes that the request has ended, and whether the backend server crashed with it.
-func (quarantine *Quarantine) Finish(now time.Time, run *Run, crashed bool) {
+// Finish notes that the request has ended, and whether the backend server crashed with it; it is true at the first word of a crash.
+func (quarantine *Quarantine) Finish(now time.Time, run *Run, crashed bool) bool {
 	quarantine.mutex.Lock()
 	defer quarantine.mutex.Unlock()
 	// All requests in flight end with a crash; the first of them to tell counts for all.
-	if crashed && run.crashes == quarantine.crashes {
+	isFirst := crashed && run.crashes == quarantine.crashes
+	if isFirst {
 		quarantine.crash(now)
 	}
 	delete(quarantine.running, run)
-	if known, ok := quarantine.suspects[run.fingerprint]; ok && run.alone && !crashed {
+	if !run.alone || crashed {
+		return isFirst
+	}
+	if known, ok := quarantine.suspects[FingerprintOf(run.request)]; ok {
 		known.clear()
 	}
+	return isFirst
 }
 
-// Suspects returns what other instances should know, ordered by fingerprint.
-func (quarantine *Quarantine) Suspects(now time.Time) []Suspect {
+// Suspects returns what other instances of the service should know, ordered by fingerprint.
+func (quarantine *Quarantine) Suspects(now time.Time, service string) []lagoonlanding.Suspect {
 	quarantine.mutex.Lock()
 	defer quarantine.mutex.Unlock()
 	quarantine.expire(now)
-	suspects := make([]Suspect, 0, len(quarantine.suspects))
+	suspects := make([]lagoonlanding.Suspect, 0, len(quarantine.suspects))
 	for fingerprint, known := range quarantine.suspects {
-		suspects = append(suspects, known.suspect(fingerprint))
+		if known.service == service {
+			suspects = append(suspects, known.suspect(fingerprint))
+		}
 	}
-	slices.SortFunc(suspects, func(a, b Suspect) int { return bytes.Compare(a.fingerprint[:], b.fingerprint[:]) })
+	slices.SortFunc(suspects, func(a, b lagoonlanding.Suspect) int {
+		x, y := a.Fingerprint(), b.Fingerprint()
+		return bytes.Compare(x[:], y[:])
+	})
 	return suspects
 }
 
-// Merge takes in what other instances know.
-func (quarantine *Quarantine) Merge(now time.Time, suspects []Suspect) {
+// Merge takes in what another instance knows.
+func (quarantine *Quarantine) Merge(now time.Time, notice lagoonlanding.SuspectNotice) {
 	quarantine.mutex.Lock()
 	defer quarantine.mutex.Unlock()
 	quarantine.expire(now)
-	for _, suspect := range suspects {
-		if len(suspect.crashes) > maxCrashes || len(suspect.cleared) > maxCrashes || !suspect.expires.After(now) {
+	for _, suspect := range notice.Suspects() {
+		if len(suspect.Crashes()) > maxCrashes || len(suspect.Cleared()) > maxCrashes || !suspect.Expires().After(now) {
 			continue
 		}
-		known := quarantine.record(now, suspect.fingerprint, suspect.workspace)
-		if expires := suspect.expires; expires.After(known.expires) && !expires.After(now.Add(Term)) {
-			known.expires = expires
-		}
-		for _, crash := range suspect.crashes {
-			known.crashes[crash] = true
+		expires := suspect.Expires()
+		if latest := now.Add(Term); expires.After(latest) {
+			expires = latest
 		}
-		for _, crash := range suspect.cleared {
-			known.cleared[crash] = true
+		known := quarantine.record(expires, suspect.Fingerprint(), notice.Service(), suspect.Workspace())
+		if expires.After(known.expires) {
+			known.expires = expires
 		}
+		known.merge(suspect)
 	}
 }
 
-func (quarantine *Quarantine) check(now time.Time, fingerprint Fingerprint) Treatment {
-	known, ok := quarantine.suspects[fingerprint]
+// check computes no fingerprint while nothing is suspect.
+func (quarantine *Quarantine) check(now time.Time, request lagoonlanding.Request) Treatment {
+	if len(quarantine.suspects) == 0 {
+		return Free
+	}
+	known, ok := quarantine.suspects[FingerprintOf(request)]
 	if !ok || now.After(known.expires) {
 		return Free
 	}
@@ -160,9 +168,10 @@
 func (quarantine *Quarantine) crash(now time.Time) {
 	quarantine.expire(now)
 	quarantine.crashes++
-	crash := NewCrash(quarantine.config.Random.Uint64(), len(quarantine.running) == 1)
+	crash := lagoonlanding.NewCrash(quarantine.config.Random.Uint64(), len(quarantine.running) == 1)
 	for run := range quarantine.running {
-		known := quarantine.record(now, run.fingerprint, run.workspace)
+		key := run.request.Key()
+		known := quarantine.record(now.Add(Term), FingerprintOf(run.request), key.Service(), key.Workspace())
 		known.expires = now.Add(Term)
 		if len(known.crashes) < maxCrashes {
 			known.crashes[crash] = true
@@ -170,7 +179,8 @@
 	}
 }
 
-func (quarantine *Quarantine) record(now time.Time, fingerprint Fingerprint, workspace string) *record {
+// record returns what is known of a fingerprint, and begins it with the time at which it expires.
+func (quarantine *Quarantine) record(expires time.Time, fingerprint lagoonlanding.Fingerprint, service, workspace string) *record {
 	known, ok := quarantine.suspects[fingerprint]
 	if ok {
 		return known
@@ -178,14 +188,17 @@
 	if len(quarantine.suspects) >= MaxSuspects {
 		quarantine.displace()
 	}
-	known = &record{workspace: workspace, expires: now.Add(Term), crashes: map[Crash]bool{}, cleared: map[Crash]bool{}}
+	known = &record{
+		service: service, workspace: workspace, expires: expires,
+		crashes: map[lagoonlanding.Crash]bool{}, cleared: map[lagoonlanding.Crash]bool{},
+	}
 	quarantine.suspects[fingerprint] = known
 	return known
 }
 
 // displace forgets the suspect of the fewest crashes, and of these the one that expires first.
 func (quarantine *Quarantine) displace() {
-	var least Fingerprint
+	var least lagoonlanding.Fingerprint
 	var fewest *record
 	for fingerprint, known := range quarantine.suspects {
 		switch {
@@ -199,5 +212,5 @@
 }
 
 func (quarantine *Quarantine) expire(now time.Time) {
-	maps.DeleteFunc(quarantine.suspects, func(_ Fingerprint, known *record) bool { return now.After(known.expires) })
+	maps.DeleteFunc(quarantine.suspects, func(_ lagoonlanding.Fingerprint, known *record) bool { return now.After(known.expires) })
 }
--- a/soak/player/fleet.go
+++ b/soak/player/fleet.go
@@ -161,7 +161,7 @@
 	fleet.publish(nil)
 	fleet.advance(HealTerm)
 	fleet.probe()
-	fleet.advance(probeTerm + callTimeout)
+	fleet.advance(probeTerm + longestWait)
 }
 
 // publish writes a set with the zones that are out at once.
@@ -217,6 +217,10 @@
 	return clock
 }
 
+func (fleet *Fleet) newRandom() *rand.Rand {
+	return rand.New(rand.NewPCG(fleet.random.Uint64(), fleet.random.Uint64()))
+}
+
 // drawDrift prefers the extremes.
 func (fleet *Fleet) drawDrift(number int) int {
 	switch number % 4 {
--- a/quarantiner/suspect.go
+++ b/suspect.go
@@ -1,12 +1,13 @@
-package quarantiner
+package lagoonlanding
 
 import (
-	"cmp"
-	"maps"
-	"slices"
+	"context"
 	"time"
 )
 
+// Fingerprint tells requests with the same contents from others without holding the contents.
+type Fingerprint [16]byte
+
 // Crash names one crash of a backend server in the whole fleet.
 type Crash struct {
 	id    uint64
@@ -68,40 +69,35 @@
 // Cleared returns those of the crashes that the request has not caused.
 func (suspect Suspect) Cleared() []Crash { return suspect.cleared }
 
-// record is a suspect within the aggregate; its sets only grow, so that merging in any order gives the same.
-type record struct {
-	workspace string
-	expires   time.Time
-	crashes   map[Crash]bool
-	cleared   map[Crash]bool
+// SuspectNotice tells another instance of the suspects of a service.
+type SuspectNotice struct {
+	service  string
+	region   string
+	suspects []Suspect
 }
 
-func (record *record) count() int {
-	count := 0
-	for crash := range record.crashes {
-		if !record.cleared[crash] {
-			count++
-		}
-	}
-	return count
+// NewSuspectNotice returns the notice of a service's suspects by an instance in the region.
+func NewSuspectNotice(service, region string, suspects []Suspect) SuspectNotice {
+	return SuspectNotice{service: service, region: region, suspects: suspects}
 }
 
-// clear notes that the request ran alone without a crash; what crashed while it ran alone still counts.
-func (record *record) clear() {
-	for crash := range record.crashes {
-		if !crash.alone {
-			record.cleared[crash] = true
-		}
-	}
-}
+// Service returns the name of the service whose backend servers crashed.
+func (suspectnotice SuspectNotice) Service() string { return suspectnotice.service }
+
+// Region returns the region of the instance that gives the notice, which bounds what it may be told in return.
+func (suspectnotice SuspectNotice) Region() string { return suspectnotice.region }
+
+// Suspects returns the suspects.
+func (suspectnotice SuspectNotice) Suspects() []Suspect { return suspectnotice.suspects }
 
-func (record *record) suspect(fingerprint Fingerprint) Suspect {
-	return NewSuspect(SuspectConfig{
-		Fingerprint: fingerprint, Workspace: record.workspace, Expires: record.expires,
-		Crashes: ordered(record.crashes), Cleared: ordered(record.cleared),
-	})
+// SuspectPeers carries suspects to the daemons of other instances.
+type SuspectPeers interface {
+	// Accuse tells an instance of suspects and returns those that it knows.
+	Accuse(ctx context.Context, to Instance, notice SuspectNotice) (SuspectNotice, error)
 }
 
-func ordered(crashes map[Crash]bool) []Crash {
-	return slices.SortedFunc(maps.Keys(crashes), func(a, b Crash) int { return cmp.Compare(a.id, b.id) })
+// SuspectHandler takes suspects from other daemons.
+type SuspectHandler interface {
+	// OnSuspects takes the suspects and returns those of the same service that this instance knows.
+	OnSuspects(notice SuspectNotice) SuspectNotice
 }
