--- /dev/null
+++ b/demo/caller/client_test.go
@@ -0,0 +1,84 @@
+package caller
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"lagoonlanding.example/demo/deployer"
+)
+
+// place returns the first place of a plan whose callers' address is the server's.
+func place(t *testing.T, plan deployer.Plan, address string) deployer.Place {
+	t.Helper()
+	_, text, err := net.SplitHostPort(address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	port, err := strconv.Atoi(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	const callerPort = 2
+	return plan.Places(port - callerPort)[0]
+}
+
+func TestSendTellsOutcomesApart(t *testing.T) {
+	plan, err := deployer.NewPlan("karotsaki")
+	if err != nil {
+		t.Fatal(err)
+	}
+	operation := Operation{service: plan.Services()[0], tenant: plan.Tenants()[0], key: "k-1"}
+	answer := func(outcome, body string, status int) http.HandlerFunc {
+		return func(writer http.ResponseWriter, _ *http.Request) {
+			writer.Header().Set("Lagoonlanding-Outcome", outcome)
+			writer.WriteHeader(status)
+			_, _ = io.WriteString(writer, body)
+		}
+	}
+	cases := []struct {
+		name    string
+		handler http.HandlerFunc
+		want    Outcome
+	}{
+		{"own answer", answer("answered", `{"key":"mesh/k-1"}`, 200), OutcomeAnswered},
+		{"answer for another key", answer("answered", `{"key":"mesh/k-2"}`, 200), OutcomeMismatched},
+		{"error of the backend server", answer("answered", "", 500), OutcomeUnknown},
+		{"refusal", answer("not-run", "", 503), OutcomeNotRun},
+		{"unknown", answer("unknown", "", 504), OutcomeUnknown},
+		{"no outcome", answer("", "", 502), OutcomeUnknown},
+		{"cut", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, OutcomeUnknown},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			server := httptest.NewServer(test.handler)
+			address := strings.TrimPrefix(server.URL, "http://")
+			got := NewClient().send(t.Context(), place(t, plan, address), operation, time.Minute)
+			server.Close()
+			if got.outcome != test.want {
+				t.Errorf("got %s %s", got.outcome, got.reason)
+			}
+			if got := NewClient().send(t.Context(), place(t, plan, address), operation, time.Minute); got.outcome != OutcomeNotRun {
+				t.Errorf("without a daemon: %s", got.outcome)
+			}
+		})
+	}
+}
+
+func TestRefusalAfterAnUnknownTryStaysUnknown(t *testing.T) {
+	refused := Result{outcome: OutcomeNotRun, reason: "queue-full"}
+	if got := settled(refused, "connection-lost"); got.Outcome() != OutcomeUnknown {
+		t.Errorf("after an unknown try: %s", got.Outcome())
+	}
+	if got := settled(refused, ""); got.Outcome() != OutcomeNotRun {
+		t.Errorf("without an unknown try: %s", got.Outcome())
+	}
+	if got := settled(Result{outcome: OutcomeAnswered}, "connection-lost"); got.Outcome() != OutcomeAnswered {
+		t.Errorf("answered in the end: %s", got.Outcome())
+	}
+}
