--- a/demo/demonstrator/demonstrator.go
+++ b/demo/demonstrator/demonstrator.go
@@ -63,7 +63,7 @@
 		return err
 	}
 	print.Step("publishing the set of %s", demonstrator.config.Plan.Name())
-	if err := demonstrator.config.Operator.Publish(ctx, ""); err != nil {
+	if err := demonstrator.config.Operator.Publish(ctx); err != nil {
 		return err
 	}
 	if err := demonstrator.config.Fleet.AwaitReady(ctx); err != nil {
@@ -153,14 +153,17 @@
 	victim := demonstrator.config.Plan.Services()[0].Name() + "-" + zone
 	before := demonstrator.sample(ctx, victim)
 	demonstrator.config.Printer.Step("taking the zone %s out", zone)
-	var out time.Time
+	var out, inForce time.Time
 	unavailable, err := demonstrator.watch(ctx, victim, before.KeysOf(victim, watchedKeys), zoneOutTime, func() error {
 		out = time.Now()
-		return demonstrator.config.Operator.Publish(ctx, zone)
+		err := demonstrator.config.Operator.TakeZoneOut(ctx, zone)
+		inForce = time.Now()
+		return err
 	})
 	if err != nil {
 		return err
 	}
+	demonstrator.add("zone out, in force everywhere after", "%s", printer.Milliseconds(inForce.Sub(out)))
 	demonstrator.add("unavailable time while the zone leaves", "%s", printer.Milliseconds(unavailable))
 	if err := demonstrator.addLastRun(zone, out); err != nil {
 		return err
@@ -168,7 +171,7 @@
 	demonstrator.config.Printer.Step("returning the zone %s", zone)
 	keys := demonstrator.sample(ctx, victim).KeysOf(before.Busiest(), watchedKeys)
 	unavailable, err = demonstrator.watch(ctx, victim, keys, returnTime, func() error {
-		return demonstrator.config.Operator.Publish(ctx, "")
+		return demonstrator.config.Operator.ReturnZone(ctx, zone)
 	})
 	demonstrator.add("unavailable time while the zone returns", "%s", printer.Milliseconds(unavailable))
 	after := demonstrator.sample(ctx, victim)
--- a/demo/main.go
+++ b/demo/main.go
@@ -93,7 +93,7 @@
 		Plan: plan, Fleet: fleet, Printer: printer,
 		Operator: operator.New(operator.Config{
 			Program: filepath.Join(options.binaries, "lagoonctl"), StoreURL: fleet.StoreURL(),
-			Set: filepath.Join(options.sets, plan.Name()+".toml"), Work: work,
+			AdminURL: "http://" + fleet.Places()[1].AdminAddress(), Set: filepath.Join(options.sets, plan.Name()+".toml"),
 		}),
 	})
 	if err := demonstrator.Prepare(ctx); err != nil {
--- a/demo/operator/operator.go
+++ b/demo/operator/operator.go
@@ -3,72 +3,58 @@
 import (
 	"context"
 	"fmt"
-	"os"
 	"os/exec"
-	"path/filepath"
-	"strconv"
 	"strings"
 	"time"
 )
 
 // callTimeout bounds one command.
-const callTimeout = 20 * time.Second
+const callTimeout = 30 * time.Second
 
 // acceptedDangers are those that taking out a zone of a small deployment brings.
-const acceptedDangers = "low-capacity,no-upstream,zone-returned"
+const acceptedDangers = "low-capacity,no-upstream"
 
 // Config holds the parts of an Operator.
 type Config struct {
 	// Program is the path of lagoonctl.
 	Program string
-	// StoreURL is the address of the store.
+	// StoreURL is the address of the store, for the first set.
 	StoreURL string
+	// AdminURL is the administration address of a daemon.
+	AdminURL string
 	// Set is the path of the deployment's set.
 	Set string
-	// Work is the folder for changed sets.
-	Work string
 }
 
-// Operator publishes the sets of one deployment; each publish takes the version that it got before as its base.
+// Operator publishes the sets of one deployment.
 type Operator struct {
-	config  Config
-	version int
+	config Config
 }
 
-// New returns the operator of a deployment for which nothing is published yet.
+// New returns the operator of a deployment.
 func New(config Config) *Operator { return &Operator{config: config} }
 
-// Publish publishes the deployment's set with the zone taken out, or with all zones in if the name is empty.
-func (operator *Operator) Publish(ctx context.Context, zoneOut string) error {
-	path, err := operator.write(zoneOut)
-	if err != nil {
-		return err
-	}
+// Publish publishes the first set through the store, as no daemon serves before it.
+func (operator *Operator) Publish(ctx context.Context) error {
+	return operator.call(ctx, "publish", "-store-url", operator.config.StoreURL, operator.config.Set)
+}
+
+// TakeZoneOut takes the availability zone out and returns once that is in force everywhere.
+func (operator *Operator) TakeZoneOut(ctx context.Context, zone string) error {
+	return operator.call(ctx, "zone", "out", "-admin-url", operator.config.AdminURL, "-accept", acceptedDangers, zone)
+}
+
+// ReturnZone takes the availability zone back in and returns once that is in force everywhere.
+func (operator *Operator) ReturnZone(ctx context.Context, zone string) error {
+	return operator.call(ctx, "zone", "return", "-admin-url", operator.config.AdminURL, zone)
+}
+
+func (operator *Operator) call(ctx context.Context, arguments ...string) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	command := exec.CommandContext(ctx, operator.config.Program, "publish", "-store-url", operator.config.StoreURL,
-		"-base", strconv.Itoa(operator.version), "-accept", acceptedDangers, path)
-	output, err := command.CombinedOutput()
+	output, err := exec.CommandContext(ctx, operator.config.Program, arguments...).CombinedOutput()
 	if err != nil {
-		return fmt.Errorf("publish %s: %w: %s", path, err, strings.TrimSpace(string(output)))
+		return fmt.Errorf("lagoonctl %s: %w: %s", strings.Join(arguments, " "), err, strings.TrimSpace(string(output)))
 	}
-	operator.version++
 	return nil
 }
-
-func (operator *Operator) write(zoneOut string) (string, error) {
-	if zoneOut == "" {
-		return operator.config.Set, nil
-	}
-	text, err := os.ReadFile(operator.config.Set)
-	if err != nil {
-		return "", fmt.Errorf("read the set: %w", err)
-	}
-	table := "[availability-zone." + zoneOut + "]\n"
-	changed := strings.Replace(string(text), table, table+"out = true\n", 1)
-	path := filepath.Join(operator.config.Work, zoneOut+"-out.toml")
-	if err := os.WriteFile(path, []byte(changed), 0o600); err != nil {
-		return "", fmt.Errorf("write the changed set: %w", err)
-	}
-	return path, nil
-}
