--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SKIP := $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$',)
 RACE ?= -race
 
-.PHONY: build bench demo faults measure test format lint unit known-red soak mutants slopes
+.PHONY: build demo faults test format lint unit known-red soak measure bench mutants slopes
 
 build:
 	@mkdir -p bin
