Look for witnesses among the whole fleet only when one is needed

Change: a layout whose witnesses are fit and in different zones is kept at once; candidates are told apart by a set of addresses.

--- a/Makefile
+++ b/Makefile
@@ -57,3 +57,7 @@
 MUTANT_SEEDS ?= 16
 mutants:
 	@cd soak && go build -o $(CURDIR)/bin/soak . && $(CURDIR)/bin/soak -mutants $(MUTANT_SEEDS) -steps 2000
+
+# slopes measures what the control code costs as members, shards, groups and changes grow.
+slopes:
+	@cd slopes && go build -o $(CURDIR)/bin/slopes . && $(CURDIR)/bin/slopes
--- a/grouper/witness.go
+++ b/grouper/witness.go
@@ -11,6 +11,10 @@
 // At most one witness is replaced by one layout, so that a member's lease keeps its majority across the change.
 func nextWitnesses(config ProposalConfig, members []lagoonlanding.Member) []lagoonlanding.Instance {
 	current := config.Record.Current().Witnesses()
+	if len(current) >= WitnessCount && isSpread(current) && firstUnfit(config, current) < 0 {
+		// The usual case must not look at all instances of the fleet.
+		return current
+	}
 	candidates := candidatesOf(config, members)
 	if unfit := firstUnfit(config, current); unfit >= 0 {
 		if hasOther(current, candidates) {
@@ -33,19 +37,32 @@
 // candidatesOf returns the fit instances, those of the group before others.
 func candidatesOf(config ProposalConfig, members []lagoonlanding.Member) []lagoonlanding.Instance {
 	var candidates []lagoonlanding.Instance
+	known := make(map[string]bool)
 	for _, member := range members {
 		if member.State() == lagoonlanding.MemberActive && !config.Unreachable[member.ID()] {
 			candidates = append(candidates, member.Instance())
+			known[member.Instance().PeerAddress()] = true
 		}
 	}
 	for _, instance := range config.Candidates {
-		if isFit(config, instance) && !slices.ContainsFunc(candidates, sameAddress(instance)) {
+		if isFit(config, instance) && !known[instance.PeerAddress()] {
 			candidates = append(candidates, instance)
+			known[instance.PeerAddress()] = true
 		}
 	}
 	return candidates
 }
 
+// isSpread reports whether no two witnesses share an availability zone.
+func isSpread(witnesses []lagoonlanding.Instance) bool {
+	for _, witness := range witnesses {
+		if zoneCount(witnesses, witness.AvailabilityZone()) > 1 {
+			return false
+		}
+	}
+	return true
+}
+
 func sameAddress(instance lagoonlanding.Instance) func(lagoonlanding.Instance) bool {
 	return func(other lagoonlanding.Instance) bool { return other.PeerAddress() == instance.PeerAddress() }
 }
--- a/slopes/sizer/directory.go
+++ b/slopes/sizer/directory.go
@@ -42,14 +42,14 @@
 		Self: instanceOf(9999, 0), Now: start, Placer: placer.NewRendezvous(), Records: encoder.Records{}, Sets: encoder.Sets{},
 	})
 	daemon.Watched(start, first, nil)
-	began := time.Now()
+	began := processor()
 	for i, entry := range changes {
 		listing := lagoonlanding.NewListing([]lagoonlanding.Entry{entry}, uint64(groups+i+3))
 		daemon.Watched(start.Add(time.Second), listing, nil)
 		_ = daemon.TakeOutbox()
 		_ = daemon.Snapshot()
 	}
-	learn := time.Since(began) / time.Duration(groups)
+	learn := (processor() - began) / time.Duration(groups)
 	result := Directory{
 		Groups: groups, Members: members, Shards: shards, RecordBytes: len(changes[0].Value()), Learn: learn, Heap: heap() - before,
 	}
--- a/slopes/sizer/steady.go
+++ b/slopes/sizer/steady.go
@@ -78,11 +78,11 @@
 
 // run handles one event, publishes the snapshot as the control thread does, and carries the messages.
 func (node *node) run(handle func(), now time.Time, nodes map[lagoonlanding.InstanceID]*node, calls *int) {
-	before := time.Now()
+	before := processor()
 	handle()
 	outbox := node.controller.TakeOutbox()
 	_ = node.controller.Snapshot()
-	node.spent += time.Since(before)
+	node.spent += processor() - before
 	*calls += len(outbox.Swaps()) + len(outbox.Reads())
 	for _, renewal := range outbox.Renewals() {
 		target, ok := nodes[renewal.To().ID()]
