Keep the majority of witnesses beside the store, and watch anew after each own write

Cause: faults between real processes showed keys unserved for a whole cut of regions when the store's region had the minority of a group's witnesses, and losses unhealed for 25 s when a silent store had swallowed a watch. Ruled out: measuring the way to the store; which side reaches it must be known before the cut. Change: home-region.NAME store = true; a group that reaches into such a region keeps two of three witnesses there. After an own write the coordinator watches anew, which is answered at once. Conclusion: a cut costs the keys owned on the far side one lapse and takeover, not the whole cut.

--- a/controller/coordinate.go
+++ b/controller/coordinate.go
@@ -42,7 +42,7 @@
 func (controller *Controller) proposal(now time.Time, group *group, record lagoonlanding.Record) grouper.ProposalConfig {
 	config := grouper.ProposalConfig{
 		Record: record, Lost: group.granter.Lost(now), Released: group.granter.Released(), Leaving: group.leaving,
-		ZonesOut: controller.zonesOut(), Unreachable: make(map[lagoonlanding.InstanceID]bool),
+		ZonesOut: controller.zonesOut(), StoreRegions: controller.storeRegions(), Unreachable: make(map[lagoonlanding.InstanceID]bool),
 		Candidates: controller.directory.instances(),
 	}
 	for _, witness := range record.Current().Witnesses() {
@@ -70,6 +70,19 @@
 	return loads
 }
 
+func (controller *Controller) storeRegions() map[string]bool {
+	regions := make(map[string]bool)
+	if controller.directory.set == nil {
+		return regions
+	}
+	for _, region := range controller.directory.set.HomeRegions() {
+		if region.HasStore() {
+			regions[region.Name()] = true
+		}
+	}
+	return regions
+}
+
 func (controller *Controller) zonesOut() map[string]bool {
 	out := make(map[string]bool)
 	if controller.directory.set == nil {
@@ -107,6 +120,11 @@
 		controller.directory.revision = revision
 	}
 	controller.learn(now, lagoonlanding.NewEntry(swap.Key(), swap.value, revision))
+	if revision > controller.directory.revision {
+		// A waiting watch may be lost in a silent connection; a new one is answered at once, since there is news.
+		controller.watching = true
+		controller.outbox.watch = true
+	}
 	controller.tellRecord(group)
 }
 
--- a/encoder/wireobject.go
+++ b/encoder/wireobject.go
@@ -2,8 +2,12 @@
 
 import "lagoonlanding.example/lagoonlanding/publisher"
 
-func fromWireHomeRegion(name string) publisher.HomeRegion {
-	return publisher.NewHomeRegion(publisher.HomeRegionConfig{Name: name})
+func toWireRegion(region publisher.HomeRegion) wireRegion {
+	return wireRegion{Name: region.Name(), Store: region.HasStore()}
+}
+
+func (wireregion wireRegion) region() publisher.HomeRegion {
+	return publisher.NewHomeRegion(publisher.HomeRegionConfig{Name: wireregion.Name, Store: wireregion.Store})
 }
 
 func toWireZone(zone publisher.AvailabilityZone) wireZone {
--- a/encoder/wireset.go
+++ b/encoder/wireset.go
@@ -9,7 +9,7 @@
 type wireSet struct {
 	Version           uint64             `json:"version"`
 	Publication       wirePublication    `json:"publication"`
-	HomeRegions       []string           `json:"home-regions,omitempty"`
+	HomeRegions       []wireRegion       `json:"home-regions,omitempty"`
 	AvailabilityZones []wireZone         `json:"availability-zones,omitempty"`
 	Services          []wireService      `json:"services,omitempty"`
 	Workspaces        []wireWorkspace    `json:"workspaces,omitempty"`
@@ -25,6 +25,11 @@
 	Issued   time.Time `json:"issued,omitzero"`
 }
 
+type wireRegion struct {
+	Name  string `json:"name"`
+	Store bool   `json:"store,omitempty"`
+}
+
 type wireZone struct {
 	Name   string `json:"name"`
 	Region string `json:"region"`
@@ -81,7 +86,7 @@
 		Publication: wirePublication{
 			ID: publication.ID(), Operator: publication.Operator(), Note: publication.Note(), Issued: publication.Issued(),
 		},
-		HomeRegions:       convert(set.HomeRegions(), publisher.HomeRegion.Name),
+		HomeRegions:       convert(set.HomeRegions(), toWireRegion),
 		AvailabilityZones: convert(set.AvailabilityZones(), toWireZone),
 		Services:          convert(set.Services(), toWireService),
 		Workspaces:        convert(set.Workspaces(), toWireWorkspace),
@@ -98,7 +103,7 @@
 			ID: wireset.Publication.ID, Operator: wireset.Publication.Operator,
 			Note: wireset.Publication.Note, Issued: wireset.Publication.Issued,
 		}),
-		HomeRegions:       convert(wireset.HomeRegions, fromWireHomeRegion),
+		HomeRegions:       convert(wireset.HomeRegions, wireRegion.region),
 		AvailabilityZones: convert(wireset.AvailabilityZones, wireZone.zone),
 		Services:          convert(wireset.Services, wireService.service),
 		Workspaces:        convert(wireset.Workspaces, wireWorkspace.workspace),
--- a/grouper/proposal.go
+++ b/grouper/proposal.go
@@ -30,6 +30,8 @@
 	Released map[lagoonlanding.InstanceID]bool
 	// ZonesOut are the availability zones that operators have taken out.
 	ZonesOut map[string]bool
+	// StoreRegions are the regions in which the platform's store runs.
+	StoreRegions map[string]bool
 	// Unreachable are the witnesses that no longer answer.
 	Unreachable map[lagoonlanding.InstanceID]bool
 	// Candidates are the instances that may become witnesses besides the members.
--- a/grouper/witness.go
+++ b/grouper/witness.go
@@ -27,7 +27,41 @@
 		}
 		return current
 	}
-	return spread(current, candidates)
+	if spread := spread(current, candidates); !slices.Equal(spread, current) {
+		return spread
+	}
+	return besideStore(config, current, candidates)
+}
+
+// besideStore replaces one witness if a group that reaches into a store's region has no majority of its witnesses there.
+//
+// When the regions are cut, the side with the majority keeps the leases, and only the side with the store can heal losses.
+func besideStore(config ProposalConfig, current, candidates []lagoonlanding.Instance) []lagoonlanding.Instance {
+	isBeside := func(instance lagoonlanding.Instance) bool { return config.StoreRegions[instance.Region()] }
+	count := 0
+	for _, witness := range current {
+		if isBeside(witness) {
+			count++
+		}
+	}
+	if count > len(current)/2 || !slices.ContainsFunc(config.Record.Current().Members(), func(member lagoonlanding.Member) bool {
+		return isBeside(member.Instance())
+	}) {
+		return current
+	}
+	for i, witness := range slices.Backward(current) {
+		if isBeside(witness) {
+			continue
+		}
+		for _, candidate := range candidates {
+			if isBeside(candidate) && zoneCount(current, candidate.AvailabilityZone()) == 0 {
+				replaced := slices.Clone(current)
+				replaced[i] = candidate
+				return replaced
+			}
+		}
+	}
+	return current
 }
 
 // candidatesOf returns the fit instances, those of the group before others.
--- a/parser/format.go
+++ b/parser/format.go
@@ -10,7 +10,7 @@
 )
 
 type fileSet struct {
-	HomeRegions       map[string]struct{}      `toml:"home-region"`
+	HomeRegions       map[string]fileRegion    `toml:"home-region"`
 	AvailabilityZones map[string]fileZone      `toml:"availability-zone"`
 	Services          map[string]fileService   `toml:"service"`
 	Workspaces        map[string]fileWorkspace `toml:"workspace"`
@@ -19,6 +19,10 @@
 	Routes            map[string]fileRoute     `toml:"route"`
 }
 
+type fileRegion struct {
+	Store bool `toml:"store,omitempty"`
+}
+
 type fileZone struct {
 	Region string `toml:"region"`
 	Out    bool   `toml:"out,omitempty"`
@@ -74,7 +78,9 @@
 
 func toFile(set *publisher.Set) fileSet {
 	return fileSet{
-		HomeRegions: byName(set.HomeRegions(), func(publisher.HomeRegion) struct{} { return struct{}{} }),
+		HomeRegions: byName(set.HomeRegions(), func(region publisher.HomeRegion) fileRegion {
+			return fileRegion{Store: region.HasStore()}
+		}),
 		AvailabilityZones: byName(set.AvailabilityZones(), func(zone publisher.AvailabilityZone) fileZone {
 			return fileZone{Region: zone.Region(), Out: zone.IsOut()}
 		}),
--- a/parser/object.go
+++ b/parser/object.go
@@ -36,8 +36,8 @@
 	reader.add(source.name, lineOf(err), publisher.NewFault("set", "", "not valid TOML: "+problem))
 }
 
-func (reader *reader) readHomeRegion(name string, _ *table) {
-	region := publisher.NewHomeRegion(publisher.HomeRegionConfig{Name: name})
+func (reader *reader) readHomeRegion(name string, table *table) {
+	region := publisher.NewHomeRegion(publisher.HomeRegionConfig{Name: name, Store: take[bool](table, "store")})
 	reader.config.HomeRegions = append(reader.config.HomeRegions, region)
 }
 
--- a/publisher/object.go
+++ b/publisher/object.go
@@ -6,6 +6,8 @@
 type HomeRegionConfig struct {
 	// Name is the region's name.
 	Name string
+	// Store says that the platform's store runs in the region.
+	Store bool
 }
 
 // HomeRegion is a region that workspaces may be bound to.
@@ -17,6 +19,9 @@
 // Name returns the region's name.
 func (homeregion HomeRegion) Name() string { return homeregion.config.Name }
 
+// HasStore reports whether the platform's store runs in the region.
+func (homeregion HomeRegion) HasStore() bool { return homeregion.config.Store }
+
 // AvailabilityZoneConfig describes an AvailabilityZone.
 type AvailabilityZoneConfig struct {
 	// Name is the zone's name.
