--- a/lagoonctl/printer/printer.go
+++ b/lagoonctl/printer/printer.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"strings"
 	"text/tabwriter"
 
 	"lagoonlanding.example/lagoonlanding/administrator/encoder"
@@ -135,7 +136,7 @@
 	"faulty":      "Refused, nothing was written: the set has faults. Set %d stays in force.",
 	"dangerous":   "Refused, nothing was written: name the dangers with -accept to accept them. Set %d stays in force.",
 	"outrun":      "Refused, nothing was written: another set came first. Set %d is in force; this is the difference to it:",
-	"not-written": "Nothing was written: the store refuses calls. The last set known is %d.",
+	"not-written": "Nothing was written: the store does not answer, or refuses the call.",
 	"uncertain":   "The answers of the store were lost, so the set may have been written over set %d. Look at lagoonctl history.",
 }
 
@@ -144,9 +145,12 @@
 	return printer.print(outcome, func(writer io.Writer) {
 		verdict, ok := verdicts[outcome.Verdict]
 		if !ok {
-			verdict = outcome.Verdict + ", set %d"
+			verdict = outcome.Verdict
 		}
-		line(writer, verdict, outcome.Version)
+		if strings.Contains(verdict, "%d") {
+			verdict = fmt.Sprintf(verdict, outcome.Version)
+		}
+		line(writer, "%s", verdict)
 		if outcome.Problem != "" {
 			line(writer, "Cause: %s.", outcome.Problem)
 		}
