--- a/soak/player/process.go
+++ b/soak/player/process.go
@@ -26,7 +26,6 @@
 	dispatcher *dispatcher.Dispatcher
 	snapshot   *router.Snapshot
 	changed    chan struct{}
-	drains     []*drain
 	jobs       map[*job]bool
 	dead       bool
 	leaving    bool
