--- a/demo/relayer/network.go
+++ b/demo/relayer/network.go
@@ -29,7 +29,7 @@
 
 // New returns a network without cuts; processes gives the process ids by name.
 func New(processes func() map[string]int) *Network {
-	return &Network{processes: processes, changed: make(chan struct{}), cut: func(string, string) bool { return false }}
+	return &Network{processes: processes, changed: make(chan struct{})}
 }
 
 // Cut holds all bytes between the processes for which the function is true, until Heal.
@@ -43,16 +43,18 @@
 
 // Heal ends all cuts and lets the held bytes go on.
 func (network *Network) Heal() {
-	network.Cut(func(string, string) bool { return false })
+	network.Cut(nil)
 }
 
 // pass waits until bytes may go from one process to another; it is false if ctx ends first.
-func (network *Network) pass(ctx context.Context, from, to string) bool {
+//
+// The names are asked for only while there is a cut, since it takes long to find the process of a connection.
+func (network *Network) pass(ctx context.Context, from, to func() string) bool {
 	for {
 		network.mutex.Lock()
-		cut, changed := network.cut(from, to), network.changed
+		cut, changed := network.cut, network.changed
 		network.mutex.Unlock()
-		if !cut {
+		if cut == nil || !cut(from(), to()) {
 			return true
 		}
 		select {
@@ -86,12 +88,10 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer func() { _ = near.Close() }()
-	from := route.From
-	if from == "" {
-		from = owner(near.RemoteAddr(), network.processes())
-	}
+	from := sync.OnceValue(func() string { return network.source(route, near) })
+	to := func() string { return route.To }
 	// The answer to the connection comes back, so a cut of either way keeps it from being made.
-	if !network.pass(ctx, from, route.To) || !network.pass(ctx, route.To, from) {
+	if !network.pass(ctx, from, to) || !network.pass(ctx, to, from) {
 		return
 	}
 	far, err := net.Dial("tcp", route.Target)
@@ -105,15 +105,23 @@
 	})
 	defer stop()
 	var ways sync.WaitGroup
-	ways.Go(func() { network.copy(ctx, cancel, near, far, from, route.To) })
-	ways.Go(func() { network.copy(ctx, cancel, far, near, route.To, from) })
+	ways.Go(func() { network.copy(ctx, cancel, near, far, from, to) })
+	ways.Go(func() { network.copy(ctx, cancel, far, near, to, from) })
 	ways.Wait()
 }
 
+// source returns the name of the process that has made the connection.
+func (network *Network) source(route Route, near net.Conn) string {
+	if route.From != "" {
+		return route.From
+	}
+	return owner(near.RemoteAddr(), network.processes())
+}
+
 const bufferBytes = 64 << 10
 
 // copy ends the whole connection with its source.
-func (network *Network) copy(ctx context.Context, cancel context.CancelFunc, source, target net.Conn, from, to string) {
+func (network *Network) copy(ctx context.Context, cancel context.CancelFunc, source, target net.Conn, from, to func() string) {
 	defer cancel()
 	buffer := make([]byte, bufferBytes)
 	for {
