Answer the requests that arrive while the callers' listener closes

http.Server.Shutdown drops a request that it reads after its start: make unit saw 'request 82: EOF' in TestPlannedStopCutsNoRequest under load (load average 67). The daemon now closes the listener itself, waits until no request is under way and none has come for 250 ms, and closes the rest. Ruled out: the handover (the requests to the other daemons all succeeded).

--- a/lagoond/daemon.go
+++ b/lagoond/daemon.go
@@ -50,7 +50,9 @@
 	drained    chan struct{}
 	drainOnce  sync.Once
 	closing    atomic.Bool
-	running    sync.WaitGroup
+	// connections are those of the callers.
+	connections *connections
+	running     sync.WaitGroup
 }
 
 // peerHandler answers other daemons: the control thread and the traffic path each take their part.
@@ -79,8 +81,8 @@
 	}
 	daemon := &daemon{
 		settings: settings, log: log, clock: timekeeper.Clock{}, listeners: opened, failed: make(chan error, 1),
-		drained: make(chan struct{}),
-		store:   store, upstream: announcer.NewUpstream(), traffic: &messenger.Traffic{},
+		drained: make(chan struct{}), connections: newConnections(),
+		store: store, upstream: announcer.NewUpstream(), traffic: &messenger.Traffic{},
 	}
 	daemon.buildControl(lagoonlanding.NewInstance(lagoonlanding.InstanceConfig{
 		ID:               lagoonlanding.NewInstanceID(settings.Name(), incarnation),
@@ -148,6 +150,7 @@
 		BodyLimit: daemon.settings.BodyLimit(),
 	})
 	daemon.callers = newServer(daemon.closeWhileStopping(callers))
+	daemon.callers.ConnState = daemon.connections.note
 	daemon.beside = &beside{daemon: daemon}
 	daemon.local = newServer(announcer.New(announcer.Config{
 		Upstream: daemon.upstream, Connect: daemon.beside.connect, Announced: daemon.beside.announced,
--- a/lagoond/lifecycle.go
+++ b/lagoond/lifecycle.go
@@ -30,7 +30,8 @@
 
 func (daemon *daemon) serveHTTP(part string, server *http.Server, listener net.Listener) {
 	daemon.running.Go(func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		err := server.Serve(listener)
+		if !errors.Is(err, http.ErrServerClosed) && !daemon.closing.Load() {
 			daemon.fail(oops.In(part).Wrapf(err, "serve at %s", listener.Addr()))
 		}
 	})
@@ -62,9 +63,11 @@
 }
 
 func (daemon *daemon) close(ctx context.Context, log *logrus.Entry) {
-	if err := daemon.callers.Shutdown(ctx); err != nil {
+	_ = daemon.listeners.caller.Close()
+	if err := daemon.connections.awaitQuiet(ctx); err != nil {
 		log.WithError(err).Warn("Callers' requests were cut.")
 	}
+	_ = daemon.callers.Close()
 	if err := daemon.peers.Shutdown(ctx); err != nil {
 		log.WithError(err).Warn("Forwarded requests were cut.")
 	}
