--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SKIP := $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$',)
 RACE ?= -race
 
-.PHONY: build bench demo faults measure test format lint unit known-red soak mutants slopes
+.PHONY: build demo faults test format lint unit known-red soak measure bench mutants slopes
 
 build:
 	@mkdir -p bin
@@ -52,3 +52,8 @@
 measure:
 	@cd measure && go build -o $(CURDIR)/bin/measure .
 	@bin/measure -seed $(SEED) -out out
+
+# mutants builds the soak with one fault each and fails if no seed finds one of them.
+MUTANT_SEEDS ?= 16
+mutants:
+	@cd soak && go build -o $(CURDIR)/bin/soak . && $(CURDIR)/bin/soak -mutants $(MUTANT_SEEDS) -steps 2000
