Tell the backend server when the lease behind a fence lapses

Cause: a daemon frozen between its last look at the lease and the sending would, once thawed, hand a request to its backend server under a lease that lapsed long ago; the backend server saw no newer token, since the shard moved to another one. Ruled out: the request's remaining time alone; it may exceed the lease. Change: the fence carries the lease's deadline by the wall clock that daemon and backend server share on their instance; a backend server that checks fences starts nothing after it. Figures: the new test of the stand-in failed before the check and passes with it. Conclusion: closed for backend servers that check; for others the new owner's wait covers only the longest deadline.

--- a/dispatcher/serve.go
+++ b/dispatcher/serve.go
@@ -24,7 +24,7 @@
 	dispatcher.counter.enter(shard)
 	defer dispatcher.counter.leave(shard)
 	// A drain that began before the request was counted does not wait for it.
-	if !dispatcher.owns(decision.Fence()) {
+	if _, ok := dispatcher.owns(decision.Fence()); !ok {
 		return Step{reply: lagoonlanding.Refuse(request, lagoonlanding.ReasonMoving).By(self), retry: retryAtChange}
 	}
 	dispatcher.loads.add(dispatcher.config.Clock.Now(), shard)
@@ -43,10 +43,13 @@
 	return final(verdict.Reply().By(self))
 }
 
-// owns reports whether the lease over the fence's shard holds now under the fence's token.
-func (dispatcher *Dispatcher) owns(fence lagoonlanding.Fence) bool {
+// owns reports whether the lease over the fence's shard holds now under the fence's token, and returns the fence until it lapses.
+func (dispatcher *Dispatcher) owns(fence lagoonlanding.Fence) (lagoonlanding.Fence, bool) {
 	holding, ok := dispatcher.config.Snapshots.Current().Holding(fence.Group())
-	return ok && holding.Token(fence.Shard()) == fence.Token() && dispatcher.config.Clock.Now().Before(holding.Deadline())
+	if !ok || holding.Token(fence.Shard()) != fence.Token() || !dispatcher.config.Clock.Now().Before(holding.Deadline()) {
+		return fence, false
+	}
+	return fence.Until(holding.Deadline()), true
 }
 
 // run waits for a slot and passes the request to the backend server beside this instance.
@@ -86,8 +89,12 @@
 	if !dispatcher.config.Clock.Now().Before(request.Deadline()) {
 		return lagoonlanding.Refuse(request, lagoonlanding.ReasonDeadline)
 	}
-	if !fence.IsZero() && !dispatcher.owns(fence) {
-		return lagoonlanding.Refuse(request, lagoonlanding.ReasonLeaseLapsed)
+	if !fence.IsZero() {
+		leased, ok := dispatcher.owns(fence)
+		if !ok {
+			return lagoonlanding.Refuse(request, lagoonlanding.ReasonLeaseLapsed)
+		}
+		fence = leased
 	}
 	reply, err := dispatcher.config.Upstream.Serve(ctx, request, fence)
 	if errors.Is(err, lagoonlanding.ErrNotSent) {
--- a/invoker/header.go
+++ b/invoker/header.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"time"
 
 	"lagoonlanding.example/lagoonlanding"
 )
@@ -20,6 +21,8 @@
 	HeaderTenant = "Lagoonlanding-Tenant"
 	// HeaderDeadline is the time that remains to the caller's deadline, in milliseconds.
 	HeaderDeadline = "Lagoonlanding-Deadline-Ms"
+	// HeaderFenceUntil is when the lease behind the fence lapses, in microseconds of the wall clock that daemon and backend server share.
+	HeaderFenceUntil = "Lagoonlanding-Fence-Until"
 	// HeaderFence is the proof of ownership: group, shard and fencing token.
 	HeaderFence = "Lagoonlanding-Fence"
 	// HeaderNotRun is "true" in an answer that says that the request was not run.
@@ -36,6 +39,26 @@
 	return fmt.Sprintf("%s;%d;%d", fence.Group(), fence.Shard(), fence.Token())
 }
 
+// FormatFenceUntil returns the header value of a fence's deadline, empty for none.
+func FormatFenceUntil(fence lagoonlanding.Fence) string {
+	if fence.Deadline().IsZero() {
+		return ""
+	}
+	return strconv.FormatInt(fence.Deadline().UnixMicro(), 10)
+}
+
+// ParseFenceUntil returns the fence with the deadline of a header value.
+func ParseFenceUntil(fence lagoonlanding.Fence, value string) (lagoonlanding.Fence, error) {
+	if value == "" {
+		return fence, nil
+	}
+	micros, err := strconv.ParseInt(value, 10, 64)
+	if err != nil {
+		return fence, fmt.Errorf("deadline of the fence %q: %w", value, err)
+	}
+	return fence.Until(time.UnixMicro(micros)), nil
+}
+
 // ParseFence returns the fence of a header value.
 func ParseFence(value string) (lagoonlanding.Fence, error) {
 	parts := strings.Split(value, fenceSeparator)
--- a/invoker/invoker.go
+++ b/invoker/invoker.go
@@ -110,6 +110,7 @@
 		fenceText = FormatFence(fence)
 	}
 	setHeader(message, HeaderFence, fenceText)
+	setHeader(message, HeaderFenceUntil, FormatFenceUntil(fence))
 	return message, nil
 }
 
--- a/upstream.go
+++ b/upstream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 )
 
 // Errors of those who pass a request on.
@@ -18,6 +19,8 @@
 	group GroupID
 	shard int
 	token uint64
+	// deadline is when the lease under the token lapses.
+	deadline time.Time
 }
 
 // NewFence returns the proof of ownership of a shard under a fencing token.
@@ -34,6 +37,15 @@
 // Token returns the fencing token, which grows with each owner of the shard.
 func (fence Fence) Token() uint64 { return fence.token }
 
+// Until returns the proof with the time at which the lease behind it lapses.
+func (fence Fence) Until(deadline time.Time) Fence {
+	fence.deadline = deadline
+	return fence
+}
+
+// Deadline returns when the lease lapses; a backend server that checks fences starts nothing later, zero for no bound.
+func (fence Fence) Deadline() time.Time { return fence.deadline }
+
 // IsZero reports whether the request is for a service that is not divided by key.
 func (fence Fence) IsZero() bool { return fence.token == 0 }
 
--- a/upstreamstandin/performer/server.go
+++ b/upstreamstandin/performer/server.go
@@ -92,6 +92,10 @@
 	if err := server.check(place.attempt); err != nil {
 		return Run{}, err
 	}
+	// Its daemon may have been frozen between its last look at the lease and the sending.
+	if deadline := place.attempt.fence.Deadline(); server.config.CheckFence && !deadline.IsZero() && !now.Before(deadline) {
+		return Run{}, ErrFenced
+	}
 	factor := server.slow
 	if server.IsCold() {
 		factor *= server.config.ColdFactor
--- a/upstreamstandin/performer/server_test.go
+++ b/upstreamstandin/performer/server_test.go
@@ -102,3 +102,15 @@
 		t.Errorf("%d runs in the log", len(server.Runs()))
 	}
 }
+
+func TestNothingStartsAfterTheLease(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		server := New(Config{Slots: 2, CheckFence: checks})
+		fence := lagoonlanding.NewFence(lagoonlanding.NewGroupID("s", "all"), 1, 4).Until(start)
+		place, _ := server.Enter(NewAttempt(AttemptConfig{Fence: fence}))
+		_, err := server.Start(place, start)
+		if errors.Is(err, ErrFenced) != checks {
+			t.Errorf("checks %v: %v", checks, err)
+		}
+	}
+}
--- a/upstreamstandin/receiver/receiver.go
+++ b/upstreamstandin/receiver/receiver.go
@@ -153,7 +153,9 @@
 		if err != nil {
 			return performer.Attempt{}, err
 		}
-		fence = parsed
+		if fence, err = invoker.ParseFenceUntil(parsed, request.Header.Get(invoker.HeaderFenceUntil)); err != nil {
+			return performer.Attempt{}, err
+		}
 	}
 	return performer.NewAttempt(performer.AttemptConfig{
 		RequestID:      request.Header.Get(invoker.HeaderRequestID),
