Search for leases under an older set after a newer one was accepted

Cause: that an accepted set never reverts was argued for one layout only. Change: a randomised test on the controllers' cluster with pauses, restarts, cuts from all news and zone changes; the test cluster can cut instances from the store and from directories.

--- a/controller/cluster_test.go
+++ b/controller/cluster_test.go
@@ -23,6 +23,8 @@
 	nodes map[string]*Controller
 	order []string
 	dead  map[string]bool
+	// uninformed are the instances that reach neither the store nor the directories of others.
+	uninformed map[string]bool
 	incs  uint64
 	// waiting are the instances with a watch that has not been answered.
 	waiting map[lagoonlanding.InstanceID]bool
@@ -61,7 +63,7 @@
 func newCluster(t *testing.T, count int) *cluster {
 	cluster := &cluster{
 		t: t, now: time.Unix(1000, 0), store: storer.NewMemory(),
-		nodes: make(map[string]*Controller), dead: make(map[string]bool),
+		nodes: make(map[string]*Controller), dead: make(map[string]bool), uninformed: make(map[string]bool),
 		waiting: make(map[lagoonlanding.InstanceID]bool),
 	}
 	if _, err := cluster.store.Swap(t.Context(), lagoonlanding.SetKey, 0, []byte{1, 9}); err != nil {
@@ -157,6 +159,9 @@
 		busy = true
 		var reply lagoonlanding.DirectoryReply
 		peer, err := cluster.peer(fetch.To())
+		if cluster.uninformed[node.id().Name()] {
+			err = errCut
+		}
 		if err == nil {
 			reply = peer.OnDirectory(fetch.Request())
 		}
@@ -193,6 +198,10 @@
 
 func (cluster *cluster) useStore(node *Controller, outbox Outbox) bool {
 	ctx, now := cluster.t.Context(), cluster.now
+	if cluster.uninformed[node.id().Name()] {
+		cluster.failStore(node, outbox)
+		return false
+	}
 	for _, swap := range outbox.Swaps() {
 		revision, err := cluster.store.Swap(ctx, swap.Key(), swap.Expected(), swap.Value())
 		node.Swapped(now, swap, revision, err)
@@ -217,6 +226,20 @@
 	return len(outbox.Swaps()) > 0 || len(outbox.Reads()) > 0
 }
 
+// failStore answers all calls of the store with an error.
+func (cluster *cluster) failStore(node *Controller, outbox Outbox) {
+	for _, swap := range outbox.Swaps() {
+		node.Swapped(cluster.now, swap, 0, errCut)
+	}
+	for _, key := range outbox.Reads() {
+		node.ReadBack(cluster.now, key, lagoonlanding.Entry{}, errCut)
+	}
+	if outbox.WantsWatch() || cluster.waiting[node.id()] {
+		cluster.waiting[node.id()] = false
+		node.Watched(cluster.now, lagoonlanding.Listing{}, errCut)
+	}
+}
+
 // checkOwners fails the test if two instances may serve one shard.
 func (cluster *cluster) checkOwners() {
 	for shard, owners := range cluster.allOwners() {
