Remove only members that cannot hold a lease, by the word of the other witnesses

Cause: the coordinator removed a member that it alone could not hear, though the member held a lease with the two others. Ruled out: asking each witness by a message of its own; the answer to a renewal carries the few lapsed members, none as a rule. Change: RenewReply lists lapsed members for fellow witnesses; a member goes only when fewer than a majority may keep promises. Conclusion: a one-way cut to the coordinator moves no shard.

--- a/controller/accepted_test.go
+++ b/controller/accepted_test.go
@@ -104,7 +104,7 @@
 	}
 	answers := make(map[lagoonlanding.InstanceID]confirmer.Answer)
 	for _, witness := range record.Current().Witnesses() {
-		peer, err := acceptance.peer(witness)
+		peer, err := acceptance.find(witness)
 		if err == nil && peer.id() != witness.ID() {
 			err = errCut
 		}
--- a/controller/answer.go
+++ b/controller/answer.go
@@ -1,9 +1,11 @@
 package controller
 
 import (
+	"slices"
 	"time"
 
 	"lagoonlanding.example/lagoonlanding"
+	"lagoonlanding.example/lagoonlanding/grouper"
 )
 
 // OnRenew answers a member's renewal.
@@ -13,7 +15,25 @@
 	if group, ok := controller.groups[request.Group()]; ok && group.granter != nil {
 		status = controller.grant(now, group, request)
 	}
-	return lagoonlanding.NewRenewReply(status, record.Version(), controller.knownRevision())
+	reply := lagoonlanding.NewRenewReply(status, record.Version(), controller.knownRevision())
+	if record.Current().HasWitness(request.Member()) && controller.isWitness(request.Group()) {
+		reply = reply.WithLost(sortedIDs(controller.groups[request.Group()].granter.Lost(now)))
+	}
+	return reply
+}
+
+func (controller *Controller) isWitness(id lagoonlanding.GroupID) bool {
+	group, ok := controller.groups[id]
+	return ok && group.isWitness()
+}
+
+func sortedIDs(set map[lagoonlanding.InstanceID]bool) []lagoonlanding.InstanceID {
+	var ids []lagoonlanding.InstanceID
+	for id := range set {
+		ids = append(ids, id)
+	}
+	slices.SortFunc(ids, grouper.CompareIDs)
+	return ids
 }
 
 // knownRevision returns the directory's revision, zero if the store cannot be reached from here.
--- a/controller/cluster_test.go
+++ b/controller/cluster_test.go
@@ -23,9 +23,11 @@
 	nodes map[string]*Controller
 	order []string
 	dead  map[string]bool
+	// cut are the pairs of names of which the first cannot reach the second.
+	cut map[[2]string]bool
 	// uninformed are the instances that reach neither the store nor the directories of others.
 	uninformed map[string]bool
-	incs  uint64
+	incs       uint64
 	// waiting are the instances with a watch that has not been answered.
 	waiting map[lagoonlanding.InstanceID]bool
 }
@@ -63,7 +65,7 @@
 func newCluster(t *testing.T, count int) *cluster {
 	cluster := &cluster{
 		t: t, now: time.Unix(1000, 0), store: storer.NewMemory(),
-		nodes: make(map[string]*Controller), dead: make(map[string]bool), uninformed: make(map[string]bool),
+		nodes: make(map[string]*Controller), dead: make(map[string]bool), cut: make(map[[2]string]bool), uninformed: make(map[string]bool),
 		waiting: make(map[lagoonlanding.InstanceID]bool),
 	}
 	if _, err := cluster.store.Swap(t.Context(), lagoonlanding.SetKey, 0, []byte{1, 9}); err != nil {
@@ -119,13 +121,21 @@
 	cluster.t.Fatal("the controllers never come to rest")
 }
 
-func (cluster *cluster) peer(to lagoonlanding.Instance) (*Controller, error) {
+// find returns the controller at an address, whatever is cut.
+func (cluster *cluster) find(to lagoonlanding.Instance) (*Controller, error) {
 	if cluster.dead[to.PeerAddress()] {
 		return nil, errCut
 	}
 	return cluster.nodes[to.PeerAddress()], nil
 }
 
+func (cluster *cluster) peer(from *Controller, to lagoonlanding.Instance) (*Controller, error) {
+	if cluster.cut[[2]string{from.id().Name(), to.PeerAddress()}] {
+		return nil, errCut
+	}
+	return cluster.find(to)
+}
+
 func (cluster *cluster) deliver(node *Controller) bool {
 	for _, err := range node.TakeFailures() {
 		cluster.t.Log(node.id(), err)
@@ -135,7 +145,7 @@
 	for _, renewal := range outbox.Renewals() {
 		busy = true
 		var reply lagoonlanding.RenewReply
-		peer, err := cluster.peer(renewal.To())
+		peer, err := cluster.peer(node, renewal.To())
 		if err == nil {
 			reply = peer.OnRenew(now, renewal.Request())
 		}
@@ -144,21 +154,21 @@
 	for _, clearance := range outbox.Clearances() {
 		busy = true
 		var reply lagoonlanding.ClearanceReply
-		peer, err := cluster.peer(clearance.To())
+		peer, err := cluster.peer(node, clearance.To())
 		if err == nil {
 			reply = peer.OnClear(now, clearance.Request())
 		}
 		node.Cleared(now, clearance, reply, err)
 	}
 	for _, join := range outbox.Joins() {
-		if peer, err := cluster.peer(join.To()); err == nil {
+		if peer, err := cluster.peer(node, join.To()); err == nil {
 			peer.OnJoin(now, join.Request())
 		}
 	}
 	for _, fetch := range outbox.Fetches() {
 		busy = true
 		var reply lagoonlanding.DirectoryReply
-		peer, err := cluster.peer(fetch.To())
+		peer, err := cluster.peer(node, fetch.To())
 		if cluster.uninformed[node.id().Name()] {
 			err = errCut
 		}
@@ -169,7 +179,7 @@
 	}
 	for _, notice := range outbox.Notices() {
 		busy = true
-		if peer, err := cluster.peer(notice.To()); err == nil {
+		if peer, err := cluster.peer(node, notice.To()); err == nil {
 			peer.OnNotice(now, notice.Notice())
 		}
 	}
@@ -181,7 +191,7 @@
 }
 
 func (cluster *cluster) handOver(node *Controller, drain Drain) {
-	peer, err := cluster.peer(drain.To())
+	peer, err := cluster.peer(node, drain.To())
 	if err != nil {
 		return
 	}
--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -131,3 +131,15 @@
 		t.Errorf("%d of %d shards are served after a lost answer", served, testShards)
 	}
 }
+
+func TestMemberThatMissesOnlyTheCoordinatorStays(t *testing.T) {
+	cluster := formed(t)
+	before, _ := cluster.snapshot("daemon-1").Group(testGroup)
+	coordinator := before.Record().Current().Witnesses()[0].ID().Name()
+	cluster.cut[[2]string{"daemon-3", coordinator}] = true
+	cluster.run(10 * time.Second)
+	after, _ := cluster.snapshot("daemon-1").Group(testGroup)
+	if before.Record().Version() != after.Record().Version() || cluster.served() != testShards {
+		t.Errorf("layout %d became %d, %d shards are served", before.Record().Version(), after.Record().Version(), cluster.served())
+	}
+}
--- a/controller/coordinate.go
+++ b/controller/coordinate.go
@@ -41,7 +41,7 @@
 
 func (controller *Controller) proposal(now time.Time, group *group, record lagoonlanding.Record) grouper.ProposalConfig {
 	config := grouper.ProposalConfig{
-		Record: record, Lost: group.granter.Lost(now), Released: group.granter.Released(), Leaving: group.leaving,
+		Record: record, Lost: controller.lost(now, group, record), Released: group.granter.Released(), Leaving: group.leaving,
 		ZonesOut: controller.zonesOut(), StoreRegions: controller.storeRegions(), Unreachable: make(map[lagoonlanding.InstanceID]bool),
 		Candidates: controller.directory.instances(),
 	}
@@ -70,6 +70,37 @@
 	return loads
 }
 
+// lost returns the members that cannot hold a lease: fewer witnesses than a majority may still keep promises to them.
+//
+// One witness that a member cannot reach is not enough, since the member serves on with the others.
+func (controller *Controller) lost(now time.Time, group *group, record lagoonlanding.Record) map[lagoonlanding.InstanceID]bool {
+	lost := group.granter.Lost(now)
+	unsure := false
+	for id := range lost {
+		if controller.keepers(now, group, record, id) >= record.Current().Majority() {
+			delete(lost, id)
+			unsure = true
+		}
+	}
+	if unsure {
+		// Fresh answers tell whether the other witnesses miss the member too.
+		controller.renew(now, group)
+	}
+	return lost
+}
+
+// keepers counts the other witnesses that answer and have not said that their promise to the member has lapsed.
+func (controller *Controller) keepers(now time.Time, group *group, record lagoonlanding.Record, member lagoonlanding.InstanceID) int {
+	keepers := 0
+	for _, witness := range record.Current().Witnesses() {
+		id := witness.ID()
+		if id != controller.id() && id != member && !group.isSilent(now, id) && !slices.Contains(group.lapsed[id], member) {
+			keepers++
+		}
+	}
+	return keepers
+}
+
 func (controller *Controller) storeRegions() map[string]bool {
 	regions := make(map[string]bool)
 	if controller.directory.set == nil {
--- a/controller/group.go
+++ b/controller/group.go
@@ -22,8 +22,10 @@
 	// heard is when each witness last answered.
 	heard map[lagoonlanding.InstanceID]time.Time
 	// blind are the witnesses that said that they cannot reach the store.
-	blind     map[lagoonlanding.InstanceID]bool
-	ended     map[lagoonlanding.InstanceID]bool
+	blind map[lagoonlanding.InstanceID]bool
+	ended map[lagoonlanding.InstanceID]bool
+	// lapsed are the members whose promises each witness last said to have lapsed.
+	lapsed    map[lagoonlanding.InstanceID][]lagoonlanding.InstanceID
 	swapping  bool
 	nextRenew time.Time
 	nextJoin  time.Time
@@ -40,6 +42,7 @@
 		heard:    make(map[lagoonlanding.InstanceID]time.Time),
 		blind:    make(map[lagoonlanding.InstanceID]bool),
 		ended:    make(map[lagoonlanding.InstanceID]bool),
+		lapsed:   make(map[lagoonlanding.InstanceID][]lagoonlanding.InstanceID),
 	}
 }
 
@@ -59,6 +62,7 @@
 func (group *group) noteRecord(now time.Time, record lagoonlanding.Record) {
 	group.tally = grouper.NewTally(record)
 	clear(group.ended)
+	clear(group.lapsed)
 	for _, witness := range record.Current().Witnesses() {
 		if _, ok := group.heard[witness.ID()]; !ok {
 			group.heard[witness.ID()] = now
--- a/controller/lease.go
+++ b/controller/lease.go
@@ -79,6 +79,7 @@
 	}
 	group.heard[witness] = now
 	group.blind[witness] = reply.Directory() == 0
+	group.lapsed[witness] = reply.Lost()
 	if reply.Status() == lagoonlanding.RenewGranted && group.holder != nil {
 		group.holder.Promised(witness, renewal.asked)
 	}
--- a/encoder/lease.go
+++ b/encoder/lease.go
@@ -56,11 +56,16 @@
 	Status    uint8
 	Version   uint64
 	Directory uint64
+	Lost      []InstanceID
 }
 
 // FromRenewReply returns the form of the answer.
 func FromRenewReply(reply lagoonlanding.RenewReply) RenewReply {
-	return RenewReply{Status: uint8(reply.Status()), Version: reply.Version(), Directory: reply.Directory()}
+	form := RenewReply{Status: uint8(reply.Status()), Version: reply.Version(), Directory: reply.Directory()}
+	for _, id := range reply.Lost() {
+		form.Lost = append(form.Lost, FromInstanceID(id))
+	}
+	return form
 }
 
 // Value returns the answer.
@@ -69,7 +74,11 @@
 	if err != nil {
 		return lagoonlanding.RenewReply{}, fmt.Errorf("answer to a renewal: %w", err)
 	}
-	return lagoonlanding.NewRenewReply(status, renewreply.Version, renewreply.Directory), nil
+	var lost []lagoonlanding.InstanceID
+	for _, id := range renewreply.Lost {
+		lost = append(lost, id.Value())
+	}
+	return lagoonlanding.NewRenewReply(status, renewreply.Version, renewreply.Directory).WithLost(lost), nil
 }
 
 // statusOf rejects the numbers that no status of the type has.
--- a/encoder/message_test.go
+++ b/encoder/message_test.go
@@ -90,7 +90,7 @@
 		Loads: []lagoonlanding.ShardLoad{lagoonlanding.NewShardLoad(1, 2.5)},
 	})
 	check(t, carry(t, FromRenewRequest(renew)), renew)
-	granted := lagoonlanding.NewRenewReply(lagoonlanding.RenewGranted, 5, 9)
+	granted := lagoonlanding.NewRenewReply(lagoonlanding.RenewGranted, 5, 9).WithLost([]lagoonlanding.InstanceID{instance("a", 1).ID()})
 	check(t, carry(t, FromRenewReply(granted)), granted)
 	clear := lagoonlanding.NewClearanceRequest(group, 6, a)
 	check(t, carry(t, FromClearanceRequest(clear)), clear)
--- a/lease.go
+++ b/lease.go
@@ -117,6 +117,7 @@
 	status    RenewStatus
 	version   uint64
 	directory uint64
+	lost      []InstanceID
 }
 
 // NewRenewReply returns the answer with the layout version and the directory revision that the witness knows.
@@ -132,3 +133,12 @@
 
 // Directory returns the store revision up to which the witness knows the directory.
 func (renewreply RenewReply) Directory() uint64 { return renewreply.directory }
+
+// WithLost returns the answer with the members whose promises by the witness have lapsed, for a fellow witness.
+func (renewreply RenewReply) WithLost(lost []InstanceID) RenewReply {
+	renewreply.lost = lost
+	return renewreply
+}
+
+// Lost returns the members whose promises by the witness have lapsed.
+func (renewreply RenewReply) Lost() []InstanceID { return renewreply.lost }
