Let no run answer a renewal that was meant for an earlier run at its address

Cause: a member counted the promise of the new run at a lost witness's address as that of the lost witness. Others had taken the lost one for gone, so the member held a lease under layout 10 while layout 12 was written.

Change: a renewal names the witness that it asks, as a clearance does; another run answers that it is no witness.

Conclusion: a promise counts for the run that gave it.

--- a/controller/answer.go
+++ b/controller/answer.go
@@ -6,11 +6,11 @@
 	"lagoonlanding.example/lagoonlanding"
 )
 
-// OnRenew answers a member's renewal.
+// OnRenew answers a member's renewal; one that was meant for an earlier run at this address gets no promise.
 func (controller *Controller) OnRenew(now time.Time, request lagoonlanding.RenewRequest) lagoonlanding.RenewReply {
 	record, _ := controller.directory.record(request.Group())
 	status := lagoonlanding.RenewNotWitness
-	if group, ok := controller.groups[request.Group()]; ok && group.granter != nil {
+	if group, ok := controller.groups[request.Group()]; ok && group.granter != nil && request.Witness() == controller.id() {
 		status = controller.grant(now, group, request)
 	}
 	return lagoonlanding.NewRenewReply(status, record.Version(), controller.knownRevision())
--- a/controller/lease.go
+++ b/controller/lease.go
@@ -18,10 +18,10 @@
 	request := controller.renewRequest(now, group, record)
 	for _, witness := range record.Current().Witnesses() {
 		if witness.ID() == controller.id() {
-			controller.renewOwn(now, group, request)
+			controller.renewOwn(now, group, request.To(witness.ID()))
 			continue
 		}
-		controller.outbox.renewals = append(controller.outbox.renewals, Renewal{to: witness, request: request, asked: now})
+		controller.outbox.renewals = append(controller.outbox.renewals, Renewal{to: witness, request: request.To(witness.ID()), asked: now})
 	}
 }
 
--- a/encoder/lease.go
+++ b/encoder/lease.go
@@ -16,6 +16,7 @@
 // RenewRequest is the form of a renewal.
 type RenewRequest struct {
 	Group    GroupID
+	Witness  InstanceID
 	Member   InstanceID
 	Adopted  uint64
 	Released uint64
@@ -26,7 +27,7 @@
 // FromRenewRequest returns the form of the renewal.
 func FromRenewRequest(request lagoonlanding.RenewRequest) RenewRequest {
 	form := RenewRequest{
-		Group: FromGroupID(request.Group()), Member: FromInstanceID(request.Member()),
+		Group: FromGroupID(request.Group()), Witness: FromInstanceID(request.Witness()), Member: FromInstanceID(request.Member()),
 		Adopted: request.Adopted(), Released: request.Released(), Set: request.Set(),
 	}
 	for _, load := range request.Loads() {
@@ -42,7 +43,7 @@
 		return lagoonlanding.RenewRequest{}, err
 	}
 	config := lagoonlanding.RenewRequestConfig{
-		Group: group, Member: renewrequest.Member.Value(),
+		Group: group, Witness: renewrequest.Witness.Value(), Member: renewrequest.Member.Value(),
 		Adopted: renewrequest.Adopted, Released: renewrequest.Released, Set: renewrequest.Set,
 	}
 	for _, load := range renewrequest.Loads {
--- a/encoder/message_test.go
+++ b/encoder/message_test.go
@@ -86,7 +86,7 @@
 	group := lagoonlanding.NewGroupID("s", "p")
 	a := lagoonlanding.NewInstanceID("a", 1)
 	renew := lagoonlanding.NewRenewRequest(lagoonlanding.RenewRequestConfig{
-		Group: group, Member: a, Adopted: 5, Released: 4, Set: 3,
+		Group: group, Witness: a, Member: a, Adopted: 5, Released: 4, Set: 3,
 		Loads: []lagoonlanding.ShardLoad{lagoonlanding.NewShardLoad(1, 2.5)},
 	})
 	check(t, carry(t, FromRenewRequest(renew)), renew)
--- a/lease.go
+++ b/lease.go
@@ -46,6 +46,7 @@
 // RenewRequest asks a witness to keep a member's lease.
 type RenewRequest struct {
 	group    GroupID
+	witness  InstanceID
 	member   InstanceID
 	adopted  uint64
 	released uint64
@@ -57,6 +58,8 @@
 type RenewRequestConfig struct {
 	// Group is the group of the lease.
 	Group GroupID
+	// Witness is the instance that is asked; another run at its address must not answer for it.
+	Witness InstanceID
 	// Member is the instance that holds the lease.
 	Member InstanceID
 	// Adopted is the newest layout version that the member knows.
@@ -72,7 +75,7 @@
 // NewRenewRequest returns the request that the configuration describes.
 func NewRenewRequest(config RenewRequestConfig) RenewRequest {
 	return RenewRequest{
-		group: config.Group, member: config.Member, adopted: config.Adopted,
+		group: config.Group, witness: config.Witness, member: config.Member, adopted: config.Adopted,
 		released: config.Released, set: config.Set, loads: config.Loads,
 	}
 }
@@ -80,6 +83,15 @@
 // Group returns the group of the lease.
 func (renewrequest RenewRequest) Group() GroupID { return renewrequest.group }
 
+// Witness returns the instance that is asked.
+func (renewrequest RenewRequest) Witness() InstanceID { return renewrequest.witness }
+
+// To returns the same renewal for another witness.
+func (renewrequest RenewRequest) To(witness InstanceID) RenewRequest {
+	renewrequest.witness = witness
+	return renewrequest
+}
+
 // Member returns the instance that holds the lease.
 func (renewrequest RenewRequest) Member() InstanceID { return renewrequest.member }
 
--- a/soak/mutator/mutant.go
+++ b/soak/mutator/mutant.go
@@ -25,6 +25,9 @@
 	{name: "promise-forgotten-at-restart", changes: []change{
 		{file: "controller/answer.go", before: "if now.Before(lagoonlanding.GoneAfter(controller.config.Now)) {", after: "if false {"},
 	}},
+	{name: "earlier-run-answered-for", changes: []change{
+		{file: "controller/answer.go", before: " && request.Witness() == controller.id() {", after: " {"},
+	}},
 	{name: "clearance-not-kept", changes: []change{
 		{file: "granter/granter.go", before: "promise.cleared = version", after: "_ = version"},
 	}},
