--- a/lagoond/daemon.go
+++ b/lagoond/daemon.go
@@ -21,6 +21,7 @@
 	"lagoonlanding.example/lagoonlanding/encoder"
 	"lagoonlanding.example/lagoonlanding/loader"
 	"lagoonlanding.example/lagoonlanding/messenger"
+	"lagoonlanding.example/lagoonlanding/picker"
 	"lagoonlanding.example/lagoonlanding/placer"
 	"lagoonlanding.example/lagoonlanding/receiver"
 	"lagoonlanding.example/lagoonlanding/reporter"
@@ -61,7 +62,10 @@
 	*dispatcher.Dispatcher
 }
 
-var _ lagoonlanding.PeerHandler = peerHandler{}
+var (
+	_ lagoonlanding.PeerHandler    = peerHandler{}
+	_ lagoonlanding.SuspectHandler = peerHandler{}
+)
 
 // snapshots ties the dispatcher to a runner that is made after it.
 type snapshots struct{ runner *controller.Runner }
@@ -118,6 +122,7 @@
 	daemon.dispatcher = dispatcher.New(dispatcher.Config{
 		Snapshots: late, Clock: daemon.clock, Peers: daemon.messenger, Upstream: daemon.upstream,
 		Ledger: deduplicator.NewLedger(deduplicator.Config{}), Retried: daemon.reporter.Retried,
+		Link: daemon.newLink(),
 	})
 	daemon.runner = controller.NewRunner(controller.RunnerConfig{
 		Controller: controller.New(controller.Config{
@@ -134,6 +139,15 @@
 	})
 }
 
+// newLink returns the byte budget between regions, nil for none.
+func (daemon *daemon) newLink() *picker.Link {
+	rate := daemon.settings.RegionLinkBytesPerSecond()
+	if rate == 0 {
+		return nil
+	}
+	return picker.NewLink(picker.LinkConfig{BytesPerSecond: rate, Burst: rate})
+}
+
 const (
 	// headerTimeout bounds the wait for the header of a request.
 	headerTimeout = 5 * time.Second
--- a/loader/checker.go
+++ b/loader/checker.go
@@ -19,6 +19,7 @@
 	maxPeerConnections = 1 << 16
 	minShutdownTimeout = time.Second
 	maxShutdownTimeout = 10 * time.Minute
+	maxRegionLink      = 1 << 32
 	maxPort            = 1<<16 - 1
 )
 
@@ -85,6 +86,7 @@
 		checker.add("log-level", "%q is no level of the log", form.LogLevel)
 	}
 	checker.checkRange("body-limit", form.BodyLimit, 1, maxBodyLimit)
+	checker.checkRange("region-link-bytes-per-second", int64(form.RegionLink), 0, maxRegionLink)
 	checker.checkRange("peer-connections", int64(form.PeerConnections), minPeerConnections, maxPeerConnections)
 	timeout, err := time.ParseDuration(form.ShutdownTimeout)
 	if err != nil {
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -53,6 +53,7 @@
 		{"store", replace("http://10.0.0.5:2400", "10.0.0.5:2400"), "f.toml:8: store-url"},
 		{"range", whole + "body-limit = 0\n", "f.toml:9: body-limit: 0 is outside 1 to"},
 		{"range of connections", whole + "peer-connections = 3\n", "f.toml:9: peer-connections: 3 is outside"},
+		{"range of the link", whole + "region-link-bytes-per-second = -1\n", "f.toml:9: region-link-bytes-per-second: -1 is outside"},
 		{"log format", whole + "log-format = \"xml\"\n", `f.toml:9: log-format: "xml" is neither`},
 		{"log level", whole + "log-level = \"loud\"\n", "f.toml:9: log-level"},
 		{"timeout", whole + "shutdown-timeout = \"0s\"\n", "f.toml:9: shutdown-timeout: 0s is outside"},
--- a/loader/settings.go
+++ b/loader/settings.go
@@ -41,6 +41,7 @@
 	BodyLimit         int64  `toml:"body-limit"`
 	PeerConnections   int    `toml:"peer-connections"`
 	ShutdownTimeout   string `toml:"shutdown-timeout"`
+	RegionLink        int    `toml:"region-link-bytes-per-second"`
 }
 
 // Settings are the checked settings of a daemon.
@@ -95,6 +96,9 @@
 // PeerConnections returns the bound on connections to other daemons.
 func (settings Settings) PeerConnections() int { return settings.form.PeerConnections }
 
+// RegionLinkBytesPerSecond returns the daemon's share of the link between regions, zero for no bound.
+func (settings Settings) RegionLinkBytesPerSecond() int { return settings.form.RegionLink }
+
 // ShutdownTimeout returns how long a shutdown may take at most.
 func (settings Settings) ShutdownTimeout() time.Duration { return settings.shutdownTimeout }
 
