Replace a lost witness and remove it as a member by one layout, and pause between two watches

Cause: a loss took two layouts, one for the witness at 0.8 s and one for the member 0.5 s later, and each record written at a zone's loss woke the watch of each coordinator anew. Ruled out: replacing a silent witness at once; its promise lapses within 0.3 s of its silence. Change: a silent witness that is still a living member waits up to two promise terms; an answered watch is followed by the next one after 200 ms; the test that the store's region gets the majority is part of the usual case again. Conclusion: one layout for a loss.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -15,6 +15,8 @@
 const (
 	// storeRetryInterval is the time between two tries to reach a store that does not answer.
 	storeRetryInterval = 500 * time.Millisecond
+	// watchPause is the time between an answered watch and the next one.
+	watchPause = 200 * time.Millisecond
 	// joinInterval is the time between two requests to join or to leave a group.
 	joinInterval = 500 * time.Millisecond
 	// loadInterval is the time between two reports of the busiest shards.
--- a/controller/coordinate.go
+++ b/controller/coordinate.go
@@ -46,7 +46,7 @@
 		Candidates: controller.directory.instances(),
 	}
 	for _, witness := range record.Current().Witnesses() {
-		if witness.ID() != controller.id() && group.isSilent(now, witness.ID()) {
+		if witness.ID() != controller.id() && controller.isUnreachable(now, group, record, witness.ID(), config.Lost) {
 			config.Unreachable[witness.ID()] = true
 		}
 	}
@@ -89,6 +89,17 @@
 	return lost
 }
 
+// isUnreachable reports whether a witness must be replaced; one that is about to be lost as a member goes with the same layout.
+func (controller *Controller) isUnreachable(
+	now time.Time, group *group, record lagoonlanding.Record, witness lagoonlanding.InstanceID, lost map[lagoonlanding.InstanceID]bool,
+) bool {
+	if !group.isSilent(now, witness) {
+		return false
+	}
+	_, isMember := record.Current().Member(witness)
+	return !isMember || lost[witness] || now.After(group.heard[witness].Add(2*lagoonlanding.PromiseTerm))
+}
+
 // keepers counts the other witnesses that answer and have not said that their promise to the member has lapsed.
 func (controller *Controller) keepers(now time.Time, group *group, record lagoonlanding.Record, member lagoonlanding.InstanceID) int {
 	keepers := 0
--- a/controller/tick.go
+++ b/controller/tick.go
@@ -93,7 +93,8 @@
 	}
 	controller.sawStore()
 	controller.learnListing(now, listing)
-	controller.tendWatch(now)
+	// The layouts that follow the loss of a zone are read together, not one by one.
+	controller.nextWatch = now.Add(watchPause)
 }
 
 // IsBlind reports whether the last read of the store failed.
--- a/grouper/witness.go
+++ b/grouper/witness.go
@@ -11,7 +11,7 @@
 // At most one witness is replaced by one layout, so that a member's lease keeps its majority across the change.
 func nextWitnesses(config ProposalConfig, members []lagoonlanding.Member) []lagoonlanding.Instance {
 	current := config.Record.Current().Witnesses()
-	if len(current) >= WitnessCount && isSpread(current) && firstUnfit(config, current) < 0 {
+	if len(current) >= WitnessCount && isSpread(current) && firstUnfit(config, current) < 0 && !wantsStore(config, current) {
 		// The usual case must not look at all instances of the fleet.
 		return current
 	}
@@ -37,28 +37,33 @@
 	return besideStore(config, current, candidates)
 }
 
-// besideStore replaces one witness if a group that reaches into a store's region has no majority of its witnesses there.
+// wantsStore reports whether a group that reaches into a store's region has no majority of its witnesses there.
 //
 // When the regions are cut, the side with the majority keeps the leases, and only the side with the store can heal losses.
-func besideStore(config ProposalConfig, current, candidates []lagoonlanding.Instance) []lagoonlanding.Instance {
-	isBeside := func(instance lagoonlanding.Instance) bool { return config.StoreRegions[instance.Region()] }
+func wantsStore(config ProposalConfig, current []lagoonlanding.Instance) bool {
 	count := 0
 	for _, witness := range current {
-		if isBeside(witness) {
+		if config.StoreRegions[witness.Region()] {
 			count++
 		}
 	}
-	if count > len(current)/2 || !slices.ContainsFunc(config.Record.Current().Members(), func(member lagoonlanding.Member) bool {
-		return isBeside(member.Instance())
-	}) {
+	reaches := slices.ContainsFunc(config.Record.Current().Members(), func(member lagoonlanding.Member) bool {
+		return config.StoreRegions[member.Instance().Region()]
+	})
+	return reaches && count <= len(current)/2
+}
+
+// besideStore replaces one witness by a candidate beside the store if the group wants one.
+func besideStore(config ProposalConfig, current, candidates []lagoonlanding.Instance) []lagoonlanding.Instance {
+	if !wantsStore(config, current) {
 		return current
 	}
 	for i, witness := range slices.Backward(current) {
-		if isBeside(witness) {
+		if config.StoreRegions[witness.Region()] {
 			continue
 		}
 		for _, candidate := range candidates {
-			if isBeside(candidate) && zoneCount(current, candidate.AvailabilityZone()) == 0 {
+			if config.StoreRegions[candidate.Region()] && zoneCount(current, candidate.AvailabilityZone()) == 0 {
 				replaced := slices.Clone(current)
 				replaced[i] = candidate
 				return replaced
