Pause between two watches of the store, and keep the soak's wall clocks within their bound

Cause: each write wakes the watches of all coordinators; watching again at once asks a store of about 2,000 calls a second for as many calls as writes times groups at a zone's loss (docs/CAPACITY.md).

Change: 200 ms between a watch and the next; skews within half of SkewBound.

--- a/controller/tick.go
+++ b/controller/tick.go
@@ -10,6 +10,9 @@
 // TickInterval is the time between two calls of Tick.
 const TickInterval = 100 * time.Millisecond
 
+// watchPause is the least time between the end of a watch of the store and the next.
+const watchPause = 200 * time.Millisecond
+
 // Tick does what time alone makes due.
 func (controller *Controller) Tick(now time.Time) {
 	for _, id := range controller.groupIDs() {
@@ -93,7 +96,8 @@
 	}
 	controller.sawStore()
 	controller.learnListing(now, listing)
-	controller.tendWatch(now)
+	// Every write wakes all watches, so at a zone's loss the store would get as many calls for each write as there are groups.
+	controller.nextWatch = now.Add(watchPause)
 }
 
 // IsBlind reports whether the last read of the store failed.
--- a/soak/player/caller.go
+++ b/soak/player/caller.go
@@ -110,7 +110,8 @@
 			return
 		}
 		if reply.Outcome() != lagoonlanding.OutcomeAnswered {
-			fleet.checker.Break(checker.RuleServed, "%s of %s %s at %s: %s", request.ID(), operation.key.Service(), operation.key.Workspace(), process.id, outcome)
+			fleet.checker.Break(checker.RuleServed, "%s of %s %s at %s: %s by %s, ticket %d", request.ID(),
+				operation.key.Service(), operation.key.Workspace(), process.id, outcome, reply.Owner().ID(), operation.ticket.Revision())
 		}
 		return
 	}
--- a/soak/player/fleet.go
+++ b/soak/player/fleet.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"lagoonlanding.example/lagoonlanding"
+	"lagoonlanding.example/lagoonlanding/deduplicator"
 	"lagoonlanding.example/soak/checker"
 	"lagoonlanding.example/soak/drawer"
 	"lagoonlanding.example/soak/timer"
@@ -179,6 +180,11 @@
 	}
 	fleet.publish(nil)
 	fleet.advance(HealTerm)
+	for _, process := range fleet.processes {
+		if process != nil {
+			fleet.note("healed: %s knows revision %d, blind %v", process.id, process.snapshot.Revision(), process.controller.IsBlind())
+		}
+	}
 	fleet.probe()
 	fleet.advance(probeTerm + longestWait)
 }
@@ -226,11 +232,12 @@
 const (
 	// largestDrift is half of the bound between two clocks, in millionths.
 	largestDrift = lagoonlanding.DriftPermille * 1000 / 2
-	largestSkew  = 20 * time.Second
+	// largestSkew is half of the bound between two wall clocks, less what a clock drifts before it is set right.
+	largestSkew = deduplicator.SkewBound/2 - time.Second
 )
 
 func (fleet *Fleet) newClock() *timer.Clock {
-	skew := time.Duration(fleet.random.Int64N(int64(largestSkew)))
+	skew := time.Duration(fleet.random.Int64N(int64(2*largestSkew))) - largestSkew
 	clock := timer.NewClock(fleet.timer, epoch.Add(fleet.timer.Now()+skew))
 	clock.SetDrift(fleet.drawDrift(fleet.random.IntN(largestDrift * 2)))
 	return clock
@@ -240,6 +247,17 @@
 	return rand.New(rand.NewPCG(fleet.random.Uint64(), fleet.random.Uint64()))
 }
 
+// holdSkew turns the drift of a clock that has drifted too far, as the setting of wall clocks does in the long run.
+func (fleet *Fleet) holdSkew(clock *timer.Clock) {
+	skew := clock.Now().Sub(epoch.Add(fleet.timer.Now()))
+	switch {
+	case skew > largestSkew:
+		clock.SetDrift(-largestDrift)
+	case skew < -largestSkew:
+		clock.SetDrift(largestDrift)
+	}
+}
+
 // drawDrift prefers the extremes.
 func (fleet *Fleet) drawDrift(number int) int {
 	switch number % 4 {
--- a/soak/player/process.go
+++ b/soak/player/process.go
@@ -104,6 +104,7 @@
 	if process.dead {
 		return
 	}
+	process.fleet.holdSkew(process.clock)
 	if !process.ticking {
 		process.ticking = true
 		process.do(func(now time.Time) {
