--- a/dispatcher/guard.go
+++ b/dispatcher/guard.go
@@ -94,6 +94,18 @@
 // firstServerError is the lowest HTTP status that tells of a fault of the backend server.
 const firstServerError = 500
 
+// UpstreamLoad returns the limit of requests in flight at the backend server, those in flight and those that wait.
+func (dispatcher *Dispatcher) UpstreamLoad() (limit, inFlight, waiting int) {
+	dispatcher.guard.mutex.Lock()
+	server := dispatcher.guard.server
+	dispatcher.guard.mutex.Unlock()
+	if server == nil {
+		return 0, 0, 0
+	}
+	inFlight, waiting = server.Load()
+	return server.Limit(), inFlight, waiting
+}
+
 // RestartUpstream notes that the backend server has started anew and must be taken as cold.
 func (dispatcher *Dispatcher) RestartUpstream() {
 	dispatcher.guard.mutex.Lock()
--- a/lagoond/daemon.go
+++ b/lagoond/daemon.go
@@ -118,7 +118,10 @@
 	})
 	late := &snapshots{}
 	failures := &failureLog{log: daemon.log.WithField(partField, "controller")}
-	daemon.reporter = reporter.New(reporter.Config{Snapshots: late, Failed: failures.note})
+	daemon.reporter = reporter.New(reporter.Config{
+		Snapshots: late, Failed: failures.note,
+		UpstreamLoad: func() (limit, inFlight, waiting int) { return daemon.dispatcher.UpstreamLoad() },
+	})
 	daemon.dispatcher = dispatcher.New(dispatcher.Config{
 		Snapshots: late, Clock: daemon.clock, Peers: daemon.messenger, Upstream: daemon.upstream,
 		Ledger: deduplicator.NewLedger(deduplicator.Config{}), Retried: daemon.reporter.Retried,
--- a/reporter/control.go
+++ b/reporter/control.go
@@ -50,6 +50,7 @@
 		case <-ticker.C:
 			reporter.control.note(reporter.config.Snapshots.Current())
 			reporter.control.noteBytes(traffic)
+			reporter.control.noteUpstream(reporter.config.UpstreamLoad)
 		}
 	}
 }
@@ -91,6 +92,17 @@
 	return held
 }
 
+// noteUpstream tells how far the limit of the backend server has grown and how it is used.
+func (control *control) noteUpstream(load func() (limit, inFlight, waiting int)) {
+	if load == nil {
+		return
+	}
+	limit, inFlight, waiting := load()
+	control.scope.Gauge("upstream_limit").Update(float64(limit))
+	control.scope.Gauge("upstream_in_flight").Update(float64(inFlight))
+	control.scope.Gauge("upstream_waiting").Update(float64(waiting))
+}
+
 func (control *control) noteBytes(traffic *messenger.Traffic) {
 	for lane := messenger.LaneControl; lane <= messenger.LaneBulk; lane++ {
 		now := direction{sent: traffic.Sent(lane), received: traffic.Received(lane)}
--- a/reporter/reporter.go
+++ b/reporter/reporter.go
@@ -37,6 +37,8 @@
 type Config struct {
 	// Snapshots gives the published set and this instance's region.
 	Snapshots lagoonlanding.Source[*router.Snapshot]
+	// UpstreamLoad returns the limit of requests at the backend server, those in flight and those that wait; nil for none.
+	UpstreamLoad func() (limit, inFlight, waiting int)
 	// MaxTenants bounds the tenants with labels of their own; zero for the default.
 	MaxTenants int
 	// Failed is told of a metric that cannot be registered.
--- a/reporter/reporter_test.go
+++ b/reporter/reporter_test.go
@@ -106,8 +106,10 @@
 	reporter.control.note(snapshot(7, 7, 0))
 	reporter.control.note(snapshot(0, 7, 9))
 	reporter.control.noteBytes(&messenger.Traffic{})
+	reporter.control.noteUpstream(func() (int, int, int) { return 6, 5, 2 })
 	got := page(t, reporter)
-	for _, want := range []string{"lagoond_shards_gained 3", "lagoond_shards_lost 1", "lagoond_shards_served 2", "lagoond_set_version 3", "lagoond_store_revision 8"} {
+	for _, want := range []string{"lagoond_shards_gained 3", "lagoond_shards_lost 1", "lagoond_shards_served 2", "lagoond_set_version 3", "lagoond_store_revision 8",
+		"lagoond_upstream_limit 6", "lagoond_upstream_in_flight 5", "lagoond_upstream_waiting 2"} {
 		if !strings.Contains(got, want) {
 			t.Errorf("%s is missing in\n%s", want, got)
 		}
