Let the ramp ignore differences below the noise of the instance

Cause: with backend servers that answer in a fraction of a millisecond the ramp stood at 1 to 4 of 64 slots, since any jitter was more than 1.5 times normal. Ruled out: a higher factor, which would miss a cold server of ordinary speed.

--- a/limiter/ramp.go
+++ b/limiter/ramp.go
@@ -10,6 +10,8 @@
 	steadyScore = 1.5
 	// coldScore is the mean of service times over their class's normal one at which a backend server looks cold.
 	coldScore = 3
+	// timeNoise is how much longer than normal a request takes for reasons of the instance, such as its scheduler.
+	timeNoise = 2 * time.Millisecond
 	// highestScore bounds what one request adds, so that a single slow one does not make a backend server look cold.
 	highestScore = 8
 	// heldWindows is how many windows in a row may be slow before the ramp takes a step back.
@@ -173,7 +175,10 @@
 		return 1
 	}
 	score := 1.0
-	if known.mean > 0 {
+	// Differences below the noise of the instance tell nothing of the backend server.
+	if known.mean > 0 && took < known.mean+timeNoise.Seconds() {
+		score = min(took/known.mean, 1)
+	} else if known.mean > 0 {
 		score = min(took/known.mean, highestScore)
 	}
 	known.count++
