--- a/controller/cluster_test.go
+++ b/controller/cluster_test.go
@@ -23,7 +23,11 @@
 	nodes map[string]*Controller
 	order []string
 	dead  map[string]bool
-	incs  uint64
+	// cut are the pairs of names of which the first cannot reach the second.
+	cut map[[2]string]bool
+	// uninformed are the instances that reach neither the store nor the directories of others.
+	uninformed map[string]bool
+	incs       uint64
 	// waiting are the instances with a watch that has not been answered.
 	waiting map[lagoonlanding.InstanceID]bool
 }
@@ -61,7 +65,7 @@
 func newCluster(t *testing.T, count int) *cluster {
 	cluster := &cluster{
 		t: t, now: time.Unix(1000, 0), store: storer.NewMemory(),
-		nodes: make(map[string]*Controller), dead: make(map[string]bool),
+		nodes: make(map[string]*Controller), dead: make(map[string]bool), cut: make(map[[2]string]bool), uninformed: make(map[string]bool),
 		waiting: make(map[lagoonlanding.InstanceID]bool),
 	}
 	if _, err := cluster.store.Swap(t.Context(), lagoonlanding.SetKey, 0, []byte{1, 9}); err != nil {
@@ -117,13 +121,21 @@
 	cluster.t.Fatal("the controllers never come to rest")
 }
 
-func (cluster *cluster) peer(to lagoonlanding.Instance) (*Controller, error) {
+// find returns the controller at an address, whatever is cut.
+func (cluster *cluster) find(to lagoonlanding.Instance) (*Controller, error) {
 	if cluster.dead[to.PeerAddress()] {
 		return nil, errCut
 	}
 	return cluster.nodes[to.PeerAddress()], nil
 }
 
+func (cluster *cluster) peer(from *Controller, to lagoonlanding.Instance) (*Controller, error) {
+	if cluster.cut[[2]string{from.id().Name(), to.PeerAddress()}] {
+		return nil, errCut
+	}
+	return cluster.find(to)
+}
+
 func (cluster *cluster) deliver(node *Controller) bool {
 	for _, err := range node.TakeFailures() {
 		cluster.t.Log(node.id(), err)
@@ -133,7 +145,7 @@
 	for _, renewal := range outbox.Renewals() {
 		busy = true
 		var reply lagoonlanding.RenewReply
-		peer, err := cluster.peer(renewal.To())
+		peer, err := cluster.peer(node, renewal.To())
 		if err == nil {
 			reply = peer.OnRenew(now, renewal.Request())
 		}
@@ -142,21 +154,24 @@
 	for _, clearance := range outbox.Clearances() {
 		busy = true
 		var reply lagoonlanding.ClearanceReply
-		peer, err := cluster.peer(clearance.To())
+		peer, err := cluster.peer(node, clearance.To())
 		if err == nil {
 			reply = peer.OnClear(now, clearance.Request())
 		}
 		node.Cleared(now, clearance, reply, err)
 	}
 	for _, join := range outbox.Joins() {
-		if peer, err := cluster.peer(join.To()); err == nil {
+		if peer, err := cluster.peer(node, join.To()); err == nil {
 			peer.OnJoin(now, join.Request())
 		}
 	}
 	for _, fetch := range outbox.Fetches() {
 		busy = true
 		var reply lagoonlanding.DirectoryReply
-		peer, err := cluster.peer(fetch.To())
+		peer, err := cluster.peer(node, fetch.To())
+		if cluster.uninformed[node.id().Name()] {
+			err = errCut
+		}
 		if err == nil {
 			reply = peer.OnDirectory(fetch.Request())
 		}
@@ -164,7 +179,7 @@
 	}
 	for _, notice := range outbox.Notices() {
 		busy = true
-		if peer, err := cluster.peer(notice.To()); err == nil {
+		if peer, err := cluster.peer(node, notice.To()); err == nil {
 			peer.OnNotice(now, notice.Notice())
 		}
 	}
@@ -176,7 +191,7 @@
 }
 
 func (cluster *cluster) handOver(node *Controller, drain Drain) {
-	peer, err := cluster.peer(drain.To())
+	peer, err := cluster.peer(node, drain.To())
 	if err != nil {
 		return
 	}
@@ -193,6 +208,10 @@
 
 func (cluster *cluster) useStore(node *Controller, outbox Outbox) bool {
 	ctx, now := cluster.t.Context(), cluster.now
+	if cluster.uninformed[node.id().Name()] {
+		cluster.failStore(node, outbox)
+		return false
+	}
 	for _, swap := range outbox.Swaps() {
 		revision, err := cluster.store.Swap(ctx, swap.Key(), swap.Expected(), swap.Value())
 		node.Swapped(now, swap, revision, err)
@@ -217,6 +236,20 @@
 	return len(outbox.Swaps()) > 0 || len(outbox.Reads()) > 0
 }
 
+// failStore answers all calls of the store with an error.
+func (cluster *cluster) failStore(node *Controller, outbox Outbox) {
+	for _, swap := range outbox.Swaps() {
+		node.Swapped(cluster.now, swap, 0, errCut)
+	}
+	for _, key := range outbox.Reads() {
+		node.ReadBack(cluster.now, key, lagoonlanding.Entry{}, errCut)
+	}
+	if outbox.WantsWatch() || cluster.waiting[node.id()] {
+		cluster.waiting[node.id()] = false
+		node.Watched(cluster.now, lagoonlanding.Listing{}, errCut)
+	}
+}
+
 // checkOwners fails the test if two instances may serve one shard.
 func (cluster *cluster) checkOwners() {
 	for shard, owners := range cluster.allOwners() {
--- a/controller/coordinate.go
+++ b/controller/coordinate.go
@@ -41,12 +41,12 @@
 
 func (controller *Controller) proposal(now time.Time, group *group, record lagoonlanding.Record) grouper.ProposalConfig {
 	config := grouper.ProposalConfig{
-		Record: record, Lost: group.granter.Lost(now), Released: group.granter.Released(), Leaving: group.leaving,
+		Record: record, Lost: controller.lost(now, group, record), Released: group.granter.Released(), Leaving: group.leaving,
 		ZonesOut: controller.zonesOut(), StoreRegions: controller.storeRegions(), Unreachable: make(map[lagoonlanding.InstanceID]bool),
 		Candidates: controller.directory.instances(),
 	}
 	for _, witness := range record.Current().Witnesses() {
-		if witness.ID() != controller.id() && group.isSilent(now, witness.ID()) {
+		if witness.ID() != controller.id() && controller.isUnreachable(now, group, record, witness.ID(), config.Lost) {
 			config.Unreachable[witness.ID()] = true
 		}
 	}
@@ -70,6 +70,48 @@
 	return loads
 }
 
+// lost returns the members that cannot hold a lease: fewer witnesses than a majority may still keep promises to them.
+//
+// One witness that a member cannot reach is not enough, since the member serves on with the others.
+func (controller *Controller) lost(now time.Time, group *group, record lagoonlanding.Record) map[lagoonlanding.InstanceID]bool {
+	lost := group.granter.Lost(now)
+	unsure := false
+	for id := range lost {
+		if controller.keepers(now, group, record, id) >= record.Current().Majority() {
+			delete(lost, id)
+			unsure = true
+		}
+	}
+	if unsure {
+		// Fresh answers tell whether the other witnesses miss the member too.
+		controller.renew(now, group)
+	}
+	return lost
+}
+
+// isUnreachable reports whether a witness must be replaced; one that is about to be lost as a member goes with the same layout.
+func (controller *Controller) isUnreachable(
+	now time.Time, group *group, record lagoonlanding.Record, witness lagoonlanding.InstanceID, lost map[lagoonlanding.InstanceID]bool,
+) bool {
+	if !group.isSilent(now, witness) {
+		return false
+	}
+	_, isMember := record.Current().Member(witness)
+	return !isMember || lost[witness] || now.After(group.heard[witness].Add(2*lagoonlanding.PromiseTerm))
+}
+
+// keepers counts the other witnesses that answer and have not said that their promise to the member has lapsed.
+func (controller *Controller) keepers(now time.Time, group *group, record lagoonlanding.Record, member lagoonlanding.InstanceID) int {
+	keepers := 0
+	for _, witness := range record.Current().Witnesses() {
+		id := witness.ID()
+		if id != controller.id() && id != member && !group.isSilent(now, id) && !slices.Contains(group.lapsed[id], member) {
+			keepers++
+		}
+	}
+	return keepers
+}
+
 func (controller *Controller) storeRegions() map[string]bool {
 	regions := make(map[string]bool)
 	if controller.directory.set == nil {
--- a/controller/lease.go
+++ b/controller/lease.go
@@ -18,10 +18,10 @@
 	request := controller.renewRequest(now, group, record)
 	for _, witness := range record.Current().Witnesses() {
 		if witness.ID() == controller.id() {
-			controller.renewOwn(now, group, request)
+			controller.renewOwn(now, group, request.To(witness.ID()))
 			continue
 		}
-		controller.outbox.renewals = append(controller.outbox.renewals, Renewal{to: witness, request: request, asked: now})
+		controller.outbox.renewals = append(controller.outbox.renewals, Renewal{to: witness, request: request.To(witness.ID()), asked: now})
 	}
 }
 
@@ -79,6 +79,7 @@
 	}
 	group.heard[witness] = now
 	group.blind[witness] = reply.Directory() == 0
+	group.lapsed[witness] = reply.Lost()
 	if reply.Status() == lagoonlanding.RenewGranted && group.holder != nil {
 		group.holder.Promised(witness, renewal.asked)
 	}
--- a/lagoond/daemon.go
+++ b/lagoond/daemon.go
@@ -21,6 +21,7 @@
 	"lagoonlanding.example/lagoonlanding/encoder"
 	"lagoonlanding.example/lagoonlanding/loader"
 	"lagoonlanding.example/lagoonlanding/messenger"
+	"lagoonlanding.example/lagoonlanding/picker"
 	"lagoonlanding.example/lagoonlanding/placer"
 	"lagoonlanding.example/lagoonlanding/receiver"
 	"lagoonlanding.example/lagoonlanding/reporter"
@@ -50,7 +51,9 @@
 	drained    chan struct{}
 	drainOnce  sync.Once
 	closing    atomic.Bool
-	running    sync.WaitGroup
+	// connections are those of the callers.
+	connections *connections
+	running     sync.WaitGroup
 }
 
 // peerHandler answers other daemons: the control thread and the traffic path each take their part.
@@ -59,7 +62,10 @@
 	*dispatcher.Dispatcher
 }
 
-var _ lagoonlanding.PeerHandler = peerHandler{}
+var (
+	_ lagoonlanding.PeerHandler    = peerHandler{}
+	_ lagoonlanding.SuspectHandler = peerHandler{}
+)
 
 // snapshots ties the dispatcher to a runner that is made after it.
 type snapshots struct{ runner *controller.Runner }
@@ -79,8 +85,8 @@
 	}
 	daemon := &daemon{
 		settings: settings, log: log, clock: timekeeper.Clock{}, listeners: opened, failed: make(chan error, 1),
-		drained: make(chan struct{}),
-		store:   store, upstream: announcer.NewUpstream(), traffic: &messenger.Traffic{},
+		drained: make(chan struct{}), connections: newConnections(),
+		store: store, upstream: announcer.NewUpstream(), traffic: &messenger.Traffic{},
 	}
 	daemon.buildControl(lagoonlanding.NewInstance(lagoonlanding.InstanceConfig{
 		ID:               lagoonlanding.NewInstanceID(settings.Name(), incarnation),
@@ -116,6 +122,7 @@
 	daemon.dispatcher = dispatcher.New(dispatcher.Config{
 		Snapshots: late, Clock: daemon.clock, Peers: daemon.messenger, Upstream: daemon.upstream,
 		Ledger: deduplicator.NewLedger(deduplicator.Config{}), Retried: daemon.reporter.Retried,
+		Link: daemon.newLink(),
 	})
 	daemon.runner = controller.NewRunner(controller.RunnerConfig{
 		Controller: controller.New(controller.Config{
@@ -132,6 +139,15 @@
 	})
 }
 
+// newLink returns the byte budget between regions, nil for none.
+func (daemon *daemon) newLink() *picker.Link {
+	rate := daemon.settings.RegionLinkBytesPerSecond()
+	if rate == 0 {
+		return nil
+	}
+	return picker.NewLink(picker.LinkConfig{BytesPerSecond: rate, Burst: rate})
+}
+
 const (
 	// headerTimeout bounds the wait for the header of a request.
 	headerTimeout = 5 * time.Second
@@ -148,6 +164,7 @@
 		BodyLimit: daemon.settings.BodyLimit(),
 	})
 	daemon.callers = newServer(daemon.closeWhileStopping(callers))
+	daemon.callers.ConnState = daemon.connections.note
 	daemon.beside = &beside{daemon: daemon}
 	daemon.local = newServer(announcer.New(announcer.Config{
 		Upstream: daemon.upstream, Connect: daemon.beside.connect, Announced: daemon.beside.announced,
