--- a/controller/witness_test.go
+++ b/controller/witness_test.go
@@ -36,3 +36,18 @@
 		}
 	}
 }
+
+// TestRestartedWitnessWaitsForThePromisesOfTheRunBefore keeps a restart from clearing members that still hold a promise.
+func TestRestartedWitnessWaitsForThePromisesOfTheRunBefore(t *testing.T) {
+	cluster := newCluster(t, 1)
+	node := cluster.nodes[cluster.order[0]]
+	before := lagoonlanding.NewInstanceID(node.id().Name(), node.id().Incarnation()+1)
+	request := lagoonlanding.NewClearanceRequest(testGroup, 1, before)
+	gone := lagoonlanding.GoneAfter(node.config.Now)
+	if got := node.OnClear(gone.Add(-1), request).Status(); got != lagoonlanding.ClearanceWait {
+		t.Errorf("status %d before the promises have lapsed", got)
+	}
+	if got := node.OnClear(gone, request).Status(); got != lagoonlanding.ClearanceGone {
+		t.Errorf("status %d after the promises have lapsed", got)
+	}
+}
--- a/holder/holder.go
+++ b/holder/holder.go
@@ -81,7 +81,8 @@
 	if rules.checksFence {
 		return now
 	}
-	return now.Add(rules.longestRun)
+	// The clock of the backend server that still runs requests may be slower than this one.
+	return now.Add(rules.longestRun + rules.longestRun*lagoonlanding.DriftPermille/1000)
 }
 
 // Cleared counts a prior witness's answer; shards whose prior owner is cleared by a majority may then be served.
