--- a/controller/cluster_test.go
+++ b/controller/cluster_test.go
@@ -25,7 +25,7 @@
 	dead  map[string]bool
 	// uninformed are the instances that reach neither the store nor the directories of others.
 	uninformed map[string]bool
-	incs  uint64
+	incs       uint64
 	// waiting are the instances with a watch that has not been answered.
 	waiting map[lagoonlanding.InstanceID]bool
 }
