--- a/encoder/lease.go
+++ b/encoder/lease.go
@@ -16,6 +16,7 @@
 // RenewRequest is the form of a renewal.
 type RenewRequest struct {
 	Group    GroupID
+	Witness  InstanceID
 	Member   InstanceID
 	Adopted  uint64
 	Released uint64
@@ -26,7 +27,7 @@
 // FromRenewRequest returns the form of the renewal.
 func FromRenewRequest(request lagoonlanding.RenewRequest) RenewRequest {
 	form := RenewRequest{
-		Group: FromGroupID(request.Group()), Member: FromInstanceID(request.Member()),
+		Group: FromGroupID(request.Group()), Witness: FromInstanceID(request.Witness()), Member: FromInstanceID(request.Member()),
 		Adopted: request.Adopted(), Released: request.Released(), Set: request.Set(),
 	}
 	for _, load := range request.Loads() {
@@ -42,7 +43,7 @@
 		return lagoonlanding.RenewRequest{}, err
 	}
 	config := lagoonlanding.RenewRequestConfig{
-		Group: group, Member: renewrequest.Member.Value(),
+		Group: group, Witness: renewrequest.Witness.Value(), Member: renewrequest.Member.Value(),
 		Adopted: renewrequest.Adopted, Released: renewrequest.Released, Set: renewrequest.Set,
 	}
 	for _, load := range renewrequest.Loads {
@@ -56,11 +57,16 @@
 	Status    uint8
 	Version   uint64
 	Directory uint64
+	Lost      []InstanceID
 }
 
 // FromRenewReply returns the form of the answer.
 func FromRenewReply(reply lagoonlanding.RenewReply) RenewReply {
-	return RenewReply{Status: uint8(reply.Status()), Version: reply.Version(), Directory: reply.Directory()}
+	form := RenewReply{Status: uint8(reply.Status()), Version: reply.Version(), Directory: reply.Directory()}
+	for _, id := range reply.Lost() {
+		form.Lost = append(form.Lost, FromInstanceID(id))
+	}
+	return form
 }
 
 // Value returns the answer.
@@ -69,7 +75,11 @@
 	if err != nil {
 		return lagoonlanding.RenewReply{}, fmt.Errorf("answer to a renewal: %w", err)
 	}
-	return lagoonlanding.NewRenewReply(status, renewreply.Version, renewreply.Directory), nil
+	var lost []lagoonlanding.InstanceID
+	for _, id := range renewreply.Lost {
+		lost = append(lost, id.Value())
+	}
+	return lagoonlanding.NewRenewReply(status, renewreply.Version, renewreply.Directory).WithLost(lost), nil
 }
 
 // statusOf rejects the numbers that no status of the type has.
