Collect garbage less often in the daemon

Cause: as many requests as possible through the owner's daemon were 2,563 a second at 442 us of a core each, with a live heap of 4 MB that the default setting collects many times a second. Change: the heap may grow to five times its live size between collections, unless GOGC says otherwise.

--- a/lagoond/main.go
+++ b/lagoond/main.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/sirupsen/logrus"
@@ -21,7 +22,15 @@
 	exitSettings = 2
 )
 
+// collectPercent is how much the heap may grow between two garbage collections, in hundredths of what is in use.
+//
+// A daemon's live heap is a few megabytes, so the usual 100 collects many times a second under load.
+const collectPercent = 400
+
 func main() {
+	if _, ok := os.LookupEnv("GOGC"); !ok {
+		debug.SetGCPercent(collectPercent)
+	}
 	if err := run(os.Args[1:]); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitCode(err))
