--- a/limiter/ramp.go
+++ b/limiter/ramp.go
@@ -10,7 +10,7 @@
 	steadyScore = 1.5
 	// coldScore is the mean of service times over their class's normal one at which a backend server looks cold.
 	coldScore = 3
-	// timeNoise is how much longer than normal a request takes for reasons of the instance, such as its scheduler.
+	// timeNoise is how much longer than normal a quick request may take for reasons of the instance, such as its scheduler.
 	timeNoise = 2 * time.Millisecond
 	// highestScore bounds what one request adds, so that a single slow one does not make a backend server look cold.
 	highestScore = 8
@@ -174,13 +174,7 @@
 		ramp.normal[class] = &normal{mean: took, count: 1}
 		return 1
 	}
-	score := 1.0
-	// Differences below the noise of the instance tell nothing of the backend server.
-	if known.mean > 0 && took < known.mean+timeNoise.Seconds() {
-		score = min(took/known.mean, 1)
-	} else if known.mean > 0 {
-		score = min(took/known.mean, highestScore)
-	}
+	score := scoreOf(took, known.mean)
 	known.count++
 	if weight := ramp.weight(known); weight > 0 {
 		known.mean += (score - 1) * known.mean / weight
@@ -188,6 +182,20 @@
 	return score
 }
 
+// scoreOf returns the service time over the normal one.
+//
+// For quick classes a difference below timeNoise tells nothing, since the jitter of the instance is about as long.
+func scoreOf(took, normal float64) float64 {
+	noise := timeNoise.Seconds()
+	if normal <= 0 {
+		return 1
+	}
+	if normal < noise && took < normal+noise {
+		return min(took/normal, 1)
+	}
+	return min(took/normal, highestScore)
+}
+
 // weight returns how slowly the normal service time follows; it stands still while the ramp grows, since requests that are
 // slow because of too many at once must not pass for normal.
 func (ramp *ramp) weight(known *normal) float64 {
