Give each package its doc.go and name receivers after their types

Ruled out: keeping Message beside the forms; it mentions no encoding, and messenger uses it as a constraint only. Change: receivers renamed, comments moved as they stood, Message moved to the root package. A node of the routes' table has its map of literals from the start, since a method whose receiver is called node cannot name the type within.

--- a/codec.go
+++ b/codec.go
@@ -1,5 +1,7 @@
 package lagoonlanding
 
+import "time"
+
 // Codec turns values of one type into what the store holds, and back.
 type Codec[T any] interface {
 	// Encode returns the bytes that the store holds for the value.
@@ -15,3 +17,9 @@
 	// Apply returns the new value; it fails if the difference is not to the old one.
 	Apply(old T, difference []byte) (T, error)
 }
+
+// Message is the form of a value on the way between daemons; times in it are relative to the moment of sending.
+type Message[T any] interface {
+	// Value returns the value for a receiver whose clock shows now, and an error if no sender of this version forms it.
+	Value(now time.Time) (T, error)
+}
--- a/encoder/layout.go
+++ b/encoder/layout.go
@@ -50,62 +50,62 @@
 	return form, nil
 }
 
-func (form layout) value(instances []Instance) (lagoonlanding.Layout, error) {
-	if form.Version == 0 {
+func (layout layout) value(instances []Instance) (lagoonlanding.Layout, error) {
+	if layout.Version == 0 {
 		return lagoonlanding.Layout{}, errors.New("the version is zero")
 	}
-	if form.Shards < 0 || form.Shards > MaxShards {
-		return lagoonlanding.Layout{}, fmt.Errorf("%d shards are outside 0 to %d", form.Shards, MaxShards)
+	if layout.Shards < 0 || layout.Shards > MaxShards {
+		return lagoonlanding.Layout{}, fmt.Errorf("%d shards are outside 0 to %d", layout.Shards, MaxShards)
 	}
-	config := lagoonlanding.LayoutConfig{Version: form.Version, Shards: form.Shards}
-	for _, one := range form.Members {
-		member, err := one.value(instances)
+	config := lagoonlanding.LayoutConfig{Version: layout.Version, Shards: layout.Shards}
+	for _, one := range layout.Members {
+		value, err := one.value(instances)
 		if err != nil {
 			return lagoonlanding.Layout{}, err
 		}
-		config.Members = append(config.Members, member)
+		config.Members = append(config.Members, value)
 	}
-	for _, index := range form.Witnesses {
+	for _, index := range layout.Witnesses {
 		witness, err := instanceAt(instances, index)
 		if err != nil {
 			return lagoonlanding.Layout{}, err
 		}
 		config.Witnesses = append(config.Witnesses, witness)
 	}
-	for _, one := range form.Pins {
-		pin, err := one.value(instances, form.Shards)
+	for _, one := range layout.Pins {
+		value, err := one.value(instances, layout.Shards)
 		if err != nil {
 			return lagoonlanding.Layout{}, err
 		}
-		config.Pins = append(config.Pins, pin)
+		config.Pins = append(config.Pins, value)
 	}
 	return lagoonlanding.NewLayout(config), nil
 }
 
-func (form member) value(instances []Instance) (lagoonlanding.Member, error) {
-	instance, err := instanceAt(instances, form.Instance)
+func (member member) value(instances []Instance) (lagoonlanding.Member, error) {
+	instance, err := instanceAt(instances, member.Instance)
 	if err != nil {
 		return lagoonlanding.Member{}, err
 	}
-	if form.Weight < 0 {
-		return lagoonlanding.Member{}, fmt.Errorf("weight %d of member %s is negative", form.Weight, instance.ID())
+	if member.Weight < 0 {
+		return lagoonlanding.Member{}, fmt.Errorf("weight %d of member %s is negative", member.Weight, instance.ID())
 	}
-	state, err := parseState(form.State)
+	state, err := parseState(member.State)
 	if err != nil {
 		return lagoonlanding.Member{}, err
 	}
-	return lagoonlanding.NewMember(instance, state, form.Weight), nil
+	return lagoonlanding.NewMember(instance, state, member.Weight), nil
 }
 
-func (form pin) value(instances []Instance, shards int) (lagoonlanding.Pin, error) {
-	if form.Shard < 0 || form.Shard >= shards {
-		return lagoonlanding.Pin{}, fmt.Errorf("pinned shard %d is outside the %d shards", form.Shard, shards)
+func (pin pin) value(instances []Instance, shards int) (lagoonlanding.Pin, error) {
+	if pin.Shard < 0 || pin.Shard >= shards {
+		return lagoonlanding.Pin{}, fmt.Errorf("pinned shard %d is outside the %d shards", pin.Shard, shards)
 	}
-	owner, err := instanceAt(instances, form.Owner)
+	owner, err := instanceAt(instances, pin.Owner)
 	if err != nil {
 		return lagoonlanding.Pin{}, err
 	}
-	return lagoonlanding.NewPin(form.Shard, owner.ID()), nil
+	return lagoonlanding.NewPin(pin.Shard, owner.ID()), nil
 }
 
 func instanceAt(instances []Instance, index int) (lagoonlanding.Instance, error) {
--- a/encoder/message.go
+++ b/encoder/message.go
@@ -6,12 +6,6 @@
 	"lagoonlanding.example/lagoonlanding"
 )
 
-// Message is the form of a value on the way between daemons; times in it are relative to the moment of sending.
-type Message[T any] interface {
-	// Value returns the value for a receiver whose clock shows now, and an error if no sender of this version forms it.
-	Value(now time.Time) (T, error)
-}
-
 // Empty is the form of an answer without content.
 type Empty struct{}
 
--- a/encoder/message_test.go
+++ b/encoder/message_test.go
@@ -45,7 +45,7 @@
 }
 
 // carry sends a form through the encoding of the wire and returns the receiver's value.
-func carry[T any, M Message[T]](t *testing.T, form M) T {
+func carry[T any, M lagoonlanding.Message[T]](t *testing.T, form M) T {
 	t.Helper()
 	var wire bytes.Buffer
 	if err := gob.NewEncoder(&wire).Encode(form); err != nil {
--- /dev/null
+++ b/lagoonctl/doc.go
@@ -0,0 +1,2 @@
+// Command lagoonctl is the operators' command line.
+package main
--- a/lagoonctl/main.go
+++ b/lagoonctl/main.go
@@ -1,4 +1,3 @@
-// Command lagoonctl is the operators' command line.
 package main
 
 import (
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -136,7 +136,7 @@
 }
 
 // ask sends a message whose answer of form M stands for a value of type A.
-func ask[A any, M encoder.Message[A]](
+func ask[A any, M lagoonlanding.Message[A]](
 	ctx context.Context, messenger *Messenger, to lagoonlanding.Instance, lane Lane, method string, form any,
 ) (A, error) {
 	var none A
--- a/messenger/session.go
+++ b/messenger/session.go
@@ -174,7 +174,7 @@
 func (session *session) now() time.Time { return session.server.clock.Now() }
 
 // respond turns the form into a value, lets the handler answer, and turns the answer into its form.
-func respond[Q, A, R any](now time.Time, form encoder.Message[Q], answer *R, handle func(Q) A, encode func(A) R) error {
+func respond[Q, A, R any](now time.Time, form lagoonlanding.Message[Q], answer *R, handle func(Q) A, encode func(A) R) error {
 	value, err := form.Value(now)
 	if err != nil {
 		return err
--- a/router/table.go
+++ b/router/table.go
@@ -30,6 +30,8 @@
 	routes   []publisher.Route
 }
 
+func newNode() *node { return &node{literals: make(map[string]*node)} }
+
 // Match is the route of a request with the key that its path names.
 type Match struct {
 	route publisher.Route
@@ -44,7 +46,7 @@
 
 // NewTable returns the table of the set's routes.
 func NewTable(set *publisher.Set) *Table {
-	table := &Table{root: &node{}}
+	table := &Table{root: newNode()}
 	for _, route := range set.Routes() {
 		table.add(route)
 	}
@@ -59,20 +61,17 @@
 	place.routes = append(place.routes, route)
 }
 
-func (place *node) child(segment string) *node {
+func (node *node) child(segment string) *node {
 	if segment == keySegment {
-		if place.key == nil {
-			place.key = &node{}
+		if node.key == nil {
+			node.key = newNode()
 		}
-		return place.key
-	}
-	if place.literals == nil {
-		place.literals = make(map[string]*node)
+		return node.key
 	}
-	next, ok := place.literals[segment]
+	next, ok := node.literals[segment]
 	if !ok {
-		next = &node{}
-		place.literals[segment] = next
+		next = newNode()
+		node.literals[segment] = next
 	}
 	return next
 }
@@ -123,8 +122,8 @@
 	}
 }
 
-func (place *node) route(method string) (publisher.Route, bool) {
-	for _, route := range place.routes {
+func (node *node) route(method string) (publisher.Route, bool) {
+	for _, route := range node.routes {
 		if len(route.Methods()) == 0 || slices.Contains(route.Methods(), method) {
 			return route, true
 		}
--- a/slopes/main.go
+++ b/slopes/main.go
@@ -1,4 +1,3 @@
-// Command slopes measures what the control code costs as members, shards, groups and changes grow.
 package main
 
 import (
--- a/storestandin/main.go
+++ b/storestandin/main.go
@@ -1,4 +1,3 @@
-// Command storestandin stands in for the platform's key-value store in tests and demonstrations.
 package main
 
 import (
--- /dev/null
+++ b/upstreamstandin/doc.go
@@ -0,0 +1,2 @@
+// Command upstreamstandin stands in for a backend server in tests and demonstrations.
+package main
--- a/upstreamstandin/main.go
+++ b/upstreamstandin/main.go
@@ -1,4 +1,3 @@
-// Command upstreamstandin stands in for a backend server in tests and demonstrations.
 package main
 
 import (
