Build the conductor's orders from configurations

Cause: Order and ZoneOrder were read and changed by anyone through exported fields; relayer.Route and faker.Job were configurations by another name. Change: Order and ZoneOrder keep OrderConfig and ZoneOrderConfig to themselves; RouteConfig and JobConfig are called what they are. Conclusion: no behaviour changes; tests of conductor, administrator, lagoonctl, demo/relayer, measure/faker and experimenter pass.

--- a/administrator/order.go
+++ b/administrator/order.go
@@ -47,10 +47,10 @@
 	if err != nil {
 		return http.StatusBadRequest, encoder.Outcome{}, err
 	}
-	outcome := administrator.conductor.Publish(detach(call.ctx()), conductor.Order{
+	outcome := administrator.conductor.Publish(detach(call.ctx()), conductor.NewOrder(conductor.OrderConfig{
 		Set: set, Base: call.body.BaseVersion, Accepted: call.body.Accept, WaitUntil: until,
 		Publication: administrator.publication(call.operator, call.body.Operator, call.body.Note),
-	})
+	}))
 	administrator.logOutcome("publish", outcome)
 	return statusOf(outcome.Verdict()), encoder.FromOutcome(outcome, sources), nil
 }
@@ -69,10 +69,10 @@
 	if note == "" {
 		note = "zone " + action + " " + zone
 	}
-	outcome := administrator.conductor.SetZone(detach(call.ctx()), conductor.ZoneOrder{
+	outcome := administrator.conductor.SetZone(detach(call.ctx()), conductor.NewZoneOrder(conductor.ZoneOrderConfig{
 		Zone: zone, Out: action == "out", Accepted: call.body.Accept, WaitUntil: until,
 		Publication: administrator.publication(call.operator, call.body.Operator, note),
-	})
+	}))
 	administrator.logOutcome("zone "+action+" "+zone, outcome)
 	return statusOf(outcome.Verdict()), encoder.FromOutcome(outcome, nil), nil
 }
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -44,20 +44,6 @@
 // New returns the conductor that the configuration describes.
 func New(config Config) *Conductor { return &Conductor{config: config} }
 
-// Order is a set to publish.
-type Order struct {
-	// Set has no faults by itself.
-	Set *publisher.Set
-	// Base is the version that the order was made for, zero for none in force.
-	Base uint64
-	// Accepted names the dangers that the operator accepts.
-	Accepted []string
-	// Publication says who publishes and why.
-	Publication publisher.Publication
-	// WaitUntil is when to report without waiting further for the set to be in force everywhere.
-	WaitUntil time.Time
-}
-
 // Propose compares a set that has no faults by itself with the one in force and with the live members.
 func (conductor *Conductor) Propose(ctx context.Context, set *publisher.Set) (Proposal, error) {
 	held, err := conductor.config.Submitter.Read(ctx)
@@ -99,12 +85,12 @@
 
 // Publish writes the ordered set if it has no faults and its dangers are accepted, and waits until it is in force everywhere.
 func (conductor *Conductor) Publish(ctx context.Context, order Order) Outcome {
-	proposal, err := conductor.Propose(ctx, order.Set)
+	proposal, err := conductor.Propose(ctx, order.config.Set)
 	if err != nil {
 		return Outcome{verdict: NotWritten, err: err}
 	}
-	if order.Base != proposal.held.Version() {
-		return Outcome{verdict: Outrun, proposal: proposal, err: fmt.Errorf("set %d is in force, the order was made for set %d", proposal.held.Version(), order.Base)}
+	if order.config.Base != proposal.held.Version() {
+		return Outcome{verdict: Outrun, proposal: proposal, err: fmt.Errorf("set %d is in force, the order was made for set %d", proposal.held.Version(), order.config.Base)}
 	}
 	return conductor.submit(ctx, order, proposal)
 }
@@ -116,12 +102,12 @@
 	if proposal.held.Set() != nil && len(proposal.plan.Changes()) == 0 {
 		return Outcome{verdict: Unchanged, proposal: proposal}
 	}
-	if open := planner.Unaccepted(proposal.plan.Dangers(), order.Accepted); len(open) > 0 && proposal.held.Set() != nil {
+	if open := planner.Unaccepted(proposal.plan.Dangers(), order.config.Accepted); len(open) > 0 && proposal.held.Set() != nil {
 		return Outcome{verdict: Dangerous, proposal: proposal, open: open}
 	}
 	limited, cancel := context.WithTimeout(ctx, submitTimeout)
 	defer cancel()
-	submission := conductor.config.Submitter.Submit(limited, proposal.held, proposal.set.WithPublication(order.Publication))
+	submission := conductor.config.Submitter.Submit(limited, proposal.held, proposal.set.WithPublication(order.config.Publication))
 	switch submission.Result() {
 	case submitter.Written:
 		return conductor.await(ctx, order, proposal)
@@ -135,7 +121,7 @@
 
 // outrun compares the ordered set with the one that was published first.
 func (conductor *Conductor) outrun(ctx context.Context, order Order, submission submitter.Submission) Outcome {
-	proposal, err := conductor.Propose(ctx, order.Set)
+	proposal, err := conductor.Propose(ctx, order.config.Set)
 	if err != nil {
 		return Outcome{verdict: Outrun, err: err}
 	}
@@ -147,7 +133,7 @@
 		return Outcome{verdict: Written, proposal: proposal}
 	}
 	outcome := Outcome{verdict: Pending, proposal: proposal}
-	ctx, cancel := context.WithDeadline(ctx, order.WaitUntil)
+	ctx, cancel := context.WithDeadline(ctx, order.config.WaitUntil)
 	defer cancel()
 	outcome.confirmation = conductor.config.Confirmer.Wait(ctx, proposal.set.Version())
 	if outcome.confirmation.IsInForce() {
@@ -156,20 +142,6 @@
 	return outcome
 }
 
-// ZoneOrder takes a zone out or back.
-type ZoneOrder struct {
-	// Zone is the name of the zone.
-	Zone string
-	// Out says whether the zone goes out.
-	Out bool
-	// Accepted names the dangers that the operator accepts.
-	Accepted []string
-	// Publication says who orders and why.
-	Publication publisher.Publication
-	// WaitUntil is when to report without waiting further for the set to be in force everywhere.
-	WaitUntil time.Time
-}
-
 // SetZone publishes the set in force with one zone out or back; another operator's publish in between is kept.
 func (conductor *Conductor) SetZone(ctx context.Context, order ZoneOrder) Outcome {
 	var outcome Outcome
@@ -190,9 +162,9 @@
 	if held.Set() == nil {
 		return Outcome{verdict: Faulty, proposal: Proposal{faults: []publisher.Fault{publisher.NewFault("set", "", "no set is published yet")}}}
 	}
-	set, ok := held.Set().WithZone(order.Zone, order.Out)
+	set, ok := held.Set().WithZone(order.config.Zone, order.config.Out)
 	if !ok {
-		fault := publisher.NewFault("availability-zone."+order.Zone, "", "there is no such zone")
+		fault := publisher.NewFault("availability-zone."+order.config.Zone, "", "there is no such zone")
 		return Outcome{verdict: Faulty, proposal: Proposal{held: held, faults: []publisher.Fault{fault}}}
 	}
 	proposal, err := conductor.propose(ctx, held, set)
@@ -200,10 +172,12 @@
 		return Outcome{verdict: NotWritten, err: err}
 	}
 	proposal.faults = append(proposal.faults, publisher.Check(set)...)
-	accepted := order.Accepted
-	if !order.Out {
+	accepted := order.config.Accepted
+	if !order.config.Out {
 		// The command says it itself.
 		accepted = append([]string{string(planner.ZoneReturned)}, accepted...)
 	}
-	return conductor.submit(ctx, Order{Set: set, Accepted: accepted, Publication: order.Publication, WaitUntil: order.WaitUntil}, proposal)
+	return conductor.submit(ctx, NewOrder(OrderConfig{
+		Set: set, Accepted: accepted, Publication: order.config.Publication, WaitUntil: order.config.WaitUntil,
+	}), proposal)
 }
--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -111,13 +111,13 @@
 		var outcome Outcome
 		if held.Set() == nil || random.Intn(2) == 0 {
 			set := publisher.NewSet(pairedSet(1 + operator*10 + i))
-			outcome = conductor.Publish(context.Background(), Order{
+			outcome = conductor.Publish(context.Background(), NewOrder(OrderConfig{
 				Set: set, Base: held.Version(), Accepted: []string{string(planner.ZoneReturned)}, Publication: publication,
-			})
+			}))
 		} else {
-			outcome = conductor.SetZone(context.Background(), ZoneOrder{
+			outcome = conductor.SetZone(context.Background(), NewZoneOrder(ZoneOrderConfig{
 				Zone: zoneNames[random.Intn(len(zoneNames))], Out: random.Intn(2) == 0, Publication: publication,
-			})
+			}))
 		}
 		if outcome.Verdict() == Written {
 			written++
@@ -145,14 +145,14 @@
 	conductor := newConductor(storer.NewMemory())
 	publish := func(value int, base uint64) {
 		t.Helper()
-		outcome := conductor.Publish(t.Context(), Order{Set: publisher.NewSet(pairedSet(value)), Base: base, Publication: named(fmt.Sprint(value))})
+		outcome := conductor.Publish(t.Context(), NewOrder(OrderConfig{Set: publisher.NewSet(pairedSet(value)), Base: base, Publication: named(fmt.Sprint(value))}))
 		if outcome.Verdict() != Written {
 			t.Fatal(outcome.Verdict(), outcome.Err())
 		}
 	}
 	publish(1, 0)
 	publish(2, 1)
-	if outcome := conductor.SetZone(t.Context(), ZoneOrder{Zone: "nayoro", Out: true, Publication: named("zone")}); outcome.Verdict() != Written {
+	if outcome := conductor.SetZone(t.Context(), NewZoneOrder(ZoneOrderConfig{Zone: "nayoro", Out: true, Publication: named("zone")})); outcome.Verdict() != Written {
 		t.Fatal(outcome.Verdict())
 	}
 	held, err := conductor.config.Submitter.Read(t.Context())
@@ -170,9 +170,9 @@
 func TestOutrunShowsTheDifference(t *testing.T) {
 	conductor := newConductor(storer.NewMemory())
 	for base := range uint64(2) {
-		conductor.Publish(t.Context(), Order{Set: publisher.NewSet(pairedSet(int(base) + 1)), Base: base, Publication: named(fmt.Sprint(base))})
+		conductor.Publish(t.Context(), NewOrder(OrderConfig{Set: publisher.NewSet(pairedSet(int(base) + 1)), Base: base, Publication: named(fmt.Sprint(base))}))
 	}
-	outcome := conductor.Publish(t.Context(), Order{Set: publisher.NewSet(pairedSet(9)), Base: 1, Publication: named("late")})
+	outcome := conductor.Publish(t.Context(), NewOrder(OrderConfig{Set: publisher.NewSet(pairedSet(9)), Base: 1, Publication: named("late")}))
 	var got []string
 	for _, change := range outcome.Proposal().Plan().Changes() {
 		got = append(got, fmt.Sprintf("%s %s %s", change.Object(), change.Before(), change.After()))
@@ -199,8 +199,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		conductor := newConductor(frozenStore{})
 		for name, outcome := range map[string]Outcome{
-			"publish": conductor.Publish(t.Context(), Order{Set: publisher.NewSet(pairedSet(1))}),
-			"zone":    conductor.SetZone(t.Context(), ZoneOrder{Zone: "nayoro", Out: true}),
+			"publish": conductor.Publish(t.Context(), NewOrder(OrderConfig{Set: publisher.NewSet(pairedSet(1))})),
+			"zone":    conductor.SetZone(t.Context(), NewZoneOrder(ZoneOrderConfig{Zone: "nayoro", Out: true})),
 		} {
 			if outcome.Verdict() != NotWritten || outcome.Err() == nil {
 				t.Errorf("%s: %v, %v", name, outcome.Verdict(), outcome.Err())
--- a/demo/deployer/fleet.go
+++ b/demo/deployer/fleet.go
@@ -125,11 +125,11 @@
 	if !fleet.config.Relayed {
 		return nil
 	}
-	peer := relayer.Route{Listen: place.PeerAddress(), Target: place.PeerListenAddress(), To: place.Name()}
+	peer := relayer.RouteConfig{Listen: place.PeerAddress(), Target: place.PeerListenAddress(), To: place.Name()}
 	if err := fleet.network.Relay(ctx, peer); err != nil {
 		return err
 	}
-	store := relayer.Route{Listen: place.StoreAddress(), Target: address(fleet.config.Port), From: place.Name(), To: storeName}
+	store := relayer.RouteConfig{Listen: place.StoreAddress(), Target: address(fleet.config.Port), From: place.Name(), To: storeName}
 	return fleet.network.Relay(ctx, store)
 }
 
--- a/demo/relayer/network.go
+++ b/demo/relayer/network.go
@@ -7,8 +7,8 @@
 	"sync"
 )
 
-// Route is a listener whose connections are carried to a target.
-type Route struct {
+// RouteConfig describes a listener whose connections are carried to a target.
+type RouteConfig struct {
 	// Listen is the address that the relay listens on.
 	Listen string
 	// Target is the address that connections are carried to.
@@ -66,7 +66,7 @@
 }
 
 // Relay carries the connections of the route until ctx ends.
-func (network *Network) Relay(ctx context.Context, route Route) error {
+func (network *Network) Relay(ctx context.Context, route RouteConfig) error {
 	listener, err := net.Listen("tcp", route.Listen)
 	if err != nil {
 		return fmt.Errorf("listen on %s for the relay to %s: %w", route.Listen, route.To, err)
@@ -84,7 +84,7 @@
 	return nil
 }
 
-func (network *Network) carry(ctx context.Context, route Route, near net.Conn) {
+func (network *Network) carry(ctx context.Context, route RouteConfig, near net.Conn) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer func() { _ = near.Close() }()
@@ -111,7 +111,7 @@
 }
 
 // source returns the name of the process that has made the connection.
-func (network *Network) source(route Route, near net.Conn) string {
+func (network *Network) source(route RouteConfig, near net.Conn) string {
 	if route.From != "" {
 		return route.From
 	}
--- a/demo/relayer/network_test.go
+++ b/demo/relayer/network_test.go
@@ -39,7 +39,7 @@
 func TestCutHoldsBytesUntilItHeals(t *testing.T) {
 	network := New(func() map[string]int { return map[string]int{"a": os.Getpid()} })
 	listen := freeAddress(t)
-	if err := network.Relay(t.Context(), Route{Listen: listen, Target: echo(t), To: "b"}); err != nil {
+	if err := network.Relay(t.Context(), RouteConfig{Listen: listen, Target: echo(t), To: "b"}); err != nil {
 		t.Fatal(err)
 	}
 	connection, err := net.Dial("tcp", listen)
--- a/lagoonctl/commander/direct.go
+++ b/lagoonctl/commander/direct.go
@@ -34,10 +34,10 @@
 }
 
 func directOrder(flags *orderFlags, set *publisher.Set) conductor.Order {
-	return conductor.Order{
+	return conductor.NewOrder(conductor.OrderConfig{
 		Set: set, Base: flags.base, Accepted: flags.accepted(),
 		Publication: publisher.NewPublication(publisher.PublicationConfig{
 			ID: rand.Text(), Operator: flags.operator, Note: flags.note, Issued: time.Now().UTC(),
 		}),
-	}
+	})
 }
--- a/measure/experimenter/order.go
+++ b/measure/experimenter/order.go
@@ -115,7 +115,7 @@
 // submit sends a request to the node and counts its outcome.
 func submit(play *player.Player, node *faker.Node, tally *tally, tenant, class string, took, deadline time.Duration) {
 	started := play.Now()
-	node.Submit(faker.Job{
+	node.Submit(faker.JobConfig{
 		Waiting: lagoonlanding.NewWaiting(lagoonlanding.WaitingConfig{
 			Tenant: tenant, Class: class, Deadline: started.Add(deadline),
 		}),
--- a/measure/experimenter/poison.go
+++ b/measure/experimenter/poison.go
@@ -120,7 +120,7 @@
 		return
 	}
 	isAgain := false
-	instance.node.Submit(faker.Job{
+	instance.node.Submit(faker.JobConfig{
 		Waiting: lagoonlanding.NewWaiting(lagoonlanding.WaitingConfig{
 			Tenant: "tags", Class: "status", Deadline: started.Add(poisonDeadline), Alone: treatment == quarantiner.Alone,
 		}),
--- a/measure/experimenter/storm.go
+++ b/measure/experimenter/storm.go
@@ -132,7 +132,7 @@
 		stormrun.triesAfter++
 	}
 	isAfter := stormrun.play.Elapsed() >= stormBack
-	stormrun.node.Submit(faker.Job{
+	stormrun.node.Submit(faker.JobConfig{
 		Waiting: lagoonlanding.NewWaiting(lagoonlanding.WaitingConfig{Tenant: "tags", Class: "status", Deadline: request.Deadline()}),
 		Took:    draw(stormrun.play.Random(), meanTime),
 		Done: func(reason lagoonlanding.Reason, result limiter.Result) {
--- a/measure/faker/node.go
+++ b/measure/faker/node.go
@@ -25,8 +25,8 @@
 	polling bool
 }
 
-// Job is one request to a Node.
-type Job struct {
+// JobConfig describes one request to a Node.
+type JobConfig struct {
 	// Waiting describes the request to the limiter.
 	Waiting lagoonlanding.Waiting
 	// Took is how long the request takes at a warm backend server.
@@ -38,8 +38,8 @@
 }
 
 type job struct {
-	job   Job
-	place *limiter.Place
+	config JobConfig
+	place  *limiter.Place
 }
 
 // NewNode returns the instance that the configuration describes.
@@ -52,9 +52,9 @@
 func (node *Node) Limiter() *limiter.Server { return node.config.Limiter }
 
 // Submit gives the request to the limiter, which calls Done in the end.
-func (node *Node) Submit(request Job) {
+func (node *Node) Submit(request JobConfig) {
 	now := node.config.Player.Now()
-	added := &job{job: request, place: node.config.Limiter.Arrive(now, request.Waiting)}
+	added := &job{config: request, place: node.config.Limiter.Arrive(now, request.Waiting)}
 	node.pending = append(node.pending, added)
 	if deadline := request.Waiting.Deadline(); !deadline.IsZero() {
 		node.config.Player.After(deadline.Sub(now), func() {
@@ -96,17 +96,17 @@
 
 func (node *Node) decided(one *job) {
 	if reason := one.place.Reason(); reason != lagoonlanding.ReasonNone {
-		one.job.Done(reason, 0)
+		one.config.Done(reason, 0)
 		return
 	}
 	done := func(result limiter.Result) {
 		node.config.Limiter.Leave(node.config.Player.Now(), one.place, result)
-		one.job.Done(lagoonlanding.ReasonNone, result)
+		one.config.Done(lagoonlanding.ReasonNone, result)
 		node.poll()
 	}
-	if one.job.Run != nil {
-		one.job.Run(done)
+	if one.config.Run != nil {
+		one.config.Run(done)
 		return
 	}
-	node.config.Backend.Start(one.job.Took, done)
+	node.config.Backend.Start(one.config.Took, done)
 }
