Store deadlines, counts and configurations instead of durations

Cause: the pool of connections stored its wait, the stand-in's run its length and the store's client its term; the results of slopes had exported fields. Ruled out: the time left in messages (relative by design), service times and gaps (measurements), the service's longest deadline and the settings' timeout (settings), the lease's term in the stand-in of the store (each renewal adds it anew). Change: the pool counts failed dials and derives the wait, the run stores its end, the client its Config, the results get accessors.

--- a/messenger/pool.go
+++ b/messenger/pool.go
@@ -50,9 +50,10 @@
 	turn    chan struct{}
 	evicted bool
 	link    *link
-	backoff time.Duration
-	retryAt time.Time
-	failure error
+	// failures counts the dials that failed in a row.
+	failures int
+	retryAt  time.Time
+	failure  error
 }
 
 func newPool(limit int, traffic *Traffic) *pool {
@@ -142,11 +143,22 @@
 // note keeps the outcome of an attempt to connect.
 func (slot *slot) note(link *link, err error) {
 	if err == nil {
-		slot.link, slot.backoff = link, 0
+		slot.link, slot.failures = link, 0
 		return
 	}
-	slot.backoff = min(max(2*slot.backoff, firstBackoff), lastBackoff)
-	slot.retryAt, slot.failure = time.Now().Add(slot.backoff), err
+	slot.retryAt, slot.failure = time.Now().Add(backoffAfter(slot.failures)), err
+	slot.failures++
+}
+
+// backoffAfter returns the wait after a failed dial with as many failures before it.
+func backoffAfter(failures int) time.Duration {
+	backoff := firstBackoff
+	for range failures {
+		if backoff *= 2; backoff >= lastBackoff {
+			return lastBackoff
+		}
+	}
+	return backoff
 }
 
 func (pool *pool) slot(where place) *slot {
--- a/slopes/main.go
+++ b/slopes/main.go
@@ -34,7 +34,8 @@
 			return err
 		}
 		fmt.Printf("  members %2d shards %3d groups %3d: coordinator %8v witness %8v member %8v, renewals at a witness %4.1f/s, store calls %d\n",
-			result.Members, result.Shards, result.Groups, result.Coordinator, result.Witness, result.Member, result.Renewals, result.StoreCalls)
+			result.Members(), result.Shards(), result.Groups(),
+			result.Coordinator(), result.Witness(), result.Member(), result.Renewals(), result.StoreCalls())
 	}
 	return nil
 }
@@ -47,7 +48,7 @@
 			return err
 		}
 		fmt.Printf("  groups %3d members %2d shards %3d: record %5d B, memory %6.2f MB, learning one change %v\n",
-			result.Groups, result.Members, result.Shards, result.RecordBytes, float64(result.Heap)/1e6, result.Learn)
+			result.Groups(), result.Members(), result.Shards(), result.RecordBytes(), float64(result.Heap())/1e6, result.Learn())
 	}
 	return nil
 }
@@ -60,7 +61,7 @@
 			return err
 		}
 		fmt.Printf("  loads %2d: sent %5.1f B, received %5.1f B, processor time of both sides %v\n",
-			result.Loads, result.Sent, result.Received, result.Processor)
+			result.Loads(), result.Sent(), result.Received(), result.Processor())
 	}
 	return nil
 }
--- a/slopes/sizer/directory.go
+++ b/slopes/sizer/directory.go
@@ -12,17 +12,32 @@
 
 // Directory is what the directory of all groups costs one daemon.
 type Directory struct {
-	Groups  int
-	Members int
-	Shards  int
-	// RecordBytes is the size of one record in the store and in messages.
-	RecordBytes int
-	// Heap is the memory of the whole directory.
-	Heap uint64
-	// Learn is the processor time to learn one changed record.
-	Learn time.Duration
+	groups      int
+	members     int
+	shards      int
+	recordBytes int
+	heap        uint64
+	learn       time.Duration
 }
 
+// Groups returns the number of groups.
+func (directory Directory) Groups() int { return directory.groups }
+
+// Members returns the number of members of each group.
+func (directory Directory) Members() int { return directory.members }
+
+// Shards returns the number of shards of each group.
+func (directory Directory) Shards() int { return directory.shards }
+
+// RecordBytes returns the size of one record in the store and in messages.
+func (directory Directory) RecordBytes() int { return directory.recordBytes }
+
+// Heap returns the memory of the whole directory.
+func (directory Directory) Heap() uint64 { return directory.heap }
+
+// Learn returns the processor time to learn one changed record.
+func (directory Directory) Learn() time.Duration { return directory.learn }
+
 // MeasureDirectory lets one daemon that is in no group learn all records, and then a change of each.
 func MeasureDirectory(groups, members, shards int) (Directory, error) {
 	first, err := listingOf(groups, members, shards, 1)
@@ -51,7 +66,7 @@
 	}
 	learn := (processor() - began) / time.Duration(groups)
 	result := Directory{
-		Groups: groups, Members: members, Shards: shards, RecordBytes: len(changes[0].Value()), Learn: learn, Heap: heap() - before,
+		groups: groups, members: members, shards: shards, recordBytes: len(changes[0].Value()), learn: learn, heap: heap() - before,
 	}
 	runtime.KeepAlive(daemon)
 	runtime.KeepAlive(first)
--- a/slopes/sizer/message.go
+++ b/slopes/sizer/message.go
@@ -18,13 +18,24 @@
 
 // Message is what one renewal with its answer costs on the wire and in both processes together.
 type Message struct {
-	Loads    int
-	Sent     float64
-	Received float64
-	// Processor is the processor time of the asking and the answering side together.
-	Processor time.Duration
+	loads     int
+	sent      float64
+	received  float64
+	processor time.Duration
 }
 
+// Loads returns the number of shard loads in the renewal.
+func (message Message) Loads() int { return message.loads }
+
+// Sent returns the bytes of the renewal.
+func (message Message) Sent() float64 { return message.sent }
+
+// Received returns the bytes of its answer.
+func (message Message) Received() float64 { return message.received }
+
+// Processor returns the processor time of the asking and the answering side together.
+func (message Message) Processor() time.Duration { return message.processor }
+
 const renewals = 2000
 
 // witness answers renewals as a quiet witness does.
@@ -72,9 +83,9 @@
 		return Message{}, err
 	}
 	return Message{
-		Loads: loads, Sent: float64(traffic.Sent(messenger.LaneControl)-sent) / renewals,
-		Received:  float64(traffic.Received(messenger.LaneControl)-received) / renewals,
-		Processor: (processor() - spent) / renewals,
+		loads: loads, sent: float64(traffic.Sent(messenger.LaneControl)-sent) / renewals,
+		received:  float64(traffic.Received(messenger.LaneControl)-received) / renewals,
+		processor: (processor() - spent) / renewals,
 	}, nil
 }
 
--- a/slopes/sizer/steady.go
+++ b/slopes/sizer/steady.go
@@ -13,19 +13,40 @@
 
 // Steady is what a quiet group costs its daemons for each second, without the carriage of messages.
 type Steady struct {
-	Members int
-	Shards  int
-	Groups  int
-	// Coordinator, Witness and Member are processor time for each second.
-	Coordinator time.Duration
-	Witness     time.Duration
-	Member      time.Duration
-	// Renewals are the renewals that a witness answers each second.
-	Renewals float64
-	// StoreCalls are the calls of the whole group to the store after the first second, waiting watches not counted again.
-	StoreCalls int
+	members     int
+	shards      int
+	groups      int
+	coordinator time.Duration
+	witness     time.Duration
+	member      time.Duration
+	renewals    float64
+	storeCalls  int
 }
 
+// Members returns the number of members of the group.
+func (steady Steady) Members() int { return steady.members }
+
+// Shards returns the number of shards of the group.
+func (steady Steady) Shards() int { return steady.shards }
+
+// Groups returns the number of groups that the directory knows.
+func (steady Steady) Groups() int { return steady.groups }
+
+// Coordinator returns the processor time of the coordinator for each second.
+func (steady Steady) Coordinator() time.Duration { return steady.coordinator }
+
+// Witness returns the processor time of another witness for each second.
+func (steady Steady) Witness() time.Duration { return steady.witness }
+
+// Member returns the processor time of a member that witnesses nothing for each second.
+func (steady Steady) Member() time.Duration { return steady.member }
+
+// Renewals returns the renewals that a witness answers each second.
+func (steady Steady) Renewals() float64 { return steady.renewals }
+
+// StoreCalls returns the calls of the whole group to the store after the first second, waiting watches not counted again.
+func (steady Steady) StoreCalls() int { return steady.storeCalls }
+
 const (
 	steadySeconds = 20
 	steadySet     = 1
@@ -71,8 +92,8 @@
 	seconds := float64(steadySeconds - 1)
 	per := func(index int) time.Duration { return time.Duration(float64(order[index].spent) / seconds) }
 	return Steady{
-		Members: members, Shards: shards, Groups: groups, Coordinator: per(0), Witness: per(1), Member: per(members - 1),
-		Renewals: float64(order[1].answered) / seconds, StoreCalls: calls,
+		members: members, shards: shards, groups: groups, coordinator: per(0), witness: per(1), member: per(members - 1),
+		renewals: float64(order[1].answered) / seconds, storeCalls: calls,
 	}, nil
 }
 
--- a/storer/call.go
+++ b/storer/call.go
@@ -30,11 +30,11 @@
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
 	})
-	request, err := http.NewRequestWithContext(ctx, call.method, client.url+call.path+"?"+call.query.Encode(), bytes.NewReader(call.body))
+	request, err := http.NewRequestWithContext(ctx, call.method, client.config.URL+call.path+"?"+call.query.Encode(), bytes.NewReader(call.body))
 	if err != nil {
 		return nil, fmt.Errorf("make the request %s %s: %w", call.method, call.path, err)
 	}
-	response, err := client.client.Do(request)
+	response, err := client.config.Client.Do(request)
 	if err != nil {
 		return nil, failure(call, connected.Load(), err)
 	}
--- a/storer/client.go
+++ b/storer/client.go
@@ -31,23 +31,20 @@
 
 // Client calls the platform's store over HTTP.
 type Client struct {
-	url       string
-	client    *http.Client
-	watchTerm time.Duration
+	config Config
 }
 
 var _ lagoonlanding.Store = (*Client)(nil)
 
 // New returns the client that the configuration describes.
 func New(config Config) *Client {
-	client := config.Client
-	if client == nil {
-		client = http.DefaultClient
+	if config.Client == nil {
+		config.Client = http.DefaultClient
 	}
 	if config.WatchTerm == 0 {
 		config.WatchTerm = defaultWatchTerm
 	}
-	return &Client{url: config.URL, client: client, watchTerm: config.WatchTerm}
+	return &Client{config: config}
 }
 
 // Get reads one entry and fails with ErrNotFound if there is none.
@@ -86,7 +83,7 @@
 //
 // It asks again and again, because a store that has lost a call would otherwise be waited for without end.
 func (client *Client) Watch(ctx context.Context, prefix string, after uint64) (lagoonlanding.Listing, error) {
-	query := url.Values{"prefix": {prefix}, "after": {strconv.FormatUint(after, 10)}, "wait": {client.watchTerm.String()}}
+	query := url.Values{"prefix": {prefix}, "after": {strconv.FormatUint(after, 10)}, "wait": {client.config.WatchTerm.String()}}
 	for {
 		listing, err := client.poll(ctx, query)
 		if err != nil || len(listing.Entries()) > 0 {
@@ -96,7 +93,7 @@
 }
 
 func (client *Client) poll(ctx context.Context, query url.Values) (lagoonlanding.Listing, error) {
-	ctx, cancel := context.WithTimeout(ctx, client.watchTerm+watchGrace)
+	ctx, cancel := context.WithTimeout(ctx, client.config.WatchTerm+watchGrace)
 	defer cancel()
 	body, err := client.call(ctx, call{method: http.MethodGet, path: "/watch", query: query})
 	if err != nil {
--- a/upstreamstandin/performer/run.go
+++ b/upstreamstandin/performer/run.go
@@ -47,7 +47,7 @@
 type Run struct {
 	attempt AttemptConfig
 	started time.Time
-	length  time.Duration
+	ends    time.Time
 	count   int
 }
 
@@ -58,7 +58,7 @@
 func (run Run) Started() time.Time { return run.started }
 
 // Length returns how long the run takes.
-func (run Run) Length() time.Duration { return run.length }
+func (run Run) Length() time.Duration { return run.ends.Sub(run.started) }
 
 // Count returns the number of runs of the idempotency key on this server, this one included.
 func (run Run) Count() int { return run.count }
@@ -67,7 +67,7 @@
 func (server *Server) Runs() []Run { return append([]Run{}, server.log...) }
 
 func (server *Server) record(attempt Attempt, now time.Time, length time.Duration) Run {
-	run := Run{attempt: attempt.config, started: now, length: length}
+	run := Run{attempt: attempt.config, started: now, ends: now.Add(length)}
 	if attempt.config.IdempotencyKey != "" {
 		server.runs[attempt.config.IdempotencyKey]++
 		run.count = server.runs[attempt.config.IdempotencyKey]
