Say plainly what comments, logs and pages say

Conclusion: no behaviour changes but the case of three log lines; tests of the touched packages pass.

--- a/confirmer/judge.go
+++ b/confirmer/judge.go
@@ -12,7 +12,7 @@
 
 // The kinds of lags.
 const (
-	// MemberBehind says that a member with a living lease applies an older set.
+	// MemberBehind says that a member with an unexpired lease applies an older set.
 	MemberBehind LagKind = "member-behind"
 	// WitnessBehind says that a witness applies an older set, so that it could still grant a lease to a member that does.
 	WitnessBehind LagKind = "witness-behind"
@@ -79,7 +79,7 @@
 	// proofs counts the witnesses that can give no lease to a member that is behind.
 	proofs  int
 	settled bool
-	// behind are members with a living lease and the set that they apply.
+	// behind are members with an unexpired lease and the set that they apply.
 	behind map[lagoonlanding.InstanceID]uint64
 	lags   []Lag
 }
--- a/confirmer/judge_test.go
+++ b/confirmer/judge_test.go
@@ -31,7 +31,7 @@
 	return lagoonlanding.NewRecord(group, lagoonlanding.NewLayout(config), prior, 9)
 }
 
-// member is a member's promise: its name, the set that it applies and whether the promise lives.
+// member is a member's promise: its name, the set that it applies and whether the promise has not lapsed.
 type member struct {
 	name   string
 	set    uint64
--- a/controller/accepted_test.go
+++ b/controller/accepted_test.go
@@ -21,7 +21,7 @@
 	accepts, overtaken int
 }
 
-// TestAcceptedSetsNeverRevert checks that once a set was judged to be in force, no lease lives under an older one.
+// TestAcceptedSetsNeverRevert checks that once a set was judged to be in force, no unexpired lease is under an older one.
 func TestAcceptedSetsNeverRevert(t *testing.T) {
 	accepts, overtaken := 0, 0
 	for seed := range int64(5) {
@@ -128,7 +128,7 @@
 	}
 }
 
-// check fails the test if an instance, paused or not, holds a living lease under a set older than the accepted one.
+// check fails the test if an instance, paused or not, holds an unexpired lease under a set older than the accepted one.
 func (acceptance *acceptance) check(seed int64) {
 	for name, node := range acceptance.nodes {
 		group := node.groups[testGroup]
--- a/controller/coordinate.go
+++ b/controller/coordinate.go
@@ -10,7 +10,7 @@
 	"lagoonlanding.example/lagoonlanding/grouper"
 )
 
-// isActing reports whether this instance coordinates the group: no witness before it is alive.
+// isActing reports whether this instance coordinates the group: no witness before it answers.
 func (controller *Controller) isActing(now time.Time, group *group) bool {
 	record, ok := controller.directory.record(group.id)
 	if !ok || !group.isWitness() {
--- a/dispatcher/member.go
+++ b/dispatcher/member.go
@@ -10,13 +10,13 @@
 
 // members ends what waits for instances that no group names any more.
 type members struct {
-	mutex   sync.Mutex
-	changes uint64
-	lives   map[lagoonlanding.InstanceID]life
+	mutex       sync.Mutex
+	changes     uint64
+	memberships map[lagoonlanding.InstanceID]membership
 }
 
-// life ends when no group names the instance any more.
-type life struct {
+// membership ends when no group names the instance any more.
+type membership struct {
 	ctx context.Context
 	end context.CancelFunc
 	// leaving says that the instance leaves in good order and finishes what it runs.
@@ -24,10 +24,10 @@
 }
 
 func newMembers() *members {
-	return &members{lives: make(map[lagoonlanding.InstanceID]life)}
+	return &members{memberships: make(map[lagoonlanding.InstanceID]membership)}
 }
 
-// update takes the members of a snapshot and ends the lives of all others.
+// update takes the members of a snapshot and cancels the contexts of all others.
 func (members *members) update(snapshot *router.Snapshot) {
 	members.mutex.Lock()
 	defer members.mutex.Unlock()
@@ -42,36 +42,36 @@
 			members.note(member)
 		}
 	}
-	for id, life := range members.lives {
+	for id, membership := range members.memberships {
 		if named[id] {
 			continue
 		}
-		delete(members.lives, id)
-		if !life.leaving {
-			life.end()
+		delete(members.memberships, id)
+		if !membership.leaving {
+			membership.end()
 		}
 	}
 }
 
 func (members *members) note(member lagoonlanding.Member) {
-	known, ok := members.lives[member.ID()]
+	known, ok := members.memberships[member.ID()]
 	if !ok {
 		known.ctx, known.end = context.WithCancel(context.Background())
 	}
 	known.leaving = member.State() == lagoonlanding.MemberLeaving
-	members.lives[member.ID()] = known
+	members.memberships[member.ID()] = known
 }
 
-// bind returns a context that also ends with the life of the instance; release frees it.
+// bind returns a context that also ends with the membership of the instance; release frees it.
 func (members *members) bind(ctx context.Context, id lagoonlanding.InstanceID) (bound context.Context, release func()) {
 	members.mutex.Lock()
-	life, ok := members.lives[id]
+	membership, ok := members.memberships[id]
 	members.mutex.Unlock()
 	if !ok {
 		return ctx, func() {}
 	}
 	bound, cancel := context.WithCancel(ctx)
-	stop := context.AfterFunc(life.ctx, cancel)
+	stop := context.AfterFunc(membership.ctx, cancel)
 	return bound, func() {
 		stop()
 		cancel()
--- a/grouper/witness.go
+++ b/grouper/witness.go
@@ -39,7 +39,7 @@
 
 // wantsStore reports whether a group that reaches into a store's region has no majority of its witnesses there.
 //
-// When the regions are cut, the side with the majority keeps the leases, and only the side with the store can heal losses.
+// When the regions are cut, the side with the majority keeps the leases, and only the side with the store can write a layout without the lost members.
 func wantsStore(config ProposalConfig, current []lagoonlanding.Instance) bool {
 	count := 0
 	for _, witness := range current {
--- a/lagoond/log.go
+++ b/lagoond/log.go
@@ -28,7 +28,7 @@
 // repeatInterval is the time after which a failure that goes on is logged again.
 const repeatInterval = 10 * time.Second
 
-// failureLog logs a failure once while it lasts, so that an outage does not flood the log.
+// failureLog logs a failure once while it lasts, so that an outage does not fill the log.
 type failureLog struct {
 	log   *logrus.Entry
 	mutex sync.Mutex
--- a/lease.go
+++ b/lease.go
@@ -37,7 +37,7 @@
 	RenewBehind
 	// RenewNotWitness says that the instance is no witness of the group.
 	RenewNotWitness
-	// RenewOutdated says that a member without a living promise must first apply the witness's published set.
+	// RenewOutdated says that a member whose promise has lapsed must first apply the witness's published set.
 	RenewOutdated
 	// RenewLater says that the witness must first learn what the store wrote before the layout.
 	RenewLater
--- a/limiter/ramp.go
+++ b/limiter/ramp.go
@@ -82,7 +82,7 @@
 	ramp.count, ramp.failed, ramp.score = 0, 0, 0
 }
 
-// wake notes the first request after a pause; a backend server that was idle for long may have gone cold unseen.
+// wake notes the first request after a pause; a backend server that was idle for long may have turned cold since.
 func (ramp *ramp) wake(now time.Time) {
 	if !ramp.last.IsZero() && now.Sub(ramp.last) > idleTerm {
 		ramp.fall()
--- a/measure/experimenter/order.go
+++ b/measure/experimenter/order.go
@@ -52,7 +52,7 @@
 	}
 }
 
-// Order mixes quick requests with slow licence lookups at one backend server.
+// Order mixes quick requests with slow lookups at one backend server.
 func Order(seed uint64) Result {
 	var result Result
 	for _, load := range []float64{0.8, 1.1} {
--- a/messenger/server.go
+++ b/messenger/server.go
@@ -75,7 +75,7 @@
 			return nil
 		}
 		if err != nil {
-			server.log.WithError(err).Warn("cannot accept a peer")
+			server.log.WithError(err).Warn("Cannot accept a peer.")
 			time.Sleep(acceptPause)
 			continue
 		}
@@ -92,12 +92,12 @@
 	defer server.remove(conn)
 	lane, err := receive(conn)
 	if err != nil {
-		server.log.WithError(err).WithField("peer", conn.RemoteAddr().String()).Warn("refused a peer")
+		server.log.WithError(err).WithField("peer", conn.RemoteAddr().String()).Warn("Refused a peer.")
 		return
 	}
 	session := &session{server: server, running: make(map[uint64]forwarded)}
 	if err := session.serve(&countedConn{Conn: conn, lane: lane, traffic: server.traffic}); err != nil {
-		server.log.WithError(err).Error("cannot serve a peer")
+		server.log.WithError(err).Error("Cannot serve a peer.")
 	}
 }
 
--- a/planner/plan.go
+++ b/planner/plan.go
@@ -129,7 +129,7 @@
 	}
 }
 
-// addNewPartitions warns of new partitions that no live group serves yet.
+// addNewPartitions warns of new partitions that no group with members serves yet.
 func (builder *builder) addNewPartitions() {
 	for _, service := range builder.config.New.Services() {
 		for _, partition := range service.Partitions() {
--- a/publisher/change.go
+++ b/publisher/change.go
@@ -10,7 +10,7 @@
 // CheckChange returns every fault in replacing the old set by the new one; old is nil before the first publish.
 //
 // The partition and the shard of a key, or of an idempotency key, are a function of its workspace and service, so what they
-// depend on stays as it is while owners live by it.
+// depend on stays as it is while instances use it to find owners.
 func CheckChange(old, new *Set) []Fault {
 	if old == nil {
 		return nil
--- a/router/snapshot.go
+++ b/router/snapshot.go
@@ -127,7 +127,7 @@
 	return holding, ok
 }
 
-// IsLeased reports whether this instance holds a living lease in some group of the service, so that its published set is in force.
+// IsLeased reports whether this instance holds an unexpired lease in some group of the service, so that its published set is in force.
 func (snapshot *Snapshot) IsLeased(now time.Time, service string) bool {
 	for id, holding := range snapshot.config.Holdings {
 		if id.Service() == service && now.Before(holding.Deadline()) {
