--- a/controller/cluster_test.go
+++ b/controller/cluster_test.go
@@ -165,6 +165,11 @@
 			peer.OnJoin(now, join.Request())
 		}
 	}
+	return cluster.deliverNews(node, outbox) || busy
+}
+
+func (cluster *cluster) deliverNews(node *Controller, outbox Outbox) bool {
+	now, busy := cluster.now, false
 	for _, fetch := range outbox.Fetches() {
 		busy = true
 		var reply lagoonlanding.DirectoryReply
--- a/grouper/witness_test.go
+++ b/grouper/witness_test.go
@@ -59,19 +59,25 @@
 	}
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
-			var members []lagoonlanding.Member
-			for _, instance := range test.members {
-				members = append(members, lagoonlanding.NewMember(instance, lagoonlanding.MemberActive, PlainWeight))
-			}
-			layout := lagoonlanding.NewLayout(lagoonlanding.LayoutConfig{Version: 1, Members: members, Witnesses: test.current})
-			test.config.Record = lagoonlanding.NewRecord(lagoonlanding.GroupID{}, layout, lagoonlanding.Layout{}, 1)
-			var got []string
-			for _, witness := range nextWitnesses(test.config, members) {
-				got = append(got, witness.ID().Name())
-			}
+			got := witnessesAfter(test.config, test.members, test.current)
 			if diff := cmp.Diff(test.want, got); diff != "" {
 				t.Error(diff)
 			}
 		})
 	}
 }
+
+// witnessesAfter returns the names of the witnesses that follow the current ones.
+func witnessesAfter(config ProposalConfig, instances, current []lagoonlanding.Instance) []string {
+	var members []lagoonlanding.Member
+	for _, instance := range instances {
+		members = append(members, lagoonlanding.NewMember(instance, lagoonlanding.MemberActive, PlainWeight))
+	}
+	layout := lagoonlanding.NewLayout(lagoonlanding.LayoutConfig{Version: 1, Members: members, Witnesses: current})
+	config.Record = lagoonlanding.NewRecord(lagoonlanding.GroupID{}, layout, lagoonlanding.Layout{}, 1)
+	var names []string
+	for _, witness := range nextWitnesses(config, members) {
+		names = append(names, witness.ID().Name())
+	}
+	return names
+}
