Remove members that lapse together by one layout, and log each written layout

Cause: when regions are cut, or a zone is lost, members lapse up to 0.3 s apart; the first layout moved shards to members that were gone as well, and the next one had to wait for them. Ruled out: a shorter promise term; it costs bytes in the steady state. Change: a loss waits, for 0.3 s at most, while another member has missed two renewals. The coordinator logs what it writes.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -50,6 +50,7 @@
 	groups    map[lagoonlanding.GroupID]*group
 	outbox    Outbox
 	failures  []error
+	written   []lagoonlanding.Record
 	// watching says that a read of the store is under way.
 	watching  bool
 	blind     bool
@@ -156,6 +157,13 @@
 	return failures
 }
 
+// TakeWritten returns the records that this instance has written since the last call, for the log.
+func (controller *Controller) TakeWritten() []lagoonlanding.Record {
+	written := controller.written
+	controller.written = nil
+	return written
+}
+
 func (controller *Controller) fail(err error) {
 	controller.failures = append(controller.failures, err)
 }
--- a/controller/coordinate.go
+++ b/controller/coordinate.go
@@ -82,6 +82,9 @@
 			unsure = true
 		}
 	}
+	if len(lost) > 0 && group.granter.MayLoseMore(now, lost) {
+		return nil
+	}
 	if unsure {
 		// Fresh answers tell whether the other witnesses miss the member too.
 		controller.renew(now, group)
@@ -162,6 +165,7 @@
 		controller.directory.revision = revision
 	}
 	controller.learn(now, lagoonlanding.NewEntry(swap.Key(), swap.value, revision))
+	controller.written = append(controller.written, swap.record)
 	if revision > controller.directory.revision {
 		// A waiting watch may be lost in a silent connection; a new one is answered at once, since there is news.
 		controller.watching = true
--- a/controller/runner.go
+++ b/controller/runner.go
@@ -33,6 +33,8 @@
 	Traffic lagoonlanding.ShardTraffic
 	// Failed is told what went wrong; it must not block.
 	Failed func(error)
+	// Wrote is told of each record that this instance has written; nil for nobody. It must not block.
+	Wrote func(lagoonlanding.Record)
 }
 
 // Runner owns the control thread of an instance.
@@ -114,6 +116,11 @@
 	for _, err := range runner.config.Controller.TakeFailures() {
 		runner.config.Failed(err)
 	}
+	for _, record := range runner.config.Controller.TakeWritten() {
+		if runner.config.Wrote != nil {
+			runner.config.Wrote(record)
+		}
+	}
 	outbox := runner.config.Controller.TakeOutbox()
 	// The ledgers must be right before a snapshot lets traffic use them.
 	for _, drop := range outbox.Drops() {
--- a/granter/granter.go
+++ b/granter/granter.go
@@ -161,6 +161,27 @@
 	return lost
 }
 
+// overdueTerm is what is left of the promise to a member that has missed a renewal.
+const overdueTerm = lagoonlanding.PromiseTerm - 2*lagoonlanding.RenewInterval
+
+// MayLoseMore reports whether another member has missed a renewal while the lost ones are so for less than a renewal's time.
+//
+// Members of one availability zone lapse within a renewal interval of one another and should go with one layout.
+func (granter *Granter) MayLoseMore(now time.Time, lost map[lagoonlanding.InstanceID]bool) bool {
+	overdue := false
+	for _, member := range granter.record.Current().Members() {
+		deadline := granter.Deadline(member.ID())
+		if lost[member.ID()] {
+			if now.After(deadline.Add(overdueTerm)) {
+				return false
+			}
+			continue
+		}
+		overdue = overdue || !deadline.IsZero() && now.After(deadline.Add(-overdueTerm))
+	}
+	return overdue
+}
+
 // Released returns the members that have let go of all that the current layout took from them.
 func (granter *Granter) Released() map[lagoonlanding.InstanceID]bool {
 	released := make(map[lagoonlanding.InstanceID]bool)
--- a/granter/granter_test.go
+++ b/granter/granter_test.go
@@ -112,3 +112,21 @@
 		t.Errorf("a member with a lapsed promise and an old set got status %d", got)
 	}
 }
+
+func TestMembersThatLapseTogetherAreLostTogether(t *testing.T) {
+	granter := granterAt1()
+	granter.Renew(start, renewal(first, 1, 1), 0)
+	granter.Renew(start.Add(lagoonlanding.RenewInterval/2), renewal(second, 1, 1), 0)
+	lapsed := lagoonlanding.WitnessDeadline(start).Add(1)
+	lost := granter.Lost(lapsed)
+	if !lost[first] || lost[second] || !granter.MayLoseMore(lapsed, lost) {
+		t.Errorf("lost %v, more %v", lost, granter.MayLoseMore(lapsed, lost))
+	}
+	if late := lapsed.Add(overdueTerm); granter.MayLoseMore(late, lost) {
+		t.Error("the loss waits for longer than a renewal takes")
+	}
+	granter.Renew(lapsed, renewal(second, 1, 1), 0)
+	if granter.MayLoseMore(lapsed, lost) {
+		t.Error("the loss waits for a member that renews")
+	}
+}
--- a/lagoond/daemon.go
+++ b/lagoond/daemon.go
@@ -134,6 +134,7 @@
 		}),
 		Clock: daemon.clock, Store: daemon.store,
 		Peers: daemon.messenger, Traffic: daemon.dispatcher, Failed: failures.note,
+		Wrote: noteWritten(daemon.log.WithField(partField, "controller")),
 	})
 	late.runner = daemon.runner
 	daemon.peers = messenger.NewServer(messenger.ServerConfig{
--- a/lagoond/log.go
+++ b/lagoond/log.go
@@ -2,11 +2,13 @@
 
 import (
 	"os"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"lagoonlanding.example/lagoonlanding"
 	"lagoonlanding.example/lagoonlanding/loader"
 )
 
@@ -46,3 +48,34 @@
 	failurelog.last, failurelog.next = err.Error(), now.Add(repeatInterval)
 	failurelog.log.WithError(err).Warn("Something went wrong and is tried again.")
 }
+
+// noteWritten logs a layout that this daemon has written as the coordinator of its group.
+func noteWritten(log *logrus.Entry) func(lagoonlanding.Record) {
+	return func(record lagoonlanding.Record) {
+		layout := record.Current()
+		log.WithFields(logrus.Fields{
+			"group": record.Group().String(), "version": layout.Version(),
+			"members": memberNames(layout), "witnesses": instanceNames(layout.Witnesses()),
+		}).Info("Layout written.")
+	}
+}
+
+func memberNames(layout lagoonlanding.Layout) string {
+	var names []string
+	for _, member := range layout.Members() {
+		name := member.ID().Name()
+		if member.State() != lagoonlanding.MemberActive {
+			name += " (not active)"
+		}
+		names = append(names, name)
+	}
+	return strings.Join(names, ", ")
+}
+
+func instanceNames(instances []lagoonlanding.Instance) string {
+	var names []string
+	for _, instance := range instances {
+		names = append(names, instance.ID().Name())
+	}
+	return strings.Join(names, ", ")
+}
