Pause between watches that the store answers at once without news

Cause: the store's client repeated a watch without a pause after an answer without news. A store, or a proxy before it, that answers before the term would be asked as fast as the connection allows. Ruled out: the pause of the control thread, which follows the end of a watch, not each call within it. Change: 50 ms between two such calls; a store that keeps the term of 4 s is asked 1 in 80 less often.

--- a/storer/client.go
+++ b/storer/client.go
@@ -17,6 +17,8 @@
 	defaultWatchTerm = 4 * time.Second
 	// watchGrace is how long the answer to a watch may take beyond its term.
 	watchGrace = time.Second
+	// watchPause is the wait after an answer without news, which may come long before the term.
+	watchPause = 50 * time.Millisecond
 )
 
 // Config holds the parts of a Client.
@@ -89,6 +91,11 @@
 		if err != nil || len(listing.Entries()) > 0 {
 			return listing, err
 		}
+		select {
+		case <-ctx.Done():
+			return lagoonlanding.Listing{}, errors.Join(lagoonlanding.ErrUnavailable, ctx.Err())
+		case <-time.After(watchPause):
+		}
 	}
 }
 
