--- a/lagoond/log.go
+++ b/lagoond/log.go
@@ -30,7 +30,7 @@
 // repeatInterval is the time after which a failure that goes on is logged again.
 const repeatInterval = 10 * time.Second
 
-// failureLog logs a failure once while it lasts, so that an outage does not flood the log.
+// failureLog logs a failure once while it lasts, so that an outage does not fill the log.
 type failureLog struct {
 	log   *logrus.Entry
 	mutex sync.Mutex
@@ -46,7 +46,7 @@
 		return
 	}
 	failurelog.last, failurelog.next = err.Error(), now.Add(repeatInterval)
-	failurelog.log.WithError(err).Warn("Something went wrong and is tried again.")
+	failurelog.log.WithError(err).Warn("A step failed and is tried again.")
 }
 
 // noteWritten logs a layout that this daemon has written as the coordinator of its group.
--- a/measure/experimenter/order.go
+++ b/measure/experimenter/order.go
@@ -52,7 +52,7 @@
 	}
 }
 
-// Order mixes quick requests with slow licence lookups at one backend server.
+// Order mixes quick requests with slow lookups at one backend server.
 func Order(seed uint64) Result {
 	var result Result
 	for _, load := range []float64{0.8, 1.1} {
@@ -115,7 +115,7 @@
 // submit sends a request to the node and counts its outcome.
 func submit(play *player.Player, node *faker.Node, tally *tally, tenant, class string, took, deadline time.Duration) {
 	started := play.Now()
-	node.Submit(faker.Job{
+	node.Submit(faker.JobConfig{
 		Waiting: lagoonlanding.NewWaiting(lagoonlanding.WaitingConfig{
 			Tenant: tenant, Class: class, Deadline: started.Add(deadline),
 		}),
