Hold groups to 12 members, and let a restarted member back into a full one

Cause: the slopes give a witness of 20 members 6.0 kB/s in and 2.3 kB/s out before headers, over the 6 KB/s of a daemon; a full group also refused the next run of one of its own members. Ruled out: renewing less often, which lengthens the time until keys are served again. Change: MaxMembers 12; the earlier run at an address makes room first; a daemon without a place says so in its log. Conclusion: fits by calculation; slopes at 242 groups were not run.

--- a/controller/membership.go
+++ b/controller/membership.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -96,6 +97,9 @@
 		controller.create(group, partition)
 		return
 	}
+	if len(record.Current().Members()) >= grouper.MaxMembers {
+		controller.fail(fmt.Errorf("join %s: the group is full with %d members, more partitions are needed", group.id, grouper.MaxMembers))
+	}
 	controller.askWitnesses(now, group, record, false)
 	controller.rebuild(group, record)
 }
--- a/grouper/proposal.go
+++ b/grouper/proposal.go
@@ -9,7 +9,7 @@
 
 const (
 	// MaxMembers bounds a group so that a witness's renewals fit the byte budget of a daemon.
-	MaxMembers = 20
+	MaxMembers = 12
 	// WitnessCount is how many witnesses a layout has when enough instances live.
 	WitnessCount = 3
 	// PlainWeight is the weight of a member with a plain share of the shards.
@@ -111,7 +111,7 @@
 }
 
 func join(members []lagoonlanding.Member, instance lagoonlanding.Instance, config ProposalConfig) []lagoonlanding.Member {
-	if len(members) >= MaxMembers || config.Leaving[instance.ID()] {
+	if config.Leaving[instance.ID()] {
 		return members
 	}
 	// An earlier run at the same address has ended, or the new one could not listen there.
@@ -119,7 +119,7 @@
 		return member.ID() != instance.ID() && member.Instance().PeerAddress() == instance.PeerAddress()
 	})
 	known := slices.ContainsFunc(members, func(member lagoonlanding.Member) bool { return member.ID() == instance.ID() })
-	if known {
+	if known || len(members) >= MaxMembers {
 		return members
 	}
 	state := stateOf(false, config.ZonesOut[instance.AvailabilityZone()])
--- a/grouper/witness_test.go
+++ b/grouper/witness_test.go
@@ -1,6 +1,7 @@
 package grouper
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -81,3 +82,19 @@
 	}
 	return names
 }
+
+func TestFullGroupTakesOnlyTheNextRunOfAMember(t *testing.T) {
+	config := lagoonlanding.LayoutConfig{Version: 1, Witnesses: []lagoonlanding.Instance{at("m0", "a-1")}}
+	for i := range MaxMembers {
+		config.Members = append(config.Members, lagoonlanding.NewMember(at(fmt.Sprint("m", i), "a-1"), lagoonlanding.MemberActive, PlainWeight))
+	}
+	next := lagoonlanding.NewInstance(lagoonlanding.InstanceConfig{ID: lagoonlanding.NewInstanceID("m1", 2), PeerAddress: "m1", AvailabilityZone: "a-1"})
+	layout, ok := Propose(ProposalConfig{
+		Record:  lagoonlanding.NewRecord(lagoonlanding.GroupID{}, lagoonlanding.NewLayout(config), lagoonlanding.Layout{}, 1),
+		Joining: []lagoonlanding.Instance{next, at("stranger", "a-1")},
+	})
+	_, replaced := layout.Member(next.ID())
+	if !ok || !replaced || len(layout.Members()) != MaxMembers {
+		t.Errorf("changed %v, replaced %v, %d members", ok, replaced, len(layout.Members()))
+	}
+}
