--- a/router/decision.go
+++ b/router/decision.go
@@ -1,6 +1,9 @@
 package router
 
 import (
+	"maps"
+	"slices"
+	"strings"
 	"time"
 
 	"lagoonlanding.example/lagoonlanding"
@@ -188,13 +191,21 @@
 
 const maxHomes = 3
 
-// homes returns some active members within the workspace's home regions.
+// homes returns some active members within the workspace's home regions, the same ones each time.
 func (snapshot *Snapshot) homes(workspace publisher.Workspace) []lagoonlanding.Instance {
+	ids := slices.SortedFunc(maps.Keys(snapshot.Groups()), func(a, b lagoonlanding.GroupID) int {
+		return strings.Compare(a.String(), b.String())
+	})
 	var homes []lagoonlanding.Instance
-	for _, group := range snapshot.Groups() {
-		for _, member := range group.Record().Current().Members() {
-			if len(homes) < maxHomes && member.State() == lagoonlanding.MemberActive && workspace.Permits(member.Instance().Region()) {
-				homes = append(homes, member.Instance())
+	for _, id := range ids {
+		for _, member := range snapshot.Groups()[id].Record().Current().Members() {
+			instance := member.Instance()
+			if member.State() != lagoonlanding.MemberActive || !workspace.Permits(instance.Region()) || slices.Contains(homes, instance) {
+				continue
+			}
+			homes = append(homes, instance)
+			if len(homes) == maxHomes {
+				return homes
 			}
 		}
 	}
