Forget a failure of the store once others tell the news

Cause: a witness that had coordinated while the store failed kept saying so after it no longer needed the store. Change: who needs no watch does not count as cut off from the store.

--- a/controller/controller_test.go
+++ b/controller/controller_test.go
@@ -132,6 +132,16 @@
 	}
 }
 
+func TestFailureIsForgottenByThoseWhoNeedNoStore(t *testing.T) {
+	cluster := formed(t)
+	member := cluster.nodes["daemon-3"]
+	member.Watched(cluster.now, lagoonlanding.Listing{}, lagoonlanding.ErrUnavailable)
+	cluster.run(TickInterval)
+	if member.IsBlind() {
+		t.Error("a member that learns from its witnesses still counts as cut off from the store")
+	}
+}
+
 func TestMemberThatMissesOnlyTheCoordinatorStays(t *testing.T) {
 	cluster := formed(t)
 	before, _ := cluster.snapshot("daemon-1").Group(testGroup)
--- a/controller/tick.go
+++ b/controller/tick.go
@@ -41,7 +41,12 @@
 
 // tendWatch keeps one read of the store waiting if this instance must learn from the store itself.
 func (controller *Controller) tendWatch(now time.Time) {
-	if now.Before(controller.nextWatch) || !controller.mustWatch(now) {
+	if !controller.mustWatch(now) {
+		// Others tell the news, so an earlier failure says nothing any more.
+		controller.blind = false
+		return
+	}
+	if now.Before(controller.nextWatch) {
 		return
 	}
 	if controller.blind {
