Let a member rebuild its group when all witnesses have ended

Cause: the aimed events of the soak left a group without service for good: its three witnesses were instances of another service, all restarted at once, and every instance that might join, and so rebuild the group, was a member already.

--- a/controller/controller.go
+++ b/controller/controller.go
@@ -248,6 +248,8 @@
 		group.holder = holder.New(holder.Config{Self: controller.id(), Group: group.id, Placer: controller.config.Placer})
 	}
 	change := group.holder.Adopt(now, record, controller.rules(group.id))
+	// The witnesses of a new layout need time to answer.
+	group.nextRebuild = now.Add(2 * lagoonlanding.PromiseTerm)
 	for _, shard := range change.Dropped() {
 		controller.outbox.drops = append(controller.outbox.drops, Drop{group: group.id, shard: shard})
 	}
--- a/controller/group.go
+++ b/controller/group.go
@@ -29,8 +29,10 @@
 	swapping  bool
 	nextRenew time.Time
 	nextJoin  time.Time
-	nextLoads time.Time
-	balancer  *balancer.Balancer
+	// nextRebuild is when a member whose lease has lapsed asks again whether the witnesses have ended.
+	nextRebuild time.Time
+	nextLoads   time.Time
+	balancer    *balancer.Balancer
 }
 
 func newGroup(id lagoonlanding.GroupID, placer lagoonlanding.Placer) *group {
--- a/controller/membership.go
+++ b/controller/membership.go
@@ -33,6 +33,21 @@
 	for _, partition := range controller.wanted(service) {
 		controller.join(now, service, partition)
 	}
+	controller.rebuildOwn(now)
+}
+
+// rebuildOwn starts a group anew whose lease has lapsed here and whose witnesses have ended; none of them would replace the others.
+func (controller *Controller) rebuildOwn(now time.Time) {
+	for _, id := range controller.groupIDs() {
+		group := controller.groups[id]
+		if group.holder == nil || now.Before(group.holder.Deadline().Add(lagoonlanding.PromiseTerm)) || now.Before(group.nextRebuild) || group.swapping {
+			continue
+		}
+		group.nextRebuild = now.Add(joinInterval)
+		if record, ok := controller.directory.record(id); ok {
+			controller.rebuild(group, record)
+		}
+	}
 }
 
 // wanted returns the partitions to be a member of: of each set of regions the least populated one, and all with too few members.
