--- a/Makefile
+++ b/Makefile
@@ -54,7 +54,7 @@
 	@bin/measure -seed $(SEED) -out out
 
 # mutants builds the soak with one fault each and fails if no seed finds one of them.
-MUTANT_SEEDS ?= 16
+MUTANT_SEEDS ?= 36
 mutants:
 	@cd soak && go build -o $(CURDIR)/bin/soak . && $(CURDIR)/bin/soak -mutants $(MUTANT_SEEDS) -steps 250
 
