Serve the users' platform from end to end with a thin path

The product's control types gain leases, announcements and routes by host and path; platform/ translates names and calls; lagoonmesh is the daemon.

--- /dev/null
+++ b/lagoonmesh/servers.go
@@ -0,0 +1,100 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"lagoonlanding.example/lagoonlanding"
+	"lagoonlanding.example/lagoonlanding/mesh/carrier"
+	"lagoonlanding.example/lagoonlanding/platform"
+)
+
+const (
+	// maxHeader bounds a header in bytes before the published limit is known to the handler.
+	maxHeader = 64 << 10
+	// headerTerm bounds how long a client may take to send a header.
+	headerTerm = 10 * time.Second
+	// clientIdleTerm is how long an idle connection of a client is kept, longer than the platform lets clients use one.
+	clientIdleTerm = 75 * time.Second
+	// unreadyTerm is how long a stopping daemon goes on taking requests while clients learn that it is not ready.
+	unreadyTerm = 2500 * time.Millisecond
+	// endTerm is what is left of the grace for the end of the process.
+	endTerm = 400 * time.Millisecond
+)
+
+// servers are the daemon's listeners.
+type servers struct {
+	all []*http.Server
+	// front are those that take requests.
+	front     []*http.Server
+	listeners []net.Listener
+}
+
+func (daemon *daemon) listen() (*servers, error) {
+	made := &servers{}
+	routing := func() *lagoonlanding.Routing { return daemon.coordinator.Snapshot().Routing() }
+	clients := platform.NewClientServer(daemon.forwarder, routing, daemon.clock, daemon.part("clients"))
+	peers := carrier.NewServer(carrier.ServerConfig{Handler: daemon.acceptor, Clock: daemon.clock, Log: daemon.part("peers")})
+	announcements := platform.NewAnnouncementServer(daemon.syncer, daemon.clock, daemon.part("announcements"))
+	for _, server := range []struct {
+		address string
+		handler http.Handler
+		isFront bool
+	}{
+		{daemon.settings.AnnouncementAddress(), announcements, false},
+		{daemon.settings.PeerAddress(), peers, true},
+		{daemon.settings.ClientAddress(), clients, true},
+		{daemon.settings.ReadyAddress(), http.HandlerFunc(daemon.ready), false},
+	} {
+		if err := made.add(server.address, server.handler, server.isFront); err != nil {
+			return nil, err
+		}
+	}
+	return made, nil
+}
+
+func (servers *servers) add(address string, handler http.Handler, isFront bool) error {
+	listener, err := net.Listen("tcp4", address)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	server := &http.Server{
+		Handler: handler, MaxHeaderBytes: maxHeader, ReadHeaderTimeout: headerTerm, IdleTimeout: clientIdleTerm,
+	}
+	servers.all, servers.listeners = append(servers.all, server), append(servers.listeners, listener)
+	if isFront {
+		servers.front = append(servers.front, server)
+	}
+	return nil
+}
+
+func (servers *servers) serve() {
+	for index, server := range servers.all {
+		go server.Serve(servers.listeners[index])
+	}
+}
+
+// drain answers what is under way and ends within the grace.
+func (servers *servers) drain(grace time.Duration) {
+	ends := time.Now().Add(grace - endTerm)
+	time.Sleep(min(unreadyTerm, grace/2))
+	ctx, cancel := context.WithDeadline(context.Background(), ends)
+	defer cancel()
+	var parts sync.WaitGroup
+	for _, server := range servers.front {
+		server.SetKeepAlivesEnabled(false)
+		parts.Go(func() { _ = server.Shutdown(ctx) }) // What is left at the deadline is cut by the end of the process.
+	}
+	parts.Wait()
+}
+
+// ready tells whether the daemon can serve.
+func (daemon *daemon) ready(writer http.ResponseWriter, _ *http.Request) {
+	if !daemon.syncer.IsReady() {
+		writer.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
--- /dev/null
+++ b/lagoonmesh/terms.go
@@ -0,0 +1,42 @@
+package main
+
+import "time"
+
+const (
+	// grantTerm is how long keys are granted after the last proof of registration: longer than most outages of the store.
+	grantTerm = 7 * time.Second
+	// grantMargin covers a backend server's clock that runs 2% slow over the term, and news that is late.
+	grantMargin = 700 * time.Millisecond
+	// longestHold is how long a backend server holds keys without a further announcement: a restart of the daemon fits in.
+	longestHold = 6 * time.Second
+	// slowClock is by how much a backend server's clock may run slow, as the platform's pages state.
+	slowClock = 0.02
+	// silentAfter is when a backend server without announcements counts as lost; announcements may be seconds late.
+	silentAfter = 5 * time.Second
+	// dialTerm bounds the opening of a connection; the longest way there and back takes about 20 ms.
+	dialTerm = 700 * time.Millisecond
+	// idleTerm is how long an idle connection is kept; backend servers close theirs after ten seconds.
+	idleTerm = 8 * time.Second
+	// silenceTerm is how long sent bytes may stay unacknowledged.
+	silenceTerm = 3 * time.Second
+	// maxIdle bounds the idle connections to one address.
+	maxIdle = 16
+	// sweepInterval is the time between two looks for idle connections that have expired.
+	sweepInterval = 2 * time.Second
+	// maxWaiting bounds the tasks that wait for a slot.
+	maxWaiting = 64
+	// zoneCost is the wait that is preferred to an answer from another zone.
+	zoneCost = 20 * time.Millisecond
+	// regionCost is the wait that is preferred to an answer from another region, whose link is paid by volume.
+	regionCost = 400 * time.Millisecond
+	// reportTerm is how long a report of load counts.
+	reportTerm = 2 * time.Second
+	// avoidTerm is how long a daemon that could not be reached is avoided.
+	avoidTerm = time.Second
+	// retryPart is the part of the allowed further tries that the router uses, so that tries counted elsewhere still fit.
+	retryPart = 0.6
+	// defaultRetryShare is the further tries that each request earns where the platform names no bound.
+	defaultRetryShare = 0.1
+	// defaultGrace is the time to end after SIGTERM where the platform names none.
+	defaultGrace = 6 * time.Second
+)
--- /dev/null
+++ b/mesh/acceptor/acceptor.go
@@ -0,0 +1,142 @@
+package acceptor
+
+import (
+	"context"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"lagoonlanding.example/lagoonlanding"
+	"lagoonlanding.example/lagoonlanding/mesh/coordinator"
+	"lagoonlanding.example/lagoonlanding/mesh/gatekeeper"
+)
+
+// Config holds what an Acceptor is built from.
+type Config struct {
+	// Daemon is the name of the daemon.
+	Daemon string
+	// Address is the host and port of the backend server.
+	Address string
+	// Gate admits tasks.
+	Gate *gatekeeper.Gate
+	// Runner runs tasks.
+	Runner lagoonlanding.Runner
+	// Snapshot returns what traffic may know of the control state.
+	Snapshot func() *coordinator.Snapshot
+	// Lost is told of a life of the backend server that has ended.
+	Lost func(id lagoonlanding.BackendID)
+	// Clock tells the time.
+	Clock lagoonlanding.Clock
+	// Log takes one line for each task.
+	Log *logrus.Entry
+}
+
+// movingTerm is when a task for keys that are on their way should come again.
+const movingTerm = 150 * time.Millisecond
+
+// Acceptor takes the tasks for the backend server.
+type Acceptor struct {
+	config Config
+}
+
+var _ lagoonlanding.TaskHandler = (*Acceptor)(nil)
+
+// New returns an acceptor.
+func New(config Config) *Acceptor { return &Acceptor{config: config} }
+
+// Handle admits the task and runs it.
+func (acceptor *Acceptor) Handle(ctx context.Context, task lagoonlanding.Task) lagoonlanding.Result {
+	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(task.Deadline().Sub(acceptor.config.Clock.Now())))
+	result, pass := acceptor.admit(ctx, task)
+	if pass != nil {
+		result = acceptor.config.Runner.Run(ctx, pass.ID(), acceptor.config.Address, task)
+	}
+	end := func() {
+		if pass != nil {
+			pass.Finish(result.Outcome() == lagoonlanding.OutcomeAnswered)
+		}
+		cancel()
+	}
+	acceptor.watch(pass, result)
+	if result.Outcome() != lagoonlanding.OutcomeAnswered {
+		end()
+		acceptor.log(task, result)
+		return acceptor.withLoad(result)
+	}
+	acceptor.log(task, result)
+	answer := result.Answer()
+	ended := &ending{ReadCloser: answer.Body(), end: end}
+	if answer.BodyLength() >= 0 && answer.BodyLength() <= caughtUp {
+		// The whole answer is here, so the slot is free before it has been passed on.
+		ended.finish()
+	}
+	return acceptor.withLoad(result.With(func(config *lagoonlanding.ResultConfig) { config.Answer = answer.WithBody(ended) }))
+}
+
+// caughtUp is the length of bodies in bytes that a Runner has read whole before it returns.
+const caughtUp = 64 << 10
+
+// admit returns a pass, or the refusal of the task.
+func (acceptor *Acceptor) admit(ctx context.Context, task lagoonlanding.Task) (lagoonlanding.Result, *gatekeeper.Pass) {
+	if !acceptor.holds(task) {
+		return lagoonlanding.NotRun(lagoonlanding.ReasonMoving, acceptor.config.Clock.Now().Add(movingTerm)), nil
+	}
+	pass, reason, retryAt := acceptor.config.Gate.Enter(ctx, task)
+	if pass == nil {
+		return lagoonlanding.NotRun(reason, retryAt), nil
+	}
+	if !acceptor.holds(task) {
+		pass.Finish(false)
+		return lagoonlanding.NotRun(lagoonlanding.ReasonMoving, acceptor.config.Clock.Now().Add(movingTerm)), nil
+	}
+	return lagoonlanding.Result{}, pass
+}
+
+// holds reports whether the backend server may be asked for the task's key.
+func (acceptor *Acceptor) holds(task lagoonlanding.Task) bool {
+	if task.ShardKey() == lagoonlanding.NoShardKey {
+		return true
+	}
+	owner, ok := acceptor.config.Snapshot().Owner(task.Service(), task.ShardKey())
+	return ok && owner.ID().Daemon() == acceptor.config.Daemon
+}
+
+// watch tells of a backend server that refuses connections: its process has ended.
+func (acceptor *Acceptor) watch(pass *gatekeeper.Pass, result lagoonlanding.Result) {
+	if pass != nil && result.Reason() == lagoonlanding.ReasonNoUpstream {
+		acceptor.config.Lost(pass.ID())
+	}
+}
+
+func (acceptor *Acceptor) withLoad(result lagoonlanding.Result) lagoonlanding.Result {
+	load := acceptor.config.Gate.Load()
+	return result.With(func(config *lagoonlanding.ResultConfig) { config.Load = load })
+}
+
+func (acceptor *Acceptor) log(task lagoonlanding.Task, result lagoonlanding.Result) {
+	if result.Outcome() == lagoonlanding.OutcomeAnswered {
+		return
+	}
+	load := acceptor.config.Gate.Load()
+	acceptor.config.Log.WithFields(logrus.Fields{
+		"request": task.ID(), "route": task.Route(), "service": task.Service(), "outcome": result.Outcome().String(), "reason": result.Reason(),
+		"shard-key": task.ShardKey(), "running": load.Running(), "waiting": load.Waiting(), "slots": load.Slots(),
+	}).Info("Task was not answered.")
+}
+
+// ending ends the use of a slot once the body is closed.
+type ending struct {
+	io.ReadCloser
+	once sync.Once
+	end  func()
+}
+
+func (ending *ending) finish() { ending.once.Do(ending.end) }
+
+// Close closes the body and frees the slot.
+func (ending *ending) Close() error {
+	defer ending.finish()
+	return ending.ReadCloser.Close()
+}
--- /dev/null
+++ b/mesh/allocator/doc.go
@@ -0,0 +1,2 @@
+// Package allocator decides which backend server holds which shard keys of a divided service.
+package allocator
--- /dev/null
+++ b/mesh/coordinator/coordinator.go
@@ -0,0 +1,177 @@
+package coordinator
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"lagoonlanding.example/lagoonlanding"
+	"lagoonlanding.example/lagoonlanding/mesh/allocator"
+	"lagoonlanding.example/lagoonlanding/mesh/grantor"
+	"lagoonlanding.example/lagoonlanding/mesh/registrar"
+)
+
+// Config holds what a Coordinator is built from.
+type Config struct {
+	// Self is the daemon without a backend server.
+	Self lagoonlanding.Backend
+	// Fleet knows the daemons.
+	Fleet *registrar.Fleet
+	// Grantor knows the backend server beside the daemon.
+	Grantor *grantor.Grantor
+	// Gate admits tasks to the backend server.
+	Gate Gate
+	// Log takes one line for each change of what the daemon believes.
+	Log *logrus.Entry
+}
+
+// Gate is what the coordinator tells the gate before the backend server.
+type Gate interface {
+	// Open lets tasks pass to a life of the backend server.
+	Open(id lagoonlanding.BackendID, slots int, warmAt time.Time, coldRate float64)
+	// Close refuses all tasks for the reason.
+	Close(reason lagoonlanding.Reason)
+}
+
+// kept is an allotment with the store's revision of it.
+type kept struct {
+	allotment *allocator.Allotment
+	revision  uint64
+}
+
+// Coordinator is the control state of a daemon; only the control thread calls its methods, Snapshot apart.
+type Coordinator struct {
+	config  Config
+	session registrar.Session
+
+	routing    *lagoonlanding.Routing
+	evacuated  map[string]bool
+	allotments map[string]kept
+	// view is the store's revision up to which the fleet's entries are known.
+	view     uint64
+	stopping bool
+	departed map[string]bool
+	// published is the registration as it was last written.
+	published lagoonlanding.Backend
+	needs     map[string]time.Time
+	writeAt   time.Time
+	writing   bool
+	// sentAt is when the registration that was written last was sent.
+	sentAt  time.Time
+	started time.Time
+
+	snapshot atomic.Pointer[Snapshot]
+}
+
+// New returns the control state of a daemon that has just started.
+func New(now time.Time, config Config) *Coordinator {
+	coordinator := &Coordinator{
+		config: config, evacuated: map[string]bool{}, allotments: map[string]kept{}, departed: map[string]bool{},
+		needs: map[string]time.Time{}, started: now,
+	}
+	coordinator.publish()
+	return coordinator
+}
+
+// Snapshot returns what traffic reads; any goroutine may call it.
+func (coordinator *Coordinator) Snapshot() *Snapshot { return coordinator.snapshot.Load() }
+
+// publish replaces the snapshot after a change.
+func (coordinator *Coordinator) publish() {
+	allotments := make(map[string]*allocator.Allotment, len(coordinator.allotments))
+	for service, kept := range coordinator.allotments {
+		allotments[service] = kept.allotment
+	}
+	evacuated := make(map[string]bool, len(coordinator.evacuated))
+	for zone := range coordinator.evacuated {
+		evacuated[zone] = true
+	}
+	coordinator.snapshot.Store(NewSnapshot(SnapshotConfig{
+		Routing: coordinator.routing, Backends: coordinator.config.Fleet.Backends(), Allotments: allotments, Evacuated: evacuated,
+	}))
+	coordinator.steer()
+}
+
+// steer opens or closes the gate as the backend server's state and the zone's ask.
+func (coordinator *Coordinator) steer() {
+	latest, ok := coordinator.config.Grantor.Latest()
+	gate := coordinator.config.Gate
+	switch {
+	case !ok:
+		gate.Close(lagoonlanding.ReasonNoUpstream)
+	case coordinator.isLeaving(latest):
+		gate.Close(lagoonlanding.ReasonShuttingDown)
+	case coordinator.evacuated[coordinator.config.Self.AvailabilityZone()]:
+		gate.Close(lagoonlanding.ReasonNotReady)
+	default:
+		gate.Open(coordinator.config.Grantor.ID(), latest.Slots(), latest.WarmAt(), coordinator.coldRate(latest.Service()))
+	}
+}
+
+// unknownColdRate is the pace of a cold backend server, in tasks a second, while its service's terms are not known.
+const unknownColdRate = 1
+
+func (coordinator *Coordinator) coldRate(service string) float64 {
+	if coordinator.routing == nil {
+		return unknownColdRate
+	}
+	terms, ok := coordinator.routing.Service(service)
+	if !ok {
+		return unknownColdRate
+	}
+	return terms.ColdRate()
+}
+
+func (coordinator *Coordinator) isLeaving(latest lagoonlanding.Announcement) bool {
+	return latest.State() != lagoonlanding.BackendReady || coordinator.departed[latest.Name()]
+}
+
+// Direct takes in what operators wrote under a key of theirs.
+func (coordinator *Coordinator) Direct(directive lagoonlanding.Directive) {
+	switch {
+	case directive.Routing() != nil:
+		coordinator.adopt(directive.Routing())
+	case directive.EvacuatedZone() != "":
+		coordinator.evacuated[directive.EvacuatedZone()] = true
+		coordinator.config.Log.WithField("zone", directive.EvacuatedZone()).Info("Zone is evacuated.")
+	}
+	coordinator.publish()
+}
+
+// adopt takes a publication into force unless it is older than the present one.
+func (coordinator *Coordinator) adopt(routing *lagoonlanding.Routing) {
+	log := coordinator.config.Log.WithField("version", routing.Version())
+	if coordinator.routing != nil && routing.Version() <= coordinator.routing.Version() {
+		log.WithField("current", coordinator.routing.Version()).Debug("Older configuration ignored.")
+		return
+	}
+	coordinator.routing = routing
+	log.Info("Configuration is in force.")
+}
+
+// Restore takes back the evacuation of a zone.
+func (coordinator *Coordinator) Restore(zone string) {
+	if coordinator.evacuated[zone] {
+		delete(coordinator.evacuated, zone)
+		coordinator.config.Log.WithField("zone", zone).Info("Zone is back.")
+		coordinator.publish()
+	}
+}
+
+// Evacuated returns the zones that are evacuated, for telling which of them a new listing lacks.
+func (coordinator *Coordinator) Evacuated() []string {
+	var zones []string
+	for zone := range coordinator.evacuated {
+		zones = append(zones, zone)
+	}
+	return zones
+}
+
+// IsReady reports whether the daemon can serve: it knows the configuration and the fleet, and does not stop.
+func (coordinator *Coordinator) IsReady() bool {
+	return coordinator.routing != nil && coordinator.view > 0 && !coordinator.stopping
+}
+
+// Stop notes that the daemon is about to end.
+func (coordinator *Coordinator) Stop() { coordinator.stopping = true }
--- /dev/null
+++ b/mesh/coordinator/store.go
@@ -0,0 +1,118 @@
+package coordinator
+
+import (
+	"strings"
+	"time"
+
+	"lagoonlanding.example/lagoonlanding"
+	"lagoonlanding.example/lagoonlanding/mesh/allocator"
+	"lagoonlanding.example/lagoonlanding/mesh/registrar"
+)
+
+// The names of the fleet's entries in the store.
+const (
+	// FleetPrefix starts the keys of everything that the daemons share.
+	FleetPrefix = lagoonlanding.StorePrefix + "fleet/"
+	// daemonPrefix starts the keys of registrations.
+	daemonPrefix = FleetPrefix + "daemons/"
+	// allotmentPrefix starts the keys of allotments.
+	allotmentPrefix = FleetPrefix + "allotments/"
+)
+
+func (coordinator *Coordinator) ownKey() string {
+	return daemonPrefix + coordinator.config.Self.ID().Daemon()
+}
+
+// Apply takes in changes of the fleet's entries.
+func (coordinator *Coordinator) Apply(now time.Time, list lagoonlanding.ChangeList) {
+	for _, change := range list.Changes() {
+		coordinator.apply(now, change)
+	}
+	coordinator.view = max(coordinator.view, list.Revision())
+	coordinator.verifyWritten()
+	coordinator.publish()
+}
+
+// Replace takes in a whole listing of the fleet's entries, which was asked for at the given time.
+func (coordinator *Coordinator) Replace(now, asked time.Time, listing lagoonlanding.Listing) {
+	listed := map[string]bool{}
+	own := uint64(0)
+	for _, entry := range listing.Entries() {
+		listed[entry.Key()] = true
+		coordinator.apply(now, lagoonlanding.NewChange(entry, false))
+		if entry.Key() == coordinator.ownKey() {
+			own = entry.Revision()
+		}
+	}
+	for _, name := range coordinator.config.Fleet.Names() {
+		if !listed[daemonPrefix+name] && coordinator.config.Fleet.Unregister(now, name, listing.Revision()) {
+			coordinator.config.Log.WithField("daemon", name).Warn("Daemon is no longer registered.")
+		}
+	}
+	coordinator.view = max(coordinator.view, listing.Revision())
+	coordinator.session.Verify(asked, own)
+	coordinator.config.Fleet.Settle(now)
+	coordinator.publish()
+}
+
+// Disconnect notes that the view of the store's entries is interrupted.
+func (coordinator *Coordinator) Disconnect() {
+	coordinator.config.Fleet.Unsettle()
+	coordinator.session.Doubt()
+}
+
+// verifyWritten counts the registration as proven once the view reaches it: every earlier change is known then.
+func (coordinator *Coordinator) verifyWritten() {
+	if coordinator.session.IsRegistered() && !coordinator.session.IsVerified() && coordinator.sentAt.After(coordinator.session.Proven()) &&
+		coordinator.view >= coordinator.session.Revision() {
+		coordinator.session.Verify(coordinator.sentAt, coordinator.session.Revision())
+	}
+}
+
+func (coordinator *Coordinator) apply(now time.Time, change lagoonlanding.Change) {
+	entry := change.Entry()
+	if name, ok := strings.CutPrefix(entry.Key(), daemonPrefix); ok {
+		coordinator.applyDaemon(now, name, change)
+		return
+	}
+	if _, ok := strings.CutPrefix(entry.Key(), allotmentPrefix); ok && !change.IsRemoved() {
+		coordinator.applyAllotment(entry)
+	}
+}
+
+func (coordinator *Coordinator) applyDaemon(now time.Time, name string, change lagoonlanding.Change) {
+	log := coordinator.config.Log.WithField("daemon", name).WithField("revision", change.Entry().Revision())
+	if change.IsRemoved() {
+		if coordinator.config.Fleet.Unregister(now, name, change.Entry().Revision()) {
+			log.Warn("Daemon is no longer registered.")
+		}
+		if name == coordinator.config.Self.ID().Daemon() && change.Entry().Revision() > coordinator.session.Revision() {
+			coordinator.session.Unregister()
+		}
+		return
+	}
+	backend, err := registrar.Codec{}.Decode(change.Entry())
+	if err != nil {
+		log.WithError(err).Warn("Unreadable registration ignored.")
+		return
+	}
+	if coordinator.config.Fleet.Register(backend, change.Entry().Revision()) {
+		log.WithField("backend-server", backend.ID().String()).WithField("state", backend.State()).Info("Daemon is registered.")
+	}
+}
+
+func (coordinator *Coordinator) applyAllotment(entry lagoonlanding.Entry) {
+	allotment, err := allocator.Codec{}.Decode(entry)
+	if err != nil {
+		coordinator.config.Log.WithField("key", entry.Key()).WithError(err).Warn("Unreadable allotment ignored.")
+		return
+	}
+	known, ok := coordinator.allotments[allotment.Service()]
+	if ok && entry.Revision() <= known.revision {
+		return
+	}
+	coordinator.allotments[allotment.Service()] = kept{allotment: allotment, revision: entry.Revision()}
+	delete(coordinator.needs, allotment.Service())
+	coordinator.config.Log.WithField("service", allotment.Service()).WithField("version", allotment.Version()).
+		WithField("revision", entry.Revision()).Info("Allotment of keys is known.")
+}
--- /dev/null
+++ b/mesh/coordinator/write.go
@@ -0,0 +1,202 @@
+package coordinator
+
+import (
+	"errors"
+	"slices"
+	"time"
+
+	"lagoonlanding.example/lagoonlanding"
+	"lagoonlanding.example/lagoonlanding/mesh/allocator"
+	"lagoonlanding.example/lagoonlanding/mesh/registrar"
+)
+
+const (
+	// settleTerm is how long changes of the fleet are gathered before keys move.
+	settleTerm = 300 * time.Millisecond
+	// firstTerm is how long a new daemon gathers the fleet before it allots keys that nobody has allotted yet.
+	firstTerm = 2 * time.Second
+	// rankTerm is how much longer each further daemon waits for the ones before it to write.
+	rankTerm = 1200 * time.Millisecond
+	// retryTerm is the pause after a write that failed.
+	retryTerm = 250 * time.Millisecond
+)
+
+// Write is one write to the store that the control state asks for.
+type Write struct {
+	put lagoonlanding.Put
+	// service is the divided service of an allotment, empty for the daemon's registration.
+	service  string
+	expected uint64
+	backend  lagoonlanding.Backend
+	sent     time.Time
+}
+
+// Put returns what is to be written.
+func (write Write) Put() lagoonlanding.Put { return write.put }
+
+// IsConditional reports whether the write holds only for an expected revision.
+func (write Write) IsConditional() bool { return write.service != "" }
+
+// Expected returns the revision that the entry must have.
+func (write Write) Expected() uint64 { return write.expected }
+
+// NextWrite returns the write that is due, or when to ask again; the zero time stands for after the next change.
+func (coordinator *Coordinator) NextWrite(now time.Time) (Write, time.Time, bool) {
+	if coordinator.writing {
+		return Write{}, time.Time{}, false
+	}
+	if now.Before(coordinator.writeAt) {
+		return Write{}, coordinator.writeAt, false
+	}
+	if write, ok := coordinator.registrationWrite(now); ok {
+		coordinator.writing = true
+		return write, time.Time{}, true
+	}
+	if !coordinator.session.IsRegistered() || coordinator.routing == nil || coordinator.view == 0 {
+		return Write{}, time.Time{}, false
+	}
+	var next time.Time
+	for _, terms := range coordinator.routing.Services() {
+		if !terms.IsDivided() {
+			continue
+		}
+		write, at, ok := coordinator.allotmentWrite(now, terms.Name())
+		if ok {
+			coordinator.writing = true
+			return write, time.Time{}, true
+		}
+		next = sooner(next, at)
+	}
+	return Write{}, next, false
+}
+
+// sooner returns the earlier of two times of which zero stands for never.
+func sooner(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
+	}
+	return a
+}
+
+func (coordinator *Coordinator) registrationWrite(now time.Time) (Write, bool) {
+	backend, ok := coordinator.registration(now)
+	if !ok || coordinator.session.Lease() == 0 || coordinator.session.IsRegistered() && backend == coordinator.published {
+		return Write{}, false
+	}
+	value, err := registrar.Codec{}.Encode(backend)
+	if err != nil {
+		coordinator.config.Log.WithError(err).Error("Registration cannot be encoded.")
+		return Write{}, false
+	}
+	return Write{put: lagoonlanding.NewPut(coordinator.ownKey(), value, coordinator.session.Lease()), backend: backend, sent: now}, true
+}
+
+// allotmentWrite returns the next allotment of a service if it should differ from the present one.
+func (coordinator *Coordinator) allotmentWrite(now time.Time, service string) (Write, time.Time, bool) {
+	known, exists := coordinator.allotments[service]
+	if !exists {
+		known.allotment = allocator.NewAllotment(allocator.AllotmentConfig{Service: service})
+	}
+	if next, ok := coordinator.release(now, known.allotment); ok {
+		return coordinator.propose(now, next, known.revision)
+	}
+	next, ok := known.allotment.Plan(allocator.PlanConfig{
+		Backends: coordinator.holders(now, service),
+		IsGone:   func(id lagoonlanding.BackendID) bool { return coordinator.config.Fleet.IsGone(now, id) },
+	})
+	if !ok {
+		delete(coordinator.needs, service)
+		return Write{}, coordinator.config.Fleet.NextGone(now), false
+	}
+	since, isKnown := coordinator.needs[service]
+	if !isKnown {
+		since = now
+		coordinator.needs[service] = since
+	}
+	due := since.Add(settleTerm + time.Duration(coordinator.rank())*rankTerm)
+	if first := coordinator.started.Add(firstTerm); !exists && due.Before(first) {
+		due = first
+	}
+	if now.Before(due) {
+		return Write{}, due, false
+	}
+	return coordinator.propose(now, next, known.revision)
+}
+
+// release returns the allotment after the backend server beside this daemon has let go of what it is to lose.
+func (coordinator *Coordinator) release(now time.Time, allotment *allocator.Allotment) (*allocator.Allotment, bool) {
+	return allotment.Release(coordinator.config.Grantor.ID(), func(first, last int) (string, bool) {
+		return coordinator.config.Grantor.HasLetGo(now, first, last)
+	})
+}
+
+func (coordinator *Coordinator) propose(now time.Time, allotment *allocator.Allotment, revision uint64) (Write, time.Time, bool) {
+	value, err := allocator.Codec{}.Encode(allotment)
+	if err != nil {
+		coordinator.config.Log.WithError(err).Error("Allotment cannot be encoded.")
+		return Write{}, time.Time{}, false
+	}
+	return Write{
+		put: lagoonlanding.NewPut(allotmentPrefix+allotment.Service(), value, 0), service: allotment.Service(), expected: revision, sent: now,
+	}, time.Time{}, true
+}
+
+// holders returns the backend servers of a divided service that may hold keys.
+func (coordinator *Coordinator) holders(now time.Time, service string) []lagoonlanding.Backend {
+	var holders []lagoonlanding.Backend
+	for _, backend := range coordinator.config.Fleet.Backends() {
+		isUp := backend.Service() == service && backend.State() == lagoonlanding.BackendReady
+		if isUp && !coordinator.evacuated[backend.AvailabilityZone()] && !coordinator.config.Fleet.IsGone(now, backend.ID()) {
+			holders = append(holders, backend)
+		}
+	}
+	return holders
+}
+
+// rank returns how many registered daemons come before this one in writing allotments.
+func (coordinator *Coordinator) rank() int {
+	registered := coordinator.config.Fleet.Registered()
+	return max(slices.IndexFunc(registered, func(backend lagoonlanding.Backend) bool {
+		return backend.ID().Daemon() == coordinator.config.Self.ID().Daemon()
+	}), 0)
+}
+
+// Wrote takes in what became of a write.
+func (coordinator *Coordinator) Wrote(now time.Time, write Write, revision uint64, err error) {
+	coordinator.writing = false
+	log := coordinator.config.Log.WithField("key", write.put.Key())
+	switch {
+	case err == nil && !write.IsConditional():
+		coordinator.published, coordinator.sentAt = write.backend, write.sent
+		coordinator.session.Register(revision)
+		coordinator.verifyWritten()
+		log.WithField("revision", revision).Info("Registration written.")
+	case err == nil:
+		coordinator.applyAllotment(lagoonlanding.NewEntry(write.put.Key(), write.put.Value(), revision))
+		coordinator.publish()
+		log.WithField("revision", revision).Info("Allotment written.")
+	case errors.Is(err, lagoonlanding.ErrLeaseEnded):
+		coordinator.session.End()
+	default:
+		coordinator.writeAt = now.Add(retryTerm)
+		log.WithError(err).Warn("Write to the store failed.")
+	}
+}
+
+// Lease takes in a new lease for the registration.
+func (coordinator *Coordinator) Lease(lease lagoonlanding.LeaseID) { coordinator.session.Begin(lease) }
+
+// Kept takes in what became of a renewal that was sent at the time.
+func (coordinator *Coordinator) Kept(sent time.Time, err error) {
+	switch {
+	case err == nil:
+		coordinator.session.Keep(sent)
+	case errors.Is(err, lagoonlanding.ErrLeaseEnded):
+		coordinator.session.End()
+	default:
+		coordinator.session.Doubt()
+	}
+}
+
+// Session returns the daemon's registration.
+func (coordinator *Coordinator) Session() registrar.Session { return coordinator.session }
--- /dev/null
+++ b/mesh/gatekeeper/gate.go
@@ -0,0 +1,261 @@
+package gatekeeper
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"lagoonlanding.example/lagoonlanding"
+)
+
+const (
+	// firstMean is how long a task is taken to last before any has ended.
+	firstMean = 200 * time.Millisecond
+	// meanWeight is the weight of the newest task in the mean of all, as in a moving average over some twenty tasks.
+	meanWeight = 0.05
+	// shortestRetry bounds the time after which a refused task is worth another try.
+	shortestRetry = 50 * time.Millisecond
+)
+
+// Config holds what a Gate is built from.
+type Config struct {
+	// Clock tells the time.
+	Clock lagoonlanding.Clock
+	// MaxWaiting bounds the tasks that wait for a slot.
+	MaxWaiting int
+}
+
+// Gate counts the tasks at one backend server, exactly, since all pass through it; it is safe for use by many goroutines.
+type Gate struct {
+	config Config
+
+	mutex   sync.Mutex
+	id      lagoonlanding.BackendID
+	closed  lagoonlanding.Reason
+	slots   int
+	running int
+	waiting []*waiter
+	pace    pace
+	means   means
+	turns   uint64
+}
+
+// waiter is a task that waits for a slot.
+type waiter struct {
+	task     lagoonlanding.Task
+	turn     uint64
+	admitted chan lagoonlanding.Reason
+}
+
+// NewGate returns a closed gate.
+func NewGate(config Config) *Gate {
+	return &Gate{config: config, closed: lagoonlanding.ReasonNoUpstream, means: newMeans()}
+}
+
+// Pass lets one task run; Finish must be called once.
+type Pass struct {
+	gate    *Gate
+	id      lagoonlanding.BackendID
+	route   string
+	started time.Time
+}
+
+// ID returns the life of the backend server for which the pass was given.
+func (pass *Pass) ID() lagoonlanding.BackendID { return pass.id }
+
+// Finish frees the slot; completed says that the backend server has answered, so that the time counts.
+func (pass *Pass) Finish(completed bool) {
+	pass.gate.finish(pass, completed)
+}
+
+// Open lets tasks pass to a life of the backend server with so many slots; one that is cold until a time takes them at a rate.
+func (gate *Gate) Open(id lagoonlanding.BackendID, slots int, warmAt time.Time, coldRate float64) {
+	gate.mutex.Lock()
+	defer gate.mutex.Unlock()
+	if gate.id != id {
+		// The tasks of an earlier life ended with it.
+		gate.id, gate.running = id, 0
+	}
+	gate.closed, gate.slots = lagoonlanding.ReasonNone, max(slots, 1)
+	gate.pace.set(gate.config.Clock.Now(), warmAt, coldRate)
+	gate.admit()
+}
+
+// Close refuses all further tasks, and those that wait, for the reason.
+func (gate *Gate) Close(reason lagoonlanding.Reason) {
+	gate.mutex.Lock()
+	defer gate.mutex.Unlock()
+	gate.closed = reason
+	for _, waiter := range gate.waiting {
+		waiter.admitted <- reason
+	}
+	gate.waiting = nil
+}
+
+// Load returns how busy the backend server is.
+func (gate *Gate) Load() lagoonlanding.Load {
+	gate.mutex.Lock()
+	defer gate.mutex.Unlock()
+	return lagoonlanding.NewLoad(lagoonlanding.LoadConfig{
+		Waiting: len(gate.waiting), Running: gate.running, Slots: gate.slots, Mean: gate.means.overall(),
+		Open: gate.closed == lagoonlanding.ReasonNone,
+	})
+}
+
+// Enter waits for a slot; it returns a pass, or the reason of a refusal and when a further try may succeed.
+func (gate *Gate) Enter(ctx context.Context, task lagoonlanding.Task) (*Pass, lagoonlanding.Reason, time.Time) {
+	waiter, pass, reason, retryAt := gate.queue(task)
+	if waiter == nil {
+		return pass, reason, retryAt
+	}
+	for {
+		select {
+		case reason := <-waiter.admitted:
+			return gate.entered(task, reason)
+		case <-ctx.Done():
+			return gate.leave(task, waiter)
+		case <-gate.paced():
+			gate.retry()
+		}
+	}
+}
+
+// paced wakes a waiter when the rate of a cold backend server lets the next task pass.
+func (gate *Gate) paced() <-chan time.Time {
+	gate.mutex.Lock()
+	defer gate.mutex.Unlock()
+	next := gate.pace.next(gate.config.Clock.Now())
+	if next.IsZero() {
+		return nil
+	}
+	return gate.config.Clock.Until(next)
+}
+
+func (gate *Gate) retry() {
+	gate.mutex.Lock()
+	defer gate.mutex.Unlock()
+	gate.admit()
+}
+
+// queue admits the task at once, refuses it, or lets it wait.
+func (gate *Gate) queue(task lagoonlanding.Task) (*waiter, *Pass, lagoonlanding.Reason, time.Time) {
+	gate.mutex.Lock()
+	defer gate.mutex.Unlock()
+	now := gate.config.Clock.Now()
+	if gate.closed != lagoonlanding.ReasonNone {
+		return nil, nil, gate.closed, time.Time{}
+	}
+	if len(gate.waiting) == 0 && gate.running < gate.slots && gate.pace.take(now) {
+		gate.running++
+		return nil, gate.pass(task, now), lagoonlanding.ReasonNone, time.Time{}
+	}
+	startsAt := gate.startsAt(now, task)
+	if len(gate.waiting) >= gate.config.MaxWaiting || startsAt.Add(gate.means.of(task.Route())).After(gate.latest(task)) {
+		reason := lagoonlanding.ReasonQueueFull
+		if gate.pace.isCold(now) {
+			reason = lagoonlanding.ReasonUpstreamCold
+		}
+		return nil, nil, reason, now.Add(max(startsAt.Sub(now)/2, shortestRetry))
+	}
+	gate.turns++
+	waiter := &waiter{task: task, turn: gate.turns, admitted: make(chan lagoonlanding.Reason, 1)}
+	index, _ := slices.BinarySearchFunc(gate.waiting, waiter, before)
+	gate.waiting = slices.Insert(gate.waiting, index, waiter)
+	return waiter, nil, lagoonlanding.ReasonNone, time.Time{}
+}
+
+// latest returns when an answer must be expected for the task to be let in: within its objective, or if that is past, its deadline.
+func (gate *Gate) latest(task lagoonlanding.Task) time.Time {
+	if task.Objective().IsZero() || task.Objective().After(task.Deadline()) {
+		return task.Deadline()
+	}
+	return task.Objective()
+}
+
+// startsAt estimates when the task would get a slot.
+func (gate *Gate) startsAt(now time.Time, task lagoonlanding.Task) time.Time {
+	work := time.Duration(0)
+	ahead := 0
+	for _, other := range gate.waiting {
+		if other.task.Rank() <= task.Rank() {
+			work += gate.means.of(other.task.Route())
+			ahead++
+		}
+	}
+	if gate.running >= gate.slots {
+		// On average half of each running task is left.
+		work += time.Duration(gate.running) * gate.means.overall() / 2
+	}
+	return gate.pace.after(now, ahead, now.Add(work/time.Duration(max(gate.slots, 1))))
+}
+
+// before orders waiting tasks by rank, and within a rank by arrival.
+func before(a, b *waiter) int {
+	if a.task.Rank() != b.task.Rank() {
+		return a.task.Rank() - b.task.Rank()
+	}
+	if a.turn < b.turn {
+		return -1
+	}
+	return 1
+}
+
+// admit lets waiting tasks run while there are free slots.
+func (gate *Gate) admit() {
+	now := gate.config.Clock.Now()
+	for len(gate.waiting) > 0 && gate.closed == lagoonlanding.ReasonNone && gate.running < gate.slots {
+		if !gate.pace.take(now) {
+			return
+		}
+		waiter := gate.waiting[0]
+		gate.waiting = gate.waiting[1:]
+		gate.running++
+		waiter.admitted <- lagoonlanding.ReasonNone
+	}
+}
+
+// entered turns the word of admission into a pass.
+func (gate *Gate) entered(task lagoonlanding.Task, reason lagoonlanding.Reason) (*Pass, lagoonlanding.Reason, time.Time) {
+	if reason != lagoonlanding.ReasonNone {
+		return nil, reason, time.Time{}
+	}
+	gate.mutex.Lock()
+	defer gate.mutex.Unlock()
+	return gate.pass(task, gate.config.Clock.Now()), lagoonlanding.ReasonNone, time.Time{}
+}
+
+func (gate *Gate) pass(task lagoonlanding.Task, now time.Time) *Pass {
+	return &Pass{gate: gate, id: gate.id, route: task.Route(), started: now}
+}
+
+// leave takes a task whose client has gone, or whose time is up, out of the queue.
+func (gate *Gate) leave(task lagoonlanding.Task, leaving *waiter) (*Pass, lagoonlanding.Reason, time.Time) {
+	gate.mutex.Lock()
+	defer gate.mutex.Unlock()
+	select {
+	case reason := <-leaving.admitted:
+		if reason == lagoonlanding.ReasonNone {
+			gate.release(gate.id)
+		}
+	default:
+		gate.waiting = slices.DeleteFunc(gate.waiting, func(waiter *waiter) bool { return waiter == leaving })
+	}
+	return nil, lagoonlanding.ReasonDeadline, time.Time{}
+}
+
+func (gate *Gate) finish(pass *Pass, completed bool) {
+	gate.mutex.Lock()
+	defer gate.mutex.Unlock()
+	if completed {
+		gate.means.note(pass.route, gate.config.Clock.Now().Sub(pass.started))
+	}
+	gate.release(pass.id)
+}
+
+func (gate *Gate) release(id lagoonlanding.BackendID) {
+	if gate.id == id && gate.running > 0 {
+		gate.running--
+	}
+	gate.admit()
+}
--- /dev/null
+++ b/mesh/registrar/codec.go
@@ -0,0 +1,60 @@
+package registrar
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"lagoonlanding.example/lagoonlanding"
+)
+
+// Codec turns a daemon's registration into what the store holds.
+type Codec struct{}
+
+var _ lagoonlanding.Codec[lagoonlanding.Backend] = Codec{}
+
+// registration is a daemon with its backend server as it is written.
+type registration struct {
+	Daemon  string `json:"daemon"`
+	Address string `json:"peer-address"`
+	Zone    string `json:"availability-zone"`
+	Region  string `json:"region"`
+	Service string `json:"service"`
+	Name    string `json:"backend-server,omitempty"`
+	Born    int64  `json:"born,omitempty"`
+	Slots   int    `json:"slots,omitempty"`
+	State   string `json:"state"`
+}
+
+// Encode returns the bytes of the registration.
+func (codec Codec) Encode(backend lagoonlanding.Backend) ([]byte, error) {
+	encoded, err := json.Marshal(registration{
+		Daemon: backend.ID().Daemon(), Address: backend.PeerAddress(), Zone: backend.AvailabilityZone(), Region: backend.Region(),
+		Service: backend.Service(), Name: backend.ID().Name(), Born: backend.ID().Born(), Slots: backend.Slots(), State: string(backend.State()),
+	})
+	if err != nil {
+		return nil, fmt.Errorf("encode registration: %w", err)
+	}
+	return encoded, nil
+}
+
+// Decode returns the registration that an entry holds.
+func (codec Codec) Decode(entry lagoonlanding.Entry) (lagoonlanding.Backend, error) {
+	var decoded registration
+	if err := json.Unmarshal(entry.Value(), &decoded); err != nil {
+		return lagoonlanding.Backend{}, fmt.Errorf("decode registration %s: %w", entry.Key(), err)
+	}
+	state := lagoonlanding.BackendState(decoded.State)
+	switch state {
+	case lagoonlanding.BackendAbsent, lagoonlanding.BackendReady, lagoonlanding.BackendDraining:
+	default:
+		return lagoonlanding.Backend{}, fmt.Errorf("decode registration %s: unknown state %q", entry.Key(), decoded.State)
+	}
+	if decoded.Daemon == "" || decoded.Address == "" {
+		return lagoonlanding.Backend{}, fmt.Errorf("decode registration %s: no daemon or no address", entry.Key())
+	}
+	return lagoonlanding.NewBackend(lagoonlanding.BackendConfig{
+		ID:          lagoonlanding.NewBackendID(decoded.Daemon, decoded.Name, decoded.Born),
+		PeerAddress: decoded.Address, AvailabilityZone: decoded.Zone, Region: decoded.Region,
+		Service: decoded.Service, Slots: decoded.Slots, State: state,
+	}), nil
+}
--- /dev/null
+++ b/mesh/syncer/doc.go
@@ -0,0 +1,2 @@
+// Package syncer runs the control thread and keeps the control state and the store in step.
+package syncer
--- /dev/null
+++ b/mesh/syncer/syncer.go
@@ -0,0 +1,235 @@
+package syncer
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"lagoonlanding.example/lagoonlanding"
+	"lagoonlanding.example/lagoonlanding/executor"
+	"lagoonlanding.example/lagoonlanding/mesh/coordinator"
+)
+
+const (
+	// renewInterval is the time between two renewals: three fit into the lease.
+	renewInterval = time.Second
+	// leaseTerm is how long a registration outlives the daemon.
+	leaseTerm = 3 * time.Second
+	// callTerm bounds one call to the store; a slow store answers in fractions of a second.
+	callTerm = 1500 * time.Millisecond
+	// watchTerm bounds one watch, beyond the time for which the store lets it wait.
+	watchTerm = 33 * time.Second
+	// shortestPause and longestPause bound the pause after a failed call, which doubles each time.
+	shortestPause = 100 * time.Millisecond
+	longestPause  = time.Second
+	// tick bounds the time between two looks at what is due.
+	tick = 500 * time.Millisecond
+)
+
+// Config holds what a Syncer is built from.
+type Config struct {
+	// Coordinator is the control state.
+	Coordinator *coordinator.Coordinator
+	// Store keeps what the fleet has to agree on.
+	Store lagoonlanding.MetadataStore
+	// Directives decodes what operators write; an entry that is none of theirs gives none.
+	Directives lagoonlanding.Codec[lagoonlanding.Directive]
+	// DirectivePrefix starts the keys of what operators write.
+	DirectivePrefix string
+	// Clock tells the time, also while the machine is suspended.
+	Clock lagoonlanding.Clock
+	// Log takes one line for each lost or regained dependency.
+	Log *logrus.Entry
+}
+
+// Syncer owns the control thread; its other goroutines only wait for the store.
+type Syncer struct {
+	config  Config
+	control *executor.Executor[*coordinator.Coordinator]
+	changed chan struct{}
+
+	mutex sync.Mutex
+	lost  map[string]bool
+}
+
+var _ lagoonlanding.AnnouncementHandler = (*Syncer)(nil)
+
+// New returns a syncer; Run starts it.
+func New(config Config) *Syncer {
+	return &Syncer{
+		config: config, control: executor.New(executor.Config[*coordinator.Coordinator]{State: config.Coordinator}),
+		changed: make(chan struct{}, 1), lost: map[string]bool{},
+	}
+}
+
+// Run keeps the control state and the store in step until ctx ends.
+func (syncer *Syncer) Run(ctx context.Context) {
+	var parts sync.WaitGroup
+	parts.Go(func() { syncer.control.Run(ctx) })
+	parts.Go(func() { syncer.keepRegistration(ctx) })
+	parts.Go(func() { syncer.write(ctx) })
+	parts.Go(func() { syncer.follow(ctx, newFleetView(syncer)) })
+	parts.Go(func() { syncer.follow(ctx, newDirectiveView(syncer)) })
+	parts.Wait()
+}
+
+// do runs a step of the control thread and wakes the writer.
+func (syncer *Syncer) do(step func(coordinator *coordinator.Coordinator, now time.Time)) bool {
+	ok := syncer.control.Do(func(state *coordinator.Coordinator) { step(state, syncer.config.Clock.Now()) })
+	select {
+	case syncer.changed <- struct{}{}:
+	default:
+	}
+	return ok
+}
+
+// Announce hands an announcement of the backend server to the control thread.
+func (syncer *Syncer) Announce(_ context.Context, announcement lagoonlanding.Announcement) (order lagoonlanding.HoldOrder, ok bool) {
+	syncer.do(func(state *coordinator.Coordinator, now time.Time) { order, ok = state.Announce(now, announcement) })
+	return order, ok
+}
+
+// Depart hands the backend server's leave to the control thread.
+func (syncer *Syncer) Depart(_ context.Context, name string, _ time.Time) (ok bool) {
+	syncer.do(func(state *coordinator.Coordinator, _ time.Time) { ok = state.Depart(name) })
+	return ok
+}
+
+// Lost tells the control thread that the process of a backend server has ended.
+func (syncer *Syncer) Lost(id lagoonlanding.BackendID) {
+	syncer.do(func(state *coordinator.Coordinator, _ time.Time) { state.Lost(id) })
+}
+
+// IsReady reports whether the daemon can serve.
+func (syncer *Syncer) IsReady() (ready bool) {
+	syncer.control.Do(func(state *coordinator.Coordinator) { ready = state.IsReady() })
+	return ready
+}
+
+// Stop tells the control thread that the daemon is about to end.
+func (syncer *Syncer) Stop() {
+	syncer.control.Do(func(state *coordinator.Coordinator) { state.Stop() })
+}
+
+// keepRegistration holds a lease and renews it.
+func (syncer *Syncer) keepRegistration(ctx context.Context) {
+	pause := newPause()
+	for ctx.Err() == nil {
+		err := syncer.renew(ctx)
+		syncer.note("lease", err)
+		wait := renewInterval
+		if err != nil && !errors.Is(err, lagoonlanding.ErrLeaseEnded) {
+			wait = pause.next()
+		} else {
+			pause.reset()
+		}
+		syncer.sleep(ctx, wait)
+	}
+}
+
+func (syncer *Syncer) renew(ctx context.Context) error {
+	var lease lagoonlanding.LeaseID
+	syncer.control.Do(func(state *coordinator.Coordinator) { session := state.Session(); lease = session.Lease() })
+	call, cancel := context.WithTimeout(ctx, callTerm)
+	defer cancel()
+	sent := syncer.config.Clock.Now()
+	if lease == 0 {
+		granted, err := syncer.config.Store.Grant(call, leaseTerm)
+		if err == nil {
+			syncer.do(func(state *coordinator.Coordinator, _ time.Time) { state.Lease(granted) })
+		}
+		return err
+	}
+	err := syncer.config.Store.Keep(call, lease)
+	isDoubtful := false
+	syncer.do(func(state *coordinator.Coordinator, _ time.Time) {
+		state.Kept(sent, err)
+		session := state.Session()
+		isDoubtful = err == nil && session.IsRegistered() && !session.IsVerified()
+	})
+	if isDoubtful {
+		return newFleetView(syncer).list(ctx)
+	}
+	return err
+}
+
+// write carries out the writes that the control state asks for, one at a time.
+func (syncer *Syncer) write(ctx context.Context) {
+	for ctx.Err() == nil {
+		var write coordinator.Write
+		var at time.Time
+		var ok bool
+		syncer.control.Do(func(state *coordinator.Coordinator) { write, at, ok = state.NextWrite(syncer.config.Clock.Now()) })
+		if ok {
+			syncer.carryOut(ctx, write)
+			continue
+		}
+		syncer.waitForChange(ctx, at)
+	}
+}
+
+func (syncer *Syncer) carryOut(ctx context.Context, write coordinator.Write) {
+	call, cancel := context.WithTimeout(ctx, callTerm)
+	defer cancel()
+	var revision uint64
+	var err error
+	if write.IsConditional() {
+		revision, err = syncer.config.Store.PutIf(call, write.Put(), write.Expected())
+	} else {
+		revision, err = syncer.config.Store.Put(call, write.Put())
+	}
+	syncer.do(func(state *coordinator.Coordinator, now time.Time) { state.Wrote(now, write, revision, err) })
+}
+
+// waitForChange waits for a change of the control state, the time at which something is due, or a tick.
+func (syncer *Syncer) waitForChange(ctx context.Context, at time.Time) {
+	wait := tick
+	if !at.IsZero() {
+		wait = min(wait, max(at.Sub(syncer.config.Clock.Now()), time.Millisecond))
+	}
+	select {
+	case <-ctx.Done():
+	case <-syncer.changed:
+	case <-time.After(wait):
+	}
+}
+
+func (syncer *Syncer) sleep(ctx context.Context, wait time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(wait):
+	}
+}
+
+// note logs when a dependency is lost or regained.
+func (syncer *Syncer) note(dependency string, err error) {
+	syncer.mutex.Lock()
+	defer syncer.mutex.Unlock()
+	log := syncer.config.Log.WithField("dependency", dependency)
+	switch {
+	case err != nil && !syncer.lost[dependency]:
+		syncer.lost[dependency] = true
+		log.WithError(err).Warn("Store is lost.")
+	case err == nil && syncer.lost[dependency]:
+		delete(syncer.lost, dependency)
+		log.Info("Store is back.")
+	}
+}
+
+// pause grows with each failure in a row.
+type pause struct {
+	failures int
+}
+
+func newPause() *pause { return &pause{} }
+
+func (pause *pause) next() time.Duration {
+	wait := min(shortestPause<<min(pause.failures, 10), longestPause)
+	pause.failures++
+	return wait
+}
+
+func (pause *pause) reset() { pause.failures = 0 }
--- /dev/null
+++ b/metadata.go
@@ -0,0 +1,93 @@
+package lagoonlanding
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// Errors of a MetadataStore besides those of a Store.
+var (
+	// ErrCompacted says that the store no longer has the changes after the asked revision.
+	ErrCompacted = errors.New("the store has dropped these changes")
+	// ErrLeaseEnded says that the store knows no such lease.
+	ErrLeaseEnded = errors.New("the lease has ended")
+)
+
+// LeaseID names a lease of the store; zero stands for none.
+type LeaseID int64
+
+// Change is one write or removal in the store.
+type Change struct {
+	entry   Entry
+	removed bool
+}
+
+// NewChange returns the write of an entry, or its removal.
+func NewChange(entry Entry, removed bool) Change { return Change{entry: entry, removed: removed} }
+
+// Entry returns the entry as it was written; a removed one has no value.
+func (change Change) Entry() Entry { return change.entry }
+
+// IsRemoved reports whether the entry is gone.
+func (change Change) IsRemoved() bool { return change.removed }
+
+// ChangeList is what has changed under a prefix up to a revision of the store.
+type ChangeList struct {
+	changes  []Change
+	revision uint64
+}
+
+// NewChangeList returns changes that reach up to a revision.
+func NewChangeList(changes []Change, revision uint64) ChangeList {
+	return ChangeList{changes: changes, revision: revision}
+}
+
+// Changes returns the changes in the order of the store.
+func (changelist ChangeList) Changes() []Change { return changelist.changes }
+
+// Revision returns the store's revision that the changes reach.
+func (changelist ChangeList) Revision() uint64 { return changelist.revision }
+
+// Put is one write of a transaction.
+type Put struct {
+	key   string
+	value []byte
+	lease LeaseID
+}
+
+// NewPut returns the write of a value that goes with the lease, or stays if that is zero.
+func NewPut(key string, value []byte, lease LeaseID) Put {
+	return Put{key: key, value: value, lease: lease}
+}
+
+// Key returns the name of the entry.
+func (put Put) Key() string { return put.key }
+
+// Value returns the bytes to be written.
+func (put Put) Value() []byte { return put.value }
+
+// Lease returns the lease with which the entry goes, zero if it stays.
+func (put Put) Lease() LeaseID { return put.lease }
+
+// MetadataStore is a key-value service with leases that keeps what the fleet has to agree on.
+//
+// Every method fails with ErrUnavailable if the call was not carried out, and with ErrUnknown if nobody can tell.
+type MetadataStore interface {
+	// Get reads one entry and fails with ErrNotFound if there is none.
+	Get(ctx context.Context, key string) (Entry, error)
+	// List reads all entries under a prefix; the revision is one from which a watch misses nothing.
+	List(ctx context.Context, prefix string) (Listing, error)
+	// Watch waits for changes under the prefix after the revision; it returns none if none came in time, or ErrCompacted.
+	Watch(ctx context.Context, prefix string, after uint64) (ChangeList, error)
+	// Put writes an entry whatever it holds, and fails with ErrLeaseEnded if its lease is gone.
+	Put(ctx context.Context, put Put) (uint64, error)
+	// PutIf writes an entry that still has the expected revision, zero for none, or fails with ErrConflict.
+	PutIf(ctx context.Context, put Put, expected uint64) (uint64, error)
+	// Grant begins a lease that lapses unless it is kept, and returns when it lapses if it is not.
+	Grant(ctx context.Context, term time.Duration) (LeaseID, error)
+	// Keep renews a lease, and fails with ErrLeaseEnded if it is gone.
+	Keep(ctx context.Context, lease LeaseID) error
+	// End removes a lease with its entries.
+	End(ctx context.Context, lease LeaseID) error
+}
