Check the service of a task, end without cutting a request, and keep lapsed keys back

Cause of ROUTE: the address of a lost daemon went to one beside another service, which ran the task; the receiver now refuses tasks of another service.

--- a/lagoonmesh/daemon.go
+++ b/lagoonmesh/daemon.go
@@ -81,9 +81,9 @@
 
 func (daemon *daemon) buildTraffic(gate *gatekeeper.Gate) {
 	daemon.acceptor = acceptor.New(acceptor.Config{
-		Daemon: daemon.settings.Daemon(), Address: daemon.settings.BackendAddress(), Gate: gate,
-		Runner:   platform.NewUpstream(daemon.pool, daemon.clock, daemon.part("upstream")),
-		Snapshot: daemon.coordinator.Snapshot, Lost: daemon.syncer.Lost, Clock: daemon.clock, Log: daemon.part("backend"),
+		Service: daemon.settings.Service(), Address: daemon.settings.BackendAddress(), Gate: gate,
+		Runner:  platform.NewUpstream(daemon.pool, daemon.clock, daemon.part("upstream")),
+		Holding: daemon.coordinator.Holding, Lost: daemon.syncer.Lost, Clock: daemon.clock, Log: daemon.part("backend"),
 	})
 	daemon.forwarder = forwarder.New(forwarder.Config{
 		Daemon: daemon.settings.Daemon(), Service: daemon.settings.Service(), Local: daemon.acceptor,
@@ -119,7 +119,7 @@
 	<-ctx.Done()
 	daemon.part("daemon").Info("Daemon stops.")
 	daemon.syncer.Stop()
-	servers.drain(daemon.settings.Grace(defaultGrace))
+	servers.drain(time.Now().Add(daemon.settings.Grace(defaultGrace)))
 	cancel()
 	parts.Wait()
 	daemon.part("daemon").Info("Daemon has stopped.")
--- a/lagoonmesh/servers.go
+++ b/lagoonmesh/servers.go
@@ -1,11 +1,9 @@
 package main
 
 import (
-	"context"
 	"fmt"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 
 	"lagoonlanding.example/lagoonlanding"
@@ -20,18 +18,13 @@
 	headerTerm = 10 * time.Second
 	// clientIdleTerm is how long an idle connection of a client is kept, longer than the platform lets clients use one.
 	clientIdleTerm = 75 * time.Second
-	// unreadyTerm is how long a stopping daemon goes on taking requests while clients learn that it is not ready.
-	unreadyTerm = 2500 * time.Millisecond
-	// endTerm is what is left of the grace for the end of the process.
-	endTerm = 400 * time.Millisecond
 )
 
 // servers are the daemon's listeners.
 type servers struct {
-	all []*http.Server
-	// front are those that take requests.
-	front     []*http.Server
+	all       []*http.Server
 	listeners []net.Listener
+	drainer
 }
 
 func (daemon *daemon) listen() (*servers, error) {
@@ -62,13 +55,13 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
+	if isFront {
+		handler = servers.wrap(handler)
+	}
 	server := &http.Server{
 		Handler: handler, MaxHeaderBytes: maxHeader, ReadHeaderTimeout: headerTerm, IdleTimeout: clientIdleTerm,
 	}
 	servers.all, servers.listeners = append(servers.all, server), append(servers.listeners, listener)
-	if isFront {
-		servers.front = append(servers.front, server)
-	}
 	return nil
 }
 
@@ -78,20 +71,6 @@
 	}
 }
 
-// drain answers what is under way and ends within the grace.
-func (servers *servers) drain(grace time.Duration) {
-	ends := time.Now().Add(grace - endTerm)
-	time.Sleep(min(unreadyTerm, grace/2))
-	ctx, cancel := context.WithDeadline(context.Background(), ends)
-	defer cancel()
-	var parts sync.WaitGroup
-	for _, server := range servers.front {
-		server.SetKeepAlivesEnabled(false)
-		parts.Go(func() { _ = server.Shutdown(ctx) }) // What is left at the deadline is cut by the end of the process.
-	}
-	parts.Wait()
-}
-
 // ready tells whether the daemon can serve.
 func (daemon *daemon) ready(writer http.ResponseWriter, _ *http.Request) {
 	if !daemon.syncer.IsReady() {
--- a/mesh/acceptor/acceptor.go
+++ b/mesh/acceptor/acceptor.go
@@ -9,22 +9,22 @@
 	"github.com/sirupsen/logrus"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/mesh/coordinator"
 	"lagoonlanding.example/lagoonlanding/mesh/gatekeeper"
+	"lagoonlanding.example/lagoonlanding/mesh/grantor"
 )
 
 // Config holds what an Acceptor is built from.
 type Config struct {
-	// Daemon is the name of the daemon.
-	Daemon string
+	// Service is the service that the backend server beside the daemon runs.
+	Service string
 	// Address is the host and port of the backend server.
 	Address string
 	// Gate admits tasks.
 	Gate *gatekeeper.Gate
 	// Runner runs tasks.
 	Runner lagoonlanding.Runner
-	// Snapshot returns what traffic may know of the control state.
-	Snapshot func() *coordinator.Snapshot
+	// Holding returns which keys the backend server holds.
+	Holding func() *grantor.Holding
 	// Lost is told of a life of the backend server that has ended.
 	Lost func(id lagoonlanding.BackendID)
 	// Clock tells the time.
@@ -80,6 +80,10 @@
 
 // admit returns a pass, or the refusal of the task.
 func (acceptor *Acceptor) admit(ctx context.Context, task lagoonlanding.Task) (lagoonlanding.Result, *gatekeeper.Pass) {
+	if task.Service() != acceptor.config.Service {
+		// The sender knows a daemon that had the address before.
+		return lagoonlanding.NotRun(lagoonlanding.ReasonNoUpstream, acceptor.config.Clock.Now()), nil
+	}
 	if !acceptor.holds(task) {
 		return lagoonlanding.NotRun(lagoonlanding.ReasonMoving, acceptor.config.Clock.Now().Add(movingTerm)), nil
 	}
@@ -99,8 +103,7 @@
 	if task.ShardKey() == lagoonlanding.NoShardKey {
 		return true
 	}
-	owner, ok := acceptor.config.Snapshot().Owner(task.Service(), task.ShardKey())
-	return ok && owner.ID().Daemon() == acceptor.config.Daemon
+	return acceptor.config.Holding().Has(acceptor.config.Clock.Now(), task.ShardKey())
 }
 
 // watch tells of a backend server that refuses connections: its process has ended.
--- a/mesh/coordinator/coordinator.go
+++ b/mesh/coordinator/coordinator.go
@@ -21,19 +21,11 @@
 	// Grantor knows the backend server beside the daemon.
 	Grantor *grantor.Grantor
 	// Gate admits tasks to the backend server.
-	Gate Gate
+	Gate lagoonlanding.Gate
 	// Log takes one line for each change of what the daemon believes.
 	Log *logrus.Entry
 }
 
-// Gate is what the coordinator tells the gate before the backend server.
-type Gate interface {
-	// Open lets tasks pass to a life of the backend server.
-	Open(id lagoonlanding.BackendID, slots int, warmAt time.Time, coldRate float64)
-	// Close refuses all tasks for the reason.
-	Close(reason lagoonlanding.Reason)
-}
-
 // kept is an allotment with the store's revision of it.
 type kept struct {
 	allotment *allocator.Allotment
@@ -62,6 +54,7 @@
 	started time.Time
 
 	snapshot atomic.Pointer[Snapshot]
+	holding  atomic.Pointer[grantor.Holding]
 }
 
 // New returns the control state of a daemon that has just started.
@@ -77,6 +70,9 @@
 // Snapshot returns what traffic reads; any goroutine may call it.
 func (coordinator *Coordinator) Snapshot() *Snapshot { return coordinator.snapshot.Load() }
 
+// Holding returns which keys the backend server holds; any goroutine may call it.
+func (coordinator *Coordinator) Holding() *grantor.Holding { return coordinator.holding.Load() }
+
 // publish replaces the snapshot after a change.
 func (coordinator *Coordinator) publish() {
 	allotments := make(map[string]*allocator.Allotment, len(coordinator.allotments))
@@ -96,11 +92,12 @@
 // steer opens or closes the gate as the backend server's state and the zone's ask.
 func (coordinator *Coordinator) steer() {
 	latest, ok := coordinator.config.Grantor.Latest()
+	coordinator.holding.Store(coordinator.config.Grantor.Holding())
 	gate := coordinator.config.Gate
 	switch {
 	case !ok:
 		gate.Close(lagoonlanding.ReasonNoUpstream)
-	case coordinator.isLeaving(latest):
+	case coordinator.isLeaving(latest), coordinator.isParting():
 		gate.Close(lagoonlanding.ReasonShuttingDown)
 	case coordinator.evacuated[coordinator.config.Self.AvailabilityZone()]:
 		gate.Close(lagoonlanding.ReasonNotReady)
@@ -173,5 +170,17 @@
 	return coordinator.routing != nil && coordinator.view > 0 && !coordinator.stopping
 }
 
-// Stop notes that the daemon is about to end.
-func (coordinator *Coordinator) Stop() { coordinator.stopping = true }
+// Stop notes that the daemon is about to end; tasks of divided services are still taken, since no other backend server holds their keys.
+func (coordinator *Coordinator) Stop() {
+	coordinator.stopping = true
+	coordinator.steer()
+}
+
+// isParting reports whether other daemons should send their tasks elsewhere because this one is about to end.
+func (coordinator *Coordinator) isParting() bool {
+	if !coordinator.stopping || coordinator.routing == nil {
+		return false
+	}
+	terms, ok := coordinator.routing.Service(coordinator.config.Self.Service())
+	return ok && !terms.IsDivided()
+}
--- a/mesh/coordinator/upstream.go
+++ b/mesh/coordinator/upstream.go
@@ -8,6 +8,11 @@
 
 // Announce takes in what the backend server says, and returns what it is to hold; it is false for old news.
 func (coordinator *Coordinator) Announce(now time.Time, announcement lagoonlanding.Announcement) (lagoonlanding.HoldOrder, bool) {
+	if announcement.Service() != coordinator.config.Self.Service() {
+		coordinator.config.Log.WithField("backend-server", announcement.Name()).WithField("service", announcement.Service()).
+			Warn("Announcement of another service ignored.")
+		return lagoonlanding.HoldOrder{}, false
+	}
 	before, hadBefore := coordinator.config.Grantor.Latest()
 	previous := coordinator.config.Grantor.ID()
 	if !coordinator.config.Grantor.Announce(now, announcement) {
@@ -18,7 +23,7 @@
 		coordinator.config.Log.WithField("backend-server", coordinator.config.Grantor.ID().String()).
 			WithField("state", announcement.State()).WithField("slots", announcement.Slots()).Info("Backend server announced itself.")
 	}
-	coordinator.steer()
+	defer coordinator.steer()
 	if !coordinator.mayGrant() {
 		return lagoonlanding.HoldOrder{}, true
 	}
--- a/mesh/grantor/grantor.go
+++ b/mesh/grantor/grantor.go
@@ -34,6 +34,8 @@
 	ended  bool
 	// lapses is when the backend server holds nothing any more if it is told nothing else.
 	lapses time.Time
+	// ends is when the backend server lets go by a clock that runs as it should.
+	ends time.Time
 	// heard is when the last announcement came.
 	heard time.Time
 	// released are handovers that no allotment carries yet.
@@ -120,6 +122,7 @@
 	}
 	ranges := allotment.Held(grantor.ID(), func(first, last int) bool { return covers(grantor.latest.Held(), first, last) })
 	grantor.ordered = ranges
+	grantor.ends = now.Add(term)
 	if len(ranges) > 0 {
 		grantor.lapses = now.Add(time.Duration(float64(term) * (1 + grantor.config.SlowClock)))
 	}
@@ -144,8 +147,13 @@
 	return "", true
 }
 
-// Holds reports whether the backend server has said that it holds the key, or was just told to.
-func (grantor *Grantor) Holds(key int) bool { return overlaps(grantor.latest.Held(), key, key) }
+// Holding returns what the backend server holds after the last order, by its own account of time.
+func (grantor *Grantor) Holding() *Holding {
+	if !grantor.known || grantor.ended {
+		return NewHolding(nil, time.Time{})
+	}
+	return NewHolding(grantor.ordered, grantor.ends)
+}
 
 func overlaps(ranges []lagoonlanding.HeldRange, first, last int) bool {
 	for _, held := range ranges {
--- a/runner.go
+++ b/runner.go
@@ -17,6 +17,14 @@
 	Carry(ctx context.Context, backend Backend, task Task) Result
 }
 
+// Gate is what the control thread tells the gate before the backend server.
+type Gate interface {
+	// Open lets tasks pass to a life of the backend server with so many slots; while it is cold it takes them at a rate.
+	Open(id BackendID, slots int, warmAt time.Time, coldRate float64)
+	// Close refuses all tasks for the reason.
+	Close(reason Reason)
+}
+
 // TaskHandler takes the tasks that arrive at a daemon.
 type TaskHandler interface {
 	// Handle returns what became of the task; whoever calls closes the body of an answer.
