Let urgent tasks wait, and others leave once they cannot meet their objective

Ruled out: too few slots, as requests of the same service were served late meanwhile. Change: a task more urgent than others at the server may wait up to its deadline; the others up to their objective and no longer; a full queue is final for the owner of a key.

--- a/mesh/forwarder/forwarder.go
+++ b/mesh/forwarder/forwarder.go
@@ -168,11 +168,22 @@
 	return candidates[index], true
 }
 
+// isMoving reports whether the request is for keys on their way to an owner, so that another look may find one.
+func (journey *journey) isMoving() bool {
+	if journey.task.ShardKey() == lagoonlanding.NoShardKey {
+		return false
+	}
+	switch journey.result.Reason() {
+	case lagoonlanding.ReasonNone, lagoonlanding.ReasonMoving, lagoonlanding.ReasonNoUpstream, lagoonlanding.ReasonShuttingDown, lagoonlanding.ReasonNotReady:
+		return true
+	}
+	return false
+}
+
 // wait lets a request for keys on their way look again, and refuses all others.
 func (forwarder *Forwarder) wait(ctx context.Context, journey *journey) bool {
 	now := forwarder.config.Clock.Now()
-	isMoving := journey.task.ShardKey() != lagoonlanding.NoShardKey && now.Before(journey.waits) && journey.tries < maxTries*maxTries
-	if !isMoving {
+	if !journey.isMoving() || !now.Before(journey.waits) {
 		if journey.result.Outcome() == 0 {
 			journey.result = lagoonlanding.NotRun(lagoonlanding.ReasonNoUpstream, now.Add(comeBackTerm))
 		}
--- a/mesh/gatekeeper/gate.go
+++ b/mesh/gatekeeper/gate.go
@@ -38,19 +38,22 @@
 	waiting []*waiter
 	pace    pace
 	means   means
+	ranks   ranks
 	turns   uint64
 }
 
 // waiter is a task that waits for a slot.
 type waiter struct {
-	task     lagoonlanding.Task
-	turn     uint64
+	task lagoonlanding.Task
+	turn uint64
+	// latest is when the task must start to be worth its slot.
+	latest   time.Time
 	admitted chan lagoonlanding.Reason
 }
 
 // NewGate returns a closed gate.
 func NewGate(config Config) *Gate {
-	return &Gate{config: config, closed: lagoonlanding.ReasonNoUpstream, means: newMeans()}
+	return &Gate{config: config, closed: lagoonlanding.ReasonNoUpstream, means: newMeans(), ranks: ranks{}}
 }
 
 // Pass lets one task run; Finish must be called once.
@@ -109,12 +112,15 @@
 	if waiter == nil {
 		return pass, reason, retryAt
 	}
+	tooLate := gate.config.Clock.Until(waiter.latest)
 	for {
 		select {
 		case reason := <-waiter.admitted:
 			return gate.entered(task, reason)
 		case <-ctx.Done():
-			return gate.leave(task, waiter)
+			return gate.leave(waiter, lagoonlanding.ReasonDeadline)
+		case <-tooLate:
+			return gate.leave(waiter, lagoonlanding.ReasonQueueFull)
 		case <-gate.paced():
 			gate.retry()
 		}
@@ -146,31 +152,41 @@
 	if gate.closed != lagoonlanding.ReasonNone {
 		return nil, nil, gate.closed, time.Time{}
 	}
+	gate.ranks.note(now, task.Rank())
 	if len(gate.waiting) == 0 && gate.running < gate.slots && gate.pace.take(now) {
 		gate.running++
 		return nil, gate.pass(task, now), lagoonlanding.ReasonNone, time.Time{}
 	}
-	startsAt := gate.startsAt(now, task)
-	if len(gate.waiting) >= gate.config.MaxWaiting || startsAt.Add(gate.means.of(task.Route())).After(gate.latest(task)) {
-		reason := lagoonlanding.ReasonQueueFull
-		if gate.pace.isCold(now) {
-			reason = lagoonlanding.ReasonUpstreamCold
-		}
-		return nil, nil, reason, now.Add(max(startsAt.Sub(now)/2, shortestRetry))
+	startsAt, latest := gate.startsAt(now, task), gate.latest(task)
+	if len(gate.waiting) >= gate.config.MaxWaiting || startsAt.After(latest) {
+		return nil, nil, gate.busy(now), now.Add(max(startsAt.Sub(now)/2, shortestRetry))
 	}
 	gate.turns++
-	waiter := &waiter{task: task, turn: gate.turns, admitted: make(chan lagoonlanding.Reason, 1)}
+	waiter := &waiter{task: task, turn: gate.turns, latest: latest, admitted: make(chan lagoonlanding.Reason, 1)}
 	index, _ := slices.BinarySearchFunc(gate.waiting, waiter, before)
 	gate.waiting = slices.Insert(gate.waiting, index, waiter)
 	return waiter, nil, lagoonlanding.ReasonNone, time.Time{}
 }
 
-// latest returns when an answer must be expected for the task to be let in: within its objective, or if that is past, its deadline.
+// busy returns the reason for which a task is not let in.
+func (gate *Gate) busy(now time.Time) lagoonlanding.Reason {
+	if gate.pace.isCold(now) {
+		return lagoonlanding.ReasonUpstreamCold
+	}
+	return lagoonlanding.ReasonQueueFull
+}
+
+// latest returns when the task must start: early enough for its objective, or if more urgent than others here, for its deadline.
+//
+// An urgent task often is part of another one, which is lost with it, while a late answer to the others is worth little.
 func (gate *Gate) latest(task lagoonlanding.Task) time.Time {
-	if task.Objective().IsZero() || task.Objective().After(task.Deadline()) {
-		return task.Deadline()
+	mean := gate.means.of(task.Route())
+	byDeadline := task.Deadline().Add(-mean)
+	byObjective := task.Objective().Add(-mean)
+	if gate.ranks.isUrgent(task.Rank()) || task.Objective().IsZero() || byDeadline.Before(byObjective) {
+		return byDeadline
 	}
-	return task.Objective()
+	return byObjective
 }
 
 // startsAt estimates when the task would get a slot.
@@ -230,9 +246,10 @@
 }
 
 // leave takes a task whose client has gone, or whose time is up, out of the queue.
-func (gate *Gate) leave(task lagoonlanding.Task, leaving *waiter) (*Pass, lagoonlanding.Reason, time.Time) {
+func (gate *Gate) leave(leaving *waiter, reason lagoonlanding.Reason) (*Pass, lagoonlanding.Reason, time.Time) {
 	gate.mutex.Lock()
 	defer gate.mutex.Unlock()
+	now := gate.config.Clock.Now()
 	select {
 	case reason := <-leaving.admitted:
 		if reason == lagoonlanding.ReasonNone {
@@ -241,7 +258,7 @@
 	default:
 		gate.waiting = slices.DeleteFunc(gate.waiting, func(waiter *waiter) bool { return waiter == leaving })
 	}
-	return nil, lagoonlanding.ReasonDeadline, time.Time{}
+	return nil, reason, now.Add(max(gate.startsAt(now, leaving.task).Sub(now), shortestRetry))
 }
 
 func (gate *Gate) finish(pass *Pass, completed bool) {
