Let one daemon of each zone watch the store and pass changes on

Ruled out: renewals, which cost a tenth (about 400 of these). Change: the first daemon of a zone watches the store; the others ask it by a long poll of 700 ms, go to the store within a second if it stops, and come back later. A listing by a peer never proves a registration.

--- a/lagoonmesh/daemon.go
+++ b/lagoonmesh/daemon.go
@@ -22,6 +22,7 @@
 	"lagoonlanding.example/lagoonlanding/mesh/gatekeeper"
 	"lagoonlanding.example/lagoonlanding/mesh/grantor"
 	"lagoonlanding.example/lagoonlanding/mesh/registrar"
+	"lagoonlanding.example/lagoonlanding/mesh/relayer"
 	"lagoonlanding.example/lagoonlanding/mesh/syncer"
 	"lagoonlanding.example/lagoonlanding/platform"
 	"lagoonlanding.example/lagoonlanding/timekeeper"
@@ -38,11 +39,13 @@
 	syncer      *syncer.Syncer
 	acceptor    *acceptor.Acceptor
 	forwarder   *forwarder.Forwarder
-	stopping    chan struct{}
+	fleet       *relayer.Journal
+	orders      *relayer.Journal
 }
 
 func newDaemon(settings platform.Settings, path string, log *logrus.Logger) *daemon {
-	daemon := &daemon{settings: settings, path: path, log: log, stopping: make(chan struct{})}
+	daemon := &daemon{settings: settings, path: path, log: log}
+	daemon.fleet, daemon.orders = relayer.NewJournal(coordinator.FleetPrefix), relayer.NewJournal(platform.DirectivePrefix)
 	daemon.pool = caller.NewPool(caller.Config{DialTerm: dialTerm, IdleTerm: idleTerm, SilenceTerm: silenceTerm, MaxIdle: maxIdle})
 	gate := gatekeeper.NewGate(gatekeeper.Config{Clock: daemon.clock, MaxWaiting: maxWaiting})
 	daemon.buildControl(gate)
@@ -75,7 +78,8 @@
 	})
 	daemon.syncer = syncer.New(syncer.Config{
 		Coordinator: daemon.coordinator, Store: platform.NewStore(daemon.pool, daemon.settings.StoreAddress()),
-		Directives: platform.DirectiveCodec{}, DirectivePrefix: platform.DirectivePrefix, Clock: daemon.clock, Log: daemon.part("store"),
+		Daemon: daemon.settings.Daemon(), Peers: carrier.NewFeeds(daemon.pool), Fleet: daemon.fleet, Orders: daemon.orders,
+		Directives: platform.DirectiveCodec{}, Clock: daemon.clock, Log: daemon.part("store"),
 	})
 }
 
--- a/mesh/carrier/server.go
+++ b/mesh/carrier/server.go
@@ -14,6 +14,8 @@
 type ServerConfig struct {
 	// Handler takes the tasks of other daemons.
 	Handler lagoonlanding.TaskHandler
+	// Feeds are what the daemon passes on, by the prefix of the keys.
+	Feeds map[string]lagoonlanding.Feed
 	// Clock tells the time.
 	Clock lagoonlanding.Clock
 	// Log takes one line for each message that cannot be read.
@@ -30,6 +32,10 @@
 
 // ServeHTTP runs a task and answers with what became of it.
 func (server *Server) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	if request.URL.Path == newsPath && request.Header.Get(headerTask) == "" {
+		server.news(writer, request)
+		return
+	}
 	now := server.config.Clock.Now()
 	header := caller.EndToEnd(request.Header)
 	config, err := read[lagoonlanding.TaskConfig, taskTerms](header, headerTask, now)
--- a/mesh/coordinator/coordinator.go
+++ b/mesh/coordinator/coordinator.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -85,10 +86,32 @@
 	}
 	coordinator.snapshot.Store(NewSnapshot(SnapshotConfig{
 		Routing: coordinator.routing, Backends: coordinator.config.Fleet.Backends(), Allotments: allotments, Evacuated: evacuated,
+		Relays: coordinator.relays(),
 	}))
 	coordinator.steer()
 }
 
+// relays returns the first daemon of the zone, then this one for the store itself, then the next of the zone and of others.
+//
+// One daemon of each zone watches the store, so that its calls grow with the zones and not with the daemons.
+func (coordinator *Coordinator) relays() []lagoonlanding.Backend {
+	var near, far []lagoonlanding.Backend
+	self := coordinator.config.Self
+	for _, backend := range coordinator.config.Fleet.Registered() {
+		switch {
+		case backend.ID().Daemon() == self.ID().Daemon():
+		case backend.AvailabilityZone() == self.AvailabilityZone():
+			near = append(near, backend)
+		default:
+			far = append(far, backend)
+		}
+	}
+	if len(near) > 0 && near[0].ID().Daemon() < self.ID().Daemon() {
+		return slices.Concat(near[:1], []lagoonlanding.Backend{self}, near[1:], far)
+	}
+	return slices.Concat([]lagoonlanding.Backend{self}, near, far)
+}
+
 // steer opens or closes the gate as the backend server's state and the zone's ask.
 func (coordinator *Coordinator) steer() {
 	latest, ok := coordinator.config.Grantor.Latest()
--- a/mesh/coordinator/snapshot.go
+++ b/mesh/coordinator/snapshot.go
@@ -13,6 +13,8 @@
 	Backends []lagoonlanding.Backend
 	// Allotments say who holds the keys of divided services.
 	Allotments map[string]*allocator.Allotment
+	// Relays are the daemons from which this one hears of changes, the preferred one first.
+	Relays []lagoonlanding.Backend
 	// Evacuated are the zones whose backend servers get nothing.
 	Evacuated map[string]bool
 }
@@ -68,6 +70,9 @@
 // Peers returns the daemons of the fleet.
 func (snapshot *Snapshot) Peers() []lagoonlanding.Backend { return snapshot.config.Backends }
 
+// Relays returns the daemons from which this one hears of changes, the preferred one first; itself stands for the store.
+func (snapshot *Snapshot) Relays() []lagoonlanding.Backend { return snapshot.config.Relays }
+
 // Has reports whether the daemon is in the fleet.
 func (snapshot *Snapshot) Has(daemon string) bool {
 	_, ok := snapshot.daemons[daemon]
--- a/mesh/coordinator/store.go
+++ b/mesh/coordinator/store.go
@@ -33,7 +33,8 @@
 	coordinator.publish()
 }
 
-// Replace takes in a whole listing of the fleet's entries, which was asked for at the given time.
+// Replace takes in a whole listing of the fleet's entries, which the store itself was asked for at the given time; zero if another
+// daemon told it, which proves nothing about the registration.
 func (coordinator *Coordinator) Replace(now, asked time.Time, listing lagoonlanding.Listing) {
 	listed := map[string]bool{}
 	own := uint64(0)
@@ -50,15 +51,21 @@
 		}
 	}
 	coordinator.view = max(coordinator.view, listing.Revision())
-	coordinator.session.Verify(asked, own)
+	if !asked.IsZero() {
+		coordinator.session.Verify(asked, own)
+	}
 	coordinator.config.Fleet.Settle(now)
 	coordinator.publish()
 }
 
-// Disconnect notes that the view of the store's entries is interrupted.
-func (coordinator *Coordinator) Disconnect() {
-	coordinator.config.Fleet.Unsettle()
-	coordinator.session.Doubt()
+// Connect notes whether the view of the store's entries goes on; absences of daemons count from when it does.
+func (coordinator *Coordinator) Connect(now time.Time, isConnected bool) {
+	switch {
+	case !isConnected:
+		coordinator.config.Fleet.Unsettle()
+	case !coordinator.config.Fleet.IsSettled():
+		coordinator.config.Fleet.Settle(now)
+	}
 }
 
 // verifyWritten counts the registration as proven once the view reaches it: every earlier change is known then.
--- a/mesh/registrar/fleet.go
+++ b/mesh/registrar/fleet.go
@@ -71,6 +71,9 @@
 // Unsettle notes that the store is out of reach: no absence counts until it is back.
 func (fleet *Fleet) Unsettle() { fleet.settled = time.Time{} }
 
+// IsSettled reports whether absences count.
+func (fleet *Fleet) IsSettled() bool { return !fleet.settled.IsZero() }
+
 // IsGone reports whether a life can hold no key any more.
 func (fleet *Fleet) IsGone(now time.Time, id lagoonlanding.BackendID) bool {
 	known, ok := fleet.daemons[id.Daemon()]
--- a/mesh/syncer/syncer.go
+++ b/mesh/syncer/syncer.go
@@ -11,6 +11,7 @@
 	"lagoonlanding.example/lagoonlanding"
 	"lagoonlanding.example/lagoonlanding/executor"
 	"lagoonlanding.example/lagoonlanding/mesh/coordinator"
+	"lagoonlanding.example/lagoonlanding/mesh/relayer"
 )
 
 const (
@@ -35,10 +36,14 @@
 	Coordinator *coordinator.Coordinator
 	// Store keeps what the fleet has to agree on.
 	Store lagoonlanding.MetadataStore
+	// Daemon is the name of the daemon.
+	Daemon string
+	// Peers are the feeds of other daemons.
+	Peers lagoonlanding.PeerFeeds
+	// Fleet is what the daemons share, and Orders what operators write, as this daemon passes them on.
+	Fleet, Orders *relayer.Journal
 	// Directives decodes what operators write; an entry that is none of theirs gives none.
 	Directives lagoonlanding.Codec[lagoonlanding.Directive]
-	// DirectivePrefix starts the keys of what operators write.
-	DirectivePrefix string
 	// Clock tells the time, also while the machine is suspended.
 	Clock lagoonlanding.Clock
 	// Log takes one line for each lost or regained dependency.
@@ -151,11 +156,16 @@
 		isDoubtful = err == nil && session.IsRegistered() && !session.IsVerified()
 	})
 	if isDoubtful {
-		return newFleetView(syncer).list(ctx)
+		return syncer.verify(ctx)
 	}
 	return err
 }
 
+// verify reads the fleet's entries to see whether the registration still stands.
+func (syncer *Syncer) verify(ctx context.Context) error {
+	return newFleetView(syncer).list(ctx, source{name: "store", feed: syncer.config.Store, direct: true})
+}
+
 // write carries out the writes that the control state asks for, one at a time.
 func (syncer *Syncer) write(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/mesh/syncer/view.go
+++ b/mesh/syncer/view.go
@@ -8,159 +8,218 @@
 
 	"lagoonlanding.example/lagoonlanding"
 	"lagoonlanding.example/lagoonlanding/mesh/coordinator"
+	"lagoonlanding.example/lagoonlanding/mesh/relayer"
 )
 
-// view is one part of the store that the control state follows.
-type view interface {
-	// name names the part in logs.
-	name() string
-	// prefix starts the keys of the part.
-	prefix() string
-	// list reads the whole part and hands it over.
-	list(ctx context.Context) error
-	// revision returns the revision that the view reaches.
-	revision() uint64
+const (
+	// peerTerm bounds a watch at another daemon, which answers after 700 ms at the latest.
+	peerTerm = time.Second
+	// avoidTerm is how long a source that failed is not asked again.
+	avoidTerm = 3 * time.Second
+	// gatherTerm is the pause between two watches of the store, in which changes that come together are gathered.
+	gatherTerm = 50 * time.Millisecond
+	// startTerm is that pause while a new daemon knows no other: a whole fleet may be starting.
+	startTerm = 1200 * time.Millisecond
+)
+
+// view is one part of the store that the control state follows, from whichever source tells it.
+type view struct {
+	syncer  *Syncer
+	name    string
+	journal *relayer.Journal
+	// replace hands a whole listing over that the store was asked for at a time, zero if another daemon told it.
+	replace func(asked time.Time, listing lagoonlanding.Listing, gone []lagoonlanding.Change)
 	// apply hands changes over.
-	apply(changes lagoonlanding.ChangeList)
-	// interrupt notes that changes may be missed for a time.
-	interrupt()
+	apply func(changes lagoonlanding.ChangeList)
+	// connect notes whether changes may be missed for a time.
+	connect func(isConnected bool)
+	avoided map[string]time.Time
+}
+
+// source is where a view hears from.
+type source struct {
+	name   string
+	feed   lagoonlanding.Feed
+	direct bool
 }
 
 // follow lists a part of the store once and then watches it; after a gap it lists again.
-func (syncer *Syncer) follow(ctx context.Context, view view) {
+func (syncer *Syncer) follow(ctx context.Context, view *view) {
 	pause := newPause()
 	for ctx.Err() == nil {
-		err := view.list(ctx)
-		for err == nil {
-			syncer.note(view.name(), nil)
+		source := view.source()
+		err := view.hear(ctx, source)
+		if ctx.Err() != nil {
+			return
+		}
+		view.journal.Connect(false)
+		if err != nil && source.direct {
+			syncer.note(view.name, err)
+			view.connect(false)
+			syncer.sleep(ctx, pause.next())
+		} else {
 			pause.reset()
-			err = syncer.watch(ctx, view)
 		}
-		if errors.Is(err, lagoonlanding.ErrCompacted) {
-			syncer.config.Log.WithField("dependency", view.name()).Info("Changes were dropped by the store. Listing again.")
+	}
+}
+
+// source returns the first of the daemon's sources that has not failed lately: the store if all have.
+func (view *view) source() source {
+	now := view.syncer.config.Clock.Now()
+	direct := source{name: "store", feed: view.syncer.config.Store, direct: true}
+	for _, backend := range view.syncer.config.Coordinator.Snapshot().Relays() {
+		if backend.ID().Daemon() == view.syncer.config.Daemon {
+			if now.After(view.avoided[direct.name]) {
+				return direct
+			}
 			continue
 		}
-		if ctx.Err() == nil {
-			view.interrupt()
-			syncer.note(view.name(), err)
-			syncer.sleep(ctx, pause.next())
+		if now.After(view.avoided[backend.ID().Daemon()]) {
+			return source{name: backend.ID().Daemon(), feed: view.syncer.config.Peers.Feed(backend.PeerAddress())}
 		}
 	}
+	return direct
 }
 
-func (syncer *Syncer) watch(ctx context.Context, view view) error {
-	call, cancel := context.WithTimeout(ctx, watchTerm)
+// hear follows the source until it fails or another one comes first.
+func (view *view) hear(ctx context.Context, source source) error {
+	err := view.begin(ctx, source)
+	for err == nil {
+		view.syncer.note(view.name, nil)
+		view.journal.Connect(source.direct)
+		if err = view.watch(ctx, source); err != nil {
+			break
+		}
+		view.connect(true)
+		if view.source().name != source.name {
+			return nil
+		}
+		if source.direct {
+			view.gather(ctx)
+		}
+	}
+	if errors.Is(err, lagoonlanding.ErrCompacted) {
+		view.syncer.config.Log.WithField("dependency", view.name).WithField("source", source.name).Info("Changes were dropped. Listing again.")
+		return view.list(ctx, source)
+	}
+	view.avoided[source.name] = view.syncer.config.Clock.Now().Add(avoidTerm)
+	if !source.direct {
+		view.syncer.config.Log.WithField("dependency", view.name).WithField("source", source.name).WithError(err).Info("Source is lost. Another one is used.")
+	}
+	return err
+}
+
+// begin lists the part if it has not been listed yet.
+func (view *view) begin(ctx context.Context, source source) error {
+	if view.journal.Reached() > 0 {
+		return nil
+	}
+	return view.list(ctx, source)
+}
+
+// gather lets changes that come together come by one watch.
+func (view *view) gather(ctx context.Context) {
+	term := gatherTerm
+	if len(view.syncer.config.Coordinator.Snapshot().Peers()) < 2 {
+		term = startTerm
+	}
+	view.syncer.sleep(ctx, term)
+}
+
+func (view *view) watch(ctx context.Context, source source) error {
+	term := watchTerm
+	if !source.direct {
+		term = peerTerm
+	}
+	call, cancel := context.WithTimeout(ctx, term)
 	defer cancel()
-	changes, err := syncer.config.Store.Watch(call, view.prefix(), view.revision())
+	changes, err := source.feed.Watch(call, view.journal.Prefix(), view.journal.Reached())
 	if err != nil {
 		return err
 	}
+	view.journal.Apply(changes)
 	view.apply(changes)
 	return nil
 }
 
-// listing reads all entries under a prefix, and when that was asked for.
-func (syncer *Syncer) listing(ctx context.Context, prefix string) (lagoonlanding.Listing, time.Time, error) {
+// list reads the whole part and hands it over.
+func (view *view) list(ctx context.Context, source source) error {
 	call, cancel := context.WithTimeout(ctx, callTerm)
 	defer cancel()
-	asked := syncer.config.Clock.Now()
-	listing, err := syncer.config.Store.List(call, prefix)
-	return listing, asked, err
-}
-
-// fleetView follows what the daemons share.
-type fleetView struct {
-	syncer  *Syncer
-	reached uint64
-}
-
-func newFleetView(syncer *Syncer) *fleetView { return &fleetView{syncer: syncer} }
-
-func (fleetview *fleetView) name() string     { return "fleet" }
-func (fleetview *fleetView) prefix() string   { return coordinator.FleetPrefix }
-func (fleetview *fleetView) revision() uint64 { return fleetview.reached }
-
-func (fleetview *fleetView) list(ctx context.Context) error {
-	listing, asked, err := fleetview.syncer.listing(ctx, coordinator.FleetPrefix)
+	var asked time.Time
+	if source.direct {
+		asked = view.syncer.config.Clock.Now()
+	}
+	listing, err := source.feed.List(call, view.journal.Prefix())
 	if err != nil {
 		return err
 	}
-	fleetview.reached = listing.Revision()
-	fleetview.syncer.do(func(state *coordinator.Coordinator, now time.Time) { state.Replace(now, asked, listing) })
+	gone := view.journal.Replace(listing)
+	view.replace(asked, listing, gone)
 	return nil
 }
 
-func (fleetview *fleetView) apply(changes lagoonlanding.ChangeList) {
-	fleetview.reached = max(fleetview.reached, changes.Revision())
-	fleetview.syncer.do(func(state *coordinator.Coordinator, now time.Time) { state.Apply(now, changes) })
+// newFleetView returns the view of what the daemons share.
+func newFleetView(syncer *Syncer) *view {
+	return &view{
+		syncer: syncer, name: "fleet", journal: syncer.config.Fleet, avoided: map[string]time.Time{},
+		replace: func(asked time.Time, listing lagoonlanding.Listing, _ []lagoonlanding.Change) {
+			syncer.do(func(state *coordinator.Coordinator, now time.Time) { state.Replace(now, asked, listing) })
+		},
+		apply: func(changes lagoonlanding.ChangeList) {
+			syncer.do(func(state *coordinator.Coordinator, now time.Time) { state.Apply(now, changes) })
+		},
+		connect: func(isConnected bool) {
+			syncer.do(func(state *coordinator.Coordinator, now time.Time) { state.Connect(now, isConnected) })
+		},
+	}
 }
 
-func (fleetview *fleetView) interrupt() {
-	fleetview.syncer.do(func(state *coordinator.Coordinator, _ time.Time) { state.Disconnect() })
+// newDirectiveView returns the view of what operators write.
+func newDirectiveView(syncer *Syncer) *view {
+	taker := &directiveTaker{syncer: syncer, zones: map[string]string{}}
+	return &view{
+		syncer: syncer, name: "directives", journal: syncer.config.Orders, avoided: map[string]time.Time{},
+		replace: func(_ time.Time, listing lagoonlanding.Listing, gone []lagoonlanding.Change) {
+			for _, entry := range listing.Entries() {
+				taker.take(lagoonlanding.NewChange(entry, false))
+			}
+			for _, change := range gone {
+				taker.take(change)
+			}
+		},
+		apply: func(changes lagoonlanding.ChangeList) {
+			for _, change := range changes.Changes() {
+				taker.take(change)
+			}
+		},
+		connect: func(bool) {},
+	}
 }
 
-// directiveView follows what operators write.
-type directiveView struct {
-	syncer  *Syncer
-	reached uint64
+// directiveTaker hands what operators write to the control state.
+type directiveTaker struct {
+	syncer *Syncer
 	// zones are the evacuated zones by the key of their entry.
 	zones map[string]string
 }
 
-func newDirectiveView(syncer *Syncer) *directiveView {
-	return &directiveView{syncer: syncer, zones: map[string]string{}}
-}
-
-func (directiveview *directiveView) name() string { return "directives" }
-func (directiveview *directiveView) prefix() string {
-	return directiveview.syncer.config.DirectivePrefix
-}
-func (directiveview *directiveView) revision() uint64 { return directiveview.reached }
-
-func (directiveview *directiveView) list(ctx context.Context) error {
-	listing, _, err := directiveview.syncer.listing(ctx, directiveview.prefix())
-	if err != nil {
-		return err
-	}
-	listed := map[string]bool{}
-	for _, entry := range listing.Entries() {
-		listed[entry.Key()] = true
-		directiveview.take(lagoonlanding.NewChange(entry, false))
-	}
-	for key := range directiveview.zones {
-		if !listed[key] {
-			directiveview.take(lagoonlanding.NewChange(lagoonlanding.NewEntry(key, nil, listing.Revision()), true))
-		}
-	}
-	directiveview.reached = listing.Revision()
-	return nil
-}
-
-func (directiveview *directiveView) apply(changes lagoonlanding.ChangeList) {
-	for _, change := range changes.Changes() {
-		directiveview.take(change)
-	}
-	directiveview.reached = max(directiveview.reached, changes.Revision())
-}
-
-func (directiveview *directiveView) interrupt() {}
-
-func (directiveview *directiveView) take(change lagoonlanding.Change) {
+func (directivetaker *directiveTaker) take(change lagoonlanding.Change) {
 	key := change.Entry().Key()
 	if change.IsRemoved() {
-		if zone, ok := directiveview.zones[key]; ok {
-			delete(directiveview.zones, key)
-			directiveview.syncer.do(func(state *coordinator.Coordinator, _ time.Time) { state.Restore(zone) })
+		if zone, ok := directivetaker.zones[key]; ok {
+			delete(directivetaker.zones, key)
+			directivetaker.syncer.do(func(state *coordinator.Coordinator, _ time.Time) { state.Restore(zone) })
 		}
 		return
 	}
-	directive, err := directiveview.syncer.config.Directives.Decode(change.Entry())
+	directive, err := directivetaker.syncer.config.Directives.Decode(change.Entry())
 	if err != nil {
-		directiveview.syncer.config.Log.WithField("key", strings.ToValidUTF8(key, "?")).WithError(err).Warn("Unreadable directive ignored.")
+		directivetaker.syncer.config.Log.WithField("key", strings.ToValidUTF8(key, "?")).WithError(err).Warn("Unreadable directive ignored.")
 		return
 	}
 	if directive.EvacuatedZone() != "" {
-		directiveview.zones[key] = directive.EvacuatedZone()
+		directivetaker.zones[key] = directive.EvacuatedZone()
 	}
-	directiveview.syncer.do(func(state *coordinator.Coordinator, _ time.Time) { state.Direct(directive) })
+	directivetaker.syncer.do(func(state *coordinator.Coordinator, _ time.Time) { state.Direct(directive) })
 }
--- a/metadata.go
+++ b/metadata.go
@@ -70,16 +70,27 @@
 // Lease returns the lease with which the entry goes, zero if it stays.
 func (put Put) Lease() LeaseID { return put.lease }
 
+// Feed tells what stands in the store and what changes.
+type Feed interface {
+	// List reads all entries under a prefix; the revision is one from which a watch misses nothing.
+	List(ctx context.Context, prefix string) (Listing, error)
+	// Watch waits for changes under the prefix after the revision; it returns none if none came in time, or ErrCompacted.
+	Watch(ctx context.Context, prefix string, after uint64) (ChangeList, error)
+}
+
+// PeerFeeds give the feeds of other daemons, which pass on what they hear from the store.
+type PeerFeeds interface {
+	// Feed returns the feed of the daemon at a peer address.
+	Feed(address string) Feed
+}
+
 // MetadataStore is a key-value service with leases that keeps what the fleet has to agree on.
 //
 // Every method fails with ErrUnavailable if the call was not carried out, and with ErrUnknown if nobody can tell.
 type MetadataStore interface {
 	// Get reads one entry and fails with ErrNotFound if there is none.
 	Get(ctx context.Context, key string) (Entry, error)
-	// List reads all entries under a prefix; the revision is one from which a watch misses nothing.
-	List(ctx context.Context, prefix string) (Listing, error)
-	// Watch waits for changes under the prefix after the revision; it returns none if none came in time, or ErrCompacted.
-	Watch(ctx context.Context, prefix string, after uint64) (ChangeList, error)
+	Feed
 	// Put writes an entry whatever it holds, and fails with ErrLeaseEnded if its lease is gone.
 	Put(ctx context.Context, put Put) (uint64, error)
 	// PutIf writes an entry that still has the expected revision, zero for none, or fails with ErrConflict.
