Wait out the grants of an earlier run of the daemon

Cause: a restarted daemon did not know until when its earlier run had told the backend server to hold keys, took them for let go at once and passed them on. Plans are made only after changes.

--- /dev/null
+++ b/mesh/allocator/allocator_test.go
@@ -0,0 +1,143 @@
+package allocator
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"lagoonlanding.example/lagoonlanding"
+)
+
+func life(number int, born int64) lagoonlanding.BackendID {
+	return lagoonlanding.NewBackendID(fmt.Sprintf("daemon-%d", number), fmt.Sprintf("server-%d", number), born)
+}
+
+func backends(ids ...lagoonlanding.BackendID) []lagoonlanding.Backend {
+	var made []lagoonlanding.Backend
+	for _, id := range ids {
+		made = append(made, lagoonlanding.NewBackend(lagoonlanding.BackendConfig{ID: id, State: lagoonlanding.BackendReady}))
+	}
+	return made
+}
+
+func nobodyGone(lagoonlanding.BackendID) bool { return false }
+
+func counts(allotment *Allotment) map[lagoonlanding.BackendID]int {
+	owned := map[lagoonlanding.BackendID]int{}
+	for _, stripe := range allotment.Stripes() {
+		owned[stripe.Owner()]++
+	}
+	return owned
+}
+
+func TestFirstPlanSharesAllKeysAndPartsNeighbours(t *testing.T) {
+	a, b, c := life(1, 1), life(2, 1), life(3, 1)
+	allotment, changed := NewAllotment(AllotmentConfig{Service: "s"}).Plan(PlanConfig{Backends: backends(a, b, c), IsGone: nobodyGone})
+	if !changed {
+		t.Fatal("nothing was planned")
+	}
+	for id, count := range counts(allotment) {
+		if count < Stripes/3 || count > Stripes/3+1 {
+			t.Errorf("%s has %d stripes", id, count)
+		}
+	}
+	for number, stripe := range allotment.Stripes() {
+		if !stripe.IsSettled() {
+			t.Errorf("stripe %d waits for somebody", number)
+		}
+		if number > 0 && allotment.Stripes()[number-1].Owner() == stripe.Owner() {
+			t.Errorf("stripes %d and %d have one owner", number-1, number)
+		}
+	}
+	if _, changed := allotment.Plan(PlanConfig{Backends: backends(a, b, c), IsGone: nobodyGone}); changed {
+		t.Error("a plan that holds was changed")
+	}
+}
+
+func TestMoveWaitsForThePriorHolder(t *testing.T) {
+	a, b := life(1, 1), life(2, 1)
+	first, _ := NewAllotment(AllotmentConfig{Service: "s"}).Plan(PlanConfig{Backends: backends(a), IsGone: nobodyGone})
+	moved, changed := first.Plan(PlanConfig{Backends: backends(b), IsGone: nobodyGone})
+	if !changed {
+		t.Fatal("nothing moved")
+	}
+	if ranges := moved.Held(b, func(int, int) bool { return false }); len(ranges) != 0 {
+		t.Fatalf("the new owner was told to hold %v before the prior one let go", ranges)
+	}
+	released, ok := moved.Release(a, func(first, _ int) (string, bool) { return "proof", first == 0 })
+	if !ok {
+		t.Fatal("nothing was released")
+	}
+	ranges := released.Held(b, func(int, int) bool { return false })
+	if len(ranges) != 1 || ranges[0].First() != 0 || ranges[0].Handover() != "proof" || ranges[0].Token() <= first.Stripes()[0].Token() {
+		t.Errorf("got %+v", ranges)
+	}
+	if again := released.Held(b, func(int, int) bool { return true }); again[0].Handover() != "" {
+		t.Error("the handover is told to one who already holds the keys")
+	}
+}
+
+func TestNewcomerGetsItsPart(t *testing.T) {
+	a, b, c := life(1, 1), life(2, 1), life(3, 1)
+	allotment, _ := NewAllotment(AllotmentConfig{Service: "s"}).Plan(PlanConfig{Backends: backends(a, b), IsGone: nobodyGone})
+	allotment, _ = allotment.Plan(PlanConfig{Backends: backends(a, b, c), IsGone: nobodyGone})
+	if count := counts(allotment)[c]; count < Stripes/3-1 || count > Stripes/3+1 {
+		t.Errorf("the newcomer owns %d stripes", count)
+	}
+}
+
+func TestRangesFitIntoAMessage(t *testing.T) {
+	a := life(1, 1)
+	var stripes []Stripe
+	for number := range Stripes {
+		stripes = append(stripes, NewStripe(StripeConfig{Owner: a, Token: uint64(number + 1)}))
+	}
+	allotment := NewAllotment(AllotmentConfig{Service: "s", Version: Stripes, Stripes: stripes})
+	ranges := allotment.Held(a, func(int, int) bool { return false })
+	if len(ranges) > maxRanges {
+		t.Fatalf("%d ranges", len(ranges))
+	}
+	if ranges[0].First() != 0 || ranges[0].Last() != Keys-1 || ranges[0].Token() != Stripes {
+		t.Errorf("got %+v", ranges[0])
+	}
+}
+
+func TestCodecKeepsAnAllotment(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	var stripes []Stripe
+	for range Stripes {
+		stripes = append(stripes, NewStripe(StripeConfig{
+			Owner: life(random.IntN(4), 5), Prior: life(random.IntN(3), 7), Token: uint64(random.IntN(40)), Handover: fmt.Sprint(random.IntN(3)),
+		}))
+	}
+	allotment := NewAllotment(AllotmentConfig{Service: "s", Version: 40, Stripes: stripes})
+	encoded, err := Codec{}.Encode(allotment)
+	if err != nil {
+		t.Fatal(err)
+	}
+	decoded, err := Codec{}.Decode(lagoonlanding.NewEntry("k", encoded, 1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(allotment, decoded, cmp.AllowUnexported(Allotment{}, Stripe{}, lagoonlanding.BackendID{})); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	allotment, _ := NewAllotment(AllotmentConfig{Service: "s"}).Plan(PlanConfig{Backends: backends(life(1, 1)), IsGone: nobodyGone})
+	encoded, err := Codec{}.Encode(allotment)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(encoded)
+	f.Add([]byte("not compressed"))
+	f.Fuzz(func(t *testing.T, value []byte) {
+		decoded, err := Codec{}.Decode(lagoonlanding.NewEntry("k", value, 1))
+		if err == nil && len(decoded.Stripes()) != Stripes {
+			t.Errorf("%d stripes", len(decoded.Stripes()))
+		}
+	})
+}
--- a/mesh/allocator/allotment.go
+++ b/mesh/allocator/allotment.go
@@ -1,6 +1,8 @@
 package allocator
 
 import (
+	"slices"
+
 	"lagoonlanding.example/lagoonlanding"
 )
 
@@ -165,6 +167,11 @@
 	return &Allotment{config: config}
 }
 
+// AwaitsRelease reports whether an owner waits for the holder to let go.
+func (allotment *Allotment) AwaitsRelease(holder lagoonlanding.BackendID) bool {
+	return slices.ContainsFunc(allotment.config.Stripes, func(stripe Stripe) bool { return stripe.Prior() == holder })
+}
+
 // Release returns the allotment after the holder has let go of every stripe for which it has; it is false if there is none.
 func (allotment *Allotment) Release(holder lagoonlanding.BackendID, hasLetGo func(first, last int) (handover string, ok bool)) (*Allotment, bool) {
 	next, changed := allotment.next(), false
--- a/mesh/coordinator/coordinator.go
+++ b/mesh/coordinator/coordinator.go
@@ -48,8 +48,12 @@
 	// published is the registration as it was last written.
 	published lagoonlanding.Backend
 	needs     map[string]time.Time
-	writeAt   time.Time
-	writing   bool
+	// rests are the services whose allotment was found to hold.
+	rests map[string]rest
+	// generation counts the changes from which plans follow.
+	generation uint64
+	writeAt    time.Time
+	writing    bool
 	// sentAt is when the registration that was written last was sent.
 	sentAt  time.Time
 	started time.Time
@@ -62,7 +66,7 @@
 func New(now time.Time, config Config) *Coordinator {
 	coordinator := &Coordinator{
 		config: config, evacuated: map[string]bool{}, allotments: map[string]kept{}, departed: map[string]bool{},
-		needs: map[string]time.Time{}, started: now,
+		needs: map[string]time.Time{}, rests: map[string]rest{}, started: now,
 	}
 	coordinator.publish()
 	return coordinator
@@ -74,8 +78,15 @@
 // Holding returns which keys the backend server holds; any goroutine may call it.
 func (coordinator *Coordinator) Holding() *grantor.Holding { return coordinator.holding.Load() }
 
+// rest says that an allotment holds until a change, or until a daemon counts as gone.
+type rest struct {
+	generation uint64
+	until      time.Time
+}
+
 // publish replaces the snapshot after a change.
 func (coordinator *Coordinator) publish() {
+	coordinator.generation++
 	allotments := make(map[string]*allocator.Allotment, len(coordinator.allotments))
 	for service, kept := range coordinator.allotments {
 		allotments[service] = kept.allotment
--- a/mesh/coordinator/write.go
+++ b/mesh/coordinator/write.go
@@ -100,13 +100,18 @@
 	if next, ok := coordinator.release(now, known.allotment); ok {
 		return coordinator.propose(now, next, known.revision)
 	}
+	if rest, ok := coordinator.rests[service]; ok && rest.generation == coordinator.generation && (rest.until.IsZero() || now.Before(rest.until)) {
+		return Write{}, rest.until, false
+	}
 	next, ok := known.allotment.Plan(allocator.PlanConfig{
 		Backends: coordinator.holders(now, service),
 		IsGone:   func(id lagoonlanding.BackendID) bool { return coordinator.config.Fleet.IsGone(now, id) },
 	})
 	if !ok {
 		delete(coordinator.needs, service)
-		return Write{}, coordinator.config.Fleet.NextGone(now), false
+		until := coordinator.config.Fleet.NextGone(now)
+		coordinator.rests[service] = rest{generation: coordinator.generation, until: until}
+		return Write{}, until, false
 	}
 	since, isKnown := coordinator.needs[service]
 	if !isKnown {
@@ -125,7 +130,11 @@
 
 // release returns the allotment after the backend server beside this daemon has let go of what it is to lose.
 func (coordinator *Coordinator) release(now time.Time, allotment *allocator.Allotment) (*allocator.Allotment, bool) {
-	return allotment.Release(coordinator.config.Grantor.ID(), func(first, last int) (string, bool) {
+	holder := coordinator.config.Grantor.ID()
+	if !allotment.AwaitsRelease(holder) {
+		return nil, false
+	}
+	return allotment.Release(holder, func(first, last int) (string, bool) {
 		return coordinator.config.Grantor.HasLetGo(now, first, last)
 	})
 }
--- a/mesh/grantor/grantor.go
+++ b/mesh/grantor/grantor.go
@@ -78,6 +78,10 @@
 			grantor.forget()
 		}
 	}
+	if !grantor.known {
+		// An earlier run of the daemon may have granted keys until just now.
+		grantor.lapses = now.Add(grantor.slowed(grantor.config.LongestHold))
+	}
 	grantor.known, grantor.ended = true, false
 	grantor.latest, grantor.heard = announcement, now
 	grantor.released = append(grantor.released, announcement.Released()...)
@@ -124,11 +128,16 @@
 	grantor.ordered = ranges
 	grantor.ends = now.Add(term)
 	if len(ranges) > 0 {
-		grantor.lapses = now.Add(time.Duration(float64(term) * (1 + grantor.config.SlowClock)))
+		grantor.lapses = now.Add(grantor.slowed(term))
 	}
 	return lagoonlanding.NewHoldOrder(ranges, term)
 }
 
+// slowed returns how long a term lasts at most by the clock of a backend server.
+func (grantor *Grantor) slowed(term time.Duration) time.Duration {
+	return time.Duration(float64(term) * (1 + grantor.config.SlowClock))
+}
+
 // HasLetGo reports whether the backend server holds no key of the range, and with which proof for the next holder.
 //
 // The last announcement was sent after the order before it was taken, so what it leaves out and no order names is free.
