Notice within 1.2 s that the store is out of reach

Ruled out: the followers, which asked every 700 ms. Change: daemons that hear from the store renew every 400 ms, end a watch when no call has been answered for 1.2 s and tell their followers so.

--- a/mesh/syncer/syncer.go
+++ b/mesh/syncer/syncer.go
@@ -17,6 +17,12 @@
 const (
 	// renewInterval is the time between two renewals: three fit into the lease.
 	renewInterval = time.Second
+	// relayInterval is that time for a daemon that passes changes on: it must notice within a second that it hears no more of them.
+	relayInterval = 400 * time.Millisecond
+	// contactTerm is how long after the last answer of the store a watch there still counts as alive; a slow store answers in 0.3 s.
+	contactTerm = 1200 * time.Millisecond
+	// contactTick is the time between two looks at the last answer.
+	contactTick = 200 * time.Millisecond
 	// leaseTerm is how long a registration outlives the daemon.
 	leaseTerm = 3 * time.Second
 	// callTerm bounds one call to the store; a slow store answers in fractions of a second.
@@ -56,8 +62,10 @@
 	control *executor.Executor[*coordinator.Coordinator]
 	changed chan struct{}
 
-	mutex sync.Mutex
-	lost  map[string]bool
+	mutex   sync.Mutex
+	lost    map[string]bool
+	contact time.Time
+	directs map[string]bool
 }
 
 var _ lagoonlanding.AnnouncementHandler = (*Syncer)(nil)
@@ -66,7 +74,7 @@
 func New(config Config) *Syncer {
 	return &Syncer{
 		config: config, control: executor.New(executor.Config[*coordinator.Coordinator]{State: config.Coordinator}),
-		changed: make(chan struct{}, 1), lost: map[string]bool{},
+		changed: make(chan struct{}, 1), lost: map[string]bool{}, directs: map[string]bool{},
 	}
 }
 
@@ -125,7 +133,7 @@
 	for ctx.Err() == nil {
 		err := syncer.renew(ctx)
 		syncer.note("lease", err)
-		wait := renewInterval
+		wait := syncer.interval()
 		if err != nil && !errors.Is(err, lagoonlanding.ErrLeaseEnded) {
 			wait = pause.next()
 		} else {
@@ -144,11 +152,15 @@
 	if lease == 0 {
 		granted, err := syncer.config.Store.Grant(call, leaseTerm)
 		if err == nil {
+			syncer.touch(sent)
 			syncer.do(func(state *coordinator.Coordinator, _ time.Time) { state.Lease(granted) })
 		}
 		return err
 	}
 	err := syncer.config.Store.Keep(call, lease)
+	if err == nil || errors.Is(err, lagoonlanding.ErrLeaseEnded) {
+		syncer.touch(sent)
+	}
 	isDoubtful := false
 	syncer.do(func(state *coordinator.Coordinator, _ time.Time) {
 		state.Kept(sent, err)
@@ -161,6 +173,42 @@
 	return err
 }
 
+// interval returns the time between two renewals.
+func (syncer *Syncer) interval() time.Duration {
+	syncer.mutex.Lock()
+	defer syncer.mutex.Unlock()
+	if len(syncer.directs) > 0 {
+		return relayInterval
+	}
+	return renewInterval
+}
+
+// touch notes that the store answered a call that was sent at the time.
+func (syncer *Syncer) touch(sent time.Time) {
+	syncer.mutex.Lock()
+	defer syncer.mutex.Unlock()
+	syncer.contact = sent
+}
+
+// isInTouch reports whether the store has answered lately, or since the given time could not yet have.
+func (syncer *Syncer) isInTouch(since time.Time) bool {
+	syncer.mutex.Lock()
+	defer syncer.mutex.Unlock()
+	now := syncer.config.Clock.Now()
+	return now.Before(syncer.contact.Add(contactTerm)) || now.Before(since.Add(contactTerm+renewInterval))
+}
+
+// setDirect notes whether a view hears from the store itself.
+func (syncer *Syncer) setDirect(view string, isDirect bool) {
+	syncer.mutex.Lock()
+	defer syncer.mutex.Unlock()
+	if isDirect {
+		syncer.directs[view] = true
+	} else {
+		delete(syncer.directs, view)
+	}
+}
+
 // verify reads the fleet's entries to see whether the registration still stands.
 func (syncer *Syncer) verify(ctx context.Context) error {
 	return newFleetView(syncer).list(ctx, source{name: "store", feed: syncer.config.Store, direct: true})
--- a/mesh/syncer/view.go
+++ b/mesh/syncer/view.go
@@ -34,6 +34,8 @@
 	// connect notes whether changes may be missed for a time.
 	connect func(isConnected bool)
 	avoided map[string]time.Time
+	// since is when the view began to hear from its present source.
+	since time.Time
 }
 
 // source is where a view hears from.
@@ -83,10 +85,12 @@
 
 // hear follows the source until it fails or another one comes first.
 func (view *view) hear(ctx context.Context, source source) error {
+	view.since = view.syncer.config.Clock.Now()
 	err := view.begin(ctx, source)
 	for err == nil {
 		view.syncer.note(view.name, nil)
 		view.journal.Connect(source.direct)
+		view.syncer.setDirect(view.name, source.direct)
 		if err = view.watch(ctx, source); err != nil {
 			break
 		}
@@ -133,6 +137,9 @@
 	}
 	call, cancel := context.WithTimeout(ctx, term)
 	defer cancel()
+	if source.direct {
+		go view.guard(call, cancel)
+	}
 	changes, err := source.feed.Watch(call, view.journal.Prefix(), view.journal.Reached())
 	if err != nil {
 		return err
@@ -142,6 +149,17 @@
 	return nil
 }
 
+// guard ends a watch of the store when the store no longer answers other calls: the watch may hear nothing any more.
+func (view *view) guard(ctx context.Context, cancel context.CancelFunc) {
+	for ctx.Err() == nil {
+		if !view.syncer.isInTouch(view.since) {
+			cancel()
+			return
+		}
+		view.syncer.sleep(ctx, contactTick)
+	}
+}
+
 // list reads the whole part and hands it over.
 func (view *view) list(ctx context.Context, source source) error {
 	call, cancel := context.WithTimeout(ctx, callTerm)
