--- /dev/null
+++ b/mesh/gatekeeper/gate_test.go
@@ -0,0 +1,178 @@
+package gatekeeper
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"lagoonlanding.example/lagoonlanding"
+	"lagoonlanding.example/lagoonlanding/timekeeper"
+)
+
+var id = lagoonlanding.NewBackendID("daemon", "server", 1)
+
+func newGate(slots int) *Gate {
+	gate := NewGate(Config{Clock: timekeeper.Clock{}, MaxWaiting: 8})
+	gate.Open(id, slots, time.Time{}, 0)
+	return gate
+}
+
+// task returns a task of a rank with an objective and a deadline from now.
+func task(rank int, objective, deadline time.Duration) lagoonlanding.Task {
+	now := time.Now()
+	return lagoonlanding.NewTask(lagoonlanding.TaskConfig{
+		ID: "t", Route: fmt.Sprint("route-", rank), Rank: rank, Objective: now.Add(objective), Deadline: now.Add(deadline), ShardKey: lagoonlanding.NoShardKey,
+	})
+}
+
+func enter(t *testing.T, gate *Gate, task lagoonlanding.Task) (*Pass, lagoonlanding.Reason) {
+	ctx, cancel := context.WithDeadline(t.Context(), task.Deadline())
+	defer cancel()
+	pass, reason, _ := gate.Enter(ctx, task)
+	return pass, reason
+}
+
+func TestNoMoreTasksThanSlots(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		gate := newGate(2)
+		first, _ := enter(t, gate, task(1, time.Second, time.Second))
+		if second, _ := enter(t, gate, task(1, time.Second, time.Second)); first == nil || second == nil {
+			t.Fatal("free slots were not given")
+		}
+		admitted := make(chan *Pass, 1)
+		go func() {
+			pass, _ := enter(t, gate, task(1, time.Second, time.Second))
+			admitted <- pass
+		}()
+		synctest.Wait()
+		select {
+		case <-admitted:
+			t.Fatal("a third task runs on two slots")
+		default:
+		}
+		first.Finish(true)
+		if <-admitted == nil {
+			t.Error("the freed slot was not given to the one that waits")
+		}
+	})
+}
+
+func TestTaskThatCannotMeetItsObjectiveLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		gate := newGate(1)
+		if pass, _ := enter(t, gate, task(1, time.Second, time.Second)); pass == nil {
+			t.Fatal("refused")
+		}
+		began := time.Now()
+		pass, reason := enter(t, gate, task(1, 600*time.Millisecond, 10*time.Second))
+		if pass != nil || reason != lagoonlanding.ReasonQueueFull {
+			t.Errorf("got %v, %s", pass, reason)
+		}
+		if waited := time.Since(began); waited > 600*time.Millisecond-firstMean {
+			t.Errorf("it waited %v", waited)
+		}
+	})
+}
+
+func TestUrgentTaskWaitsPastItsObjectiveAndGoesFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		gate := newGate(1)
+		running, _ := enter(t, gate, task(2, time.Second, time.Second))
+		order := make(chan int, 2)
+		for _, rank := range []int{2, 1} {
+			go func() {
+				// The objective of the urgent one has no room for any wait.
+				objective := time.Second
+				if rank == 1 {
+					objective = 50 * time.Millisecond
+				}
+				if pass, _ := enter(t, gate, task(rank, objective, 2*time.Second)); pass != nil {
+					order <- rank
+					pass.Finish(true)
+				} else {
+					order <- -rank
+				}
+			}()
+			synctest.Wait()
+		}
+		time.Sleep(300 * time.Millisecond)
+		running.Finish(true)
+		if first, second := <-order, <-order; first != 1 || second != 2 {
+			t.Errorf("order %d, %d", first, second)
+		}
+	})
+}
+
+func TestColdServerGetsNoMoreThanItsRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		gate := NewGate(Config{Clock: timekeeper.Clock{}, MaxWaiting: 100})
+		gate.Open(id, 50, time.Now().Add(3*time.Second), 4)
+		var times []time.Time
+		passed := make(chan time.Time, 100)
+		for range 30 {
+			go func() {
+				if pass, _ := enter(t, gate, task(1, 20*time.Second, 20*time.Second)); pass != nil {
+					passed <- time.Now()
+				}
+			}()
+		}
+		time.Sleep(2900 * time.Millisecond)
+		synctest.Wait()
+		close(passed)
+		for at := range passed {
+			times = append(times, at)
+		}
+		for _, from := range times {
+			count := 0
+			for _, at := range times {
+				if !at.Before(from) && at.Before(from.Add(time.Second)) {
+					count++
+				}
+			}
+			if count > 4 {
+				t.Fatalf("%d tasks in one second", count)
+			}
+		}
+		if len(times) < 10 {
+			t.Errorf("only %d tasks passed", len(times))
+		}
+	})
+}
+
+func TestCloseRefusesThoseWhoWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		gate := newGate(1)
+		enter(t, gate, task(1, time.Second, time.Second))
+		refused := make(chan lagoonlanding.Reason, 1)
+		go func() {
+			_, reason := enter(t, gate, task(1, time.Second, time.Second))
+			refused <- reason
+		}()
+		synctest.Wait()
+		gate.Close(lagoonlanding.ReasonShuttingDown)
+		if reason := <-refused; reason != lagoonlanding.ReasonShuttingDown {
+			t.Errorf("got %s", reason)
+		}
+		if _, reason := enter(t, gate, task(1, time.Second, time.Second)); reason != lagoonlanding.ReasonShuttingDown {
+			t.Errorf("a closed gate says %s", reason)
+		}
+	})
+}
+
+func TestAnotherLifeStartsWithoutTheTasksOfTheLast(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		gate := newGate(1)
+		old, _ := enter(t, gate, task(1, time.Second, time.Second))
+		gate.Open(lagoonlanding.NewBackendID("daemon", "server", 2), 1, time.Time{}, 0)
+		fresh, _ := enter(t, gate, task(1, time.Second, time.Second))
+		if fresh == nil {
+			t.Fatal("the new life has no free slot")
+		}
+		old.Finish(false)
+		if load := gate.Load(); load.Running() != 1 {
+			t.Errorf("%d running after the end of a task of the last life", load.Running())
+		}
+	})
+}
