--- /dev/null
+++ b/lagoonmesh/whole_test.go
@@ -0,0 +1,351 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"lagoonlanding.example/lagoonlanding/platform"
+)
+
+const wholeConfig = `{"version":%d,"routes":{
+ "read":{"host":"h","prefix":"/read/","routeType":"idempotent","timeoutS":2,"targetLatencyS":1,"priority":2,"service":"plain","attempts":2},
+ "write":{"host":"h","prefix":"/write/","routeType":"non_idempotent","timeoutS":2,"targetLatencyS":1,"priority":1,"service":"plain","attempts":2},
+ "keyed":{"host":"h","prefix":"/keyed/","routeType":"idempotent","timeoutS":2,"targetLatencyS":1,"priority":2,"service":"divided","attempts":2}},
+ "services":{"plain":{"coldPerS":50},"divided":{"coldPerS":50,"sharded":true}},"limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864}}`
+
+// backendServer runs requests, and holds keys as it is told.
+type backendServer struct {
+	mutex    sync.Mutex
+	name     string
+	service  string
+	slots    int
+	state    string
+	born     int64
+	sequence int64
+	holds    [][3]int
+	released [][3]any
+	ran      map[string]int
+	delay    time.Duration
+	server   *httptest.Server
+}
+
+func newBackendServer(t *testing.T, name, service string) *backendServer {
+	backend := &backendServer{name: name, service: service, slots: 6, state: "ready", born: time.Now().UnixMilli(), ran: map[string]int{}}
+	backend.server = httptest.NewServer(backend)
+	t.Cleanup(backend.server.Close)
+	return backend
+}
+
+func (backend *backendServer) address() string { return backend.server.Listener.Addr().String() }
+
+func (backend *backendServer) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	writer.Header().Set("X-Request-Id", request.Header.Get("X-Request-Id"))
+	backend.mutex.Lock()
+	ok := request.Header.Get("X-Target-Instance") == backend.name && backend.holdsKey(request.Header.Get("X-Shard-Key"))
+	if ok {
+		backend.ran[request.Header.Get("X-Request-Id")]++
+	}
+	delay := backend.delay
+	backend.mutex.Unlock()
+	if !ok {
+		writer.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	body, _ := io.ReadAll(request.Body)
+	time.Sleep(delay)
+	writer.Header().Set("X-Server-Signature", "signed-by-"+backend.name)
+	fmt.Fprintf(writer, "%s %s for %s: %s", request.Method, request.RequestURI, request.Header.Get("X-Caller-Service"), body)
+}
+
+func (backend *backendServer) holdsKey(text string) bool {
+	if backend.service != "divided" {
+		return true
+	}
+	var key int
+	fmt.Sscan(text, &key)
+	for _, row := range backend.holds {
+		if row[0] <= key && key <= row[1] {
+			return true
+		}
+	}
+	return false
+}
+
+// beat announces the backend server once and does what it is told.
+func (backend *backendServer) beat(control string) error {
+	backend.mutex.Lock()
+	defer backend.mutex.Unlock()
+	backend.sequence++
+	text, err := json.Marshal(map[string]any{
+		"address": backend.address(), "born": backend.born, "info": map[string]any{"service": backend.service, "slots": backend.slots},
+		"status": map[string]any{"state": backend.state, "sequence": backend.sequence}, "holds": backend.holds, "released": backend.released,
+	})
+	if err != nil {
+		return err
+	}
+	response, err := http.Post("http://"+control+"/rpc?call=instances.heartbeat&of="+backend.name, "application/json", bytes.NewReader(text))
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	var answer struct {
+		Holds *[][4]any `json:"holds"`
+	}
+	if err := json.NewDecoder(response.Body).Decode(&answer); err != nil || answer.Holds == nil {
+		return err
+	}
+	backend.obey(*answer.Holds)
+	return nil
+}
+
+func (backend *backendServer) obey(rows [][4]any) {
+	var holds [][3]int
+	for _, row := range rows {
+		holds = append(holds, [3]int{int(row[0].(float64)), int(row[1].(float64)), int(row[2].(float64))})
+	}
+	backend.released = nil
+	for _, old := range backend.holds {
+		kept := false
+		for _, row := range holds {
+			kept = kept || row[0] <= old[0] && old[1] <= row[1]
+		}
+		if !kept {
+			backend.released = append(backend.released, [3]any{old[0], old[1], "proof"})
+		}
+	}
+	backend.holds = holds
+}
+
+// testDaemon is a daemon of this process with its backend server.
+type testDaemon struct {
+	*daemon
+	backend *backendServer
+	front   string
+	cancel  context.CancelFunc
+	ended   chan struct{}
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+func startDaemon(t *testing.T, name, zone, service, store string) *testDaemon {
+	t.Helper()
+	backend := newBackendServer(t, "i-"+name, service)
+	front, control, peer := freeAddress(t), freeAddress(t), freeAddress(t)
+	port := peer[strings.LastIndex(peer, ":")+1:]
+	settings, err := platform.ParseSettings(fmt.Sprintf(`
+nodeName = %q
+ip = "127.0.0.1"
+zone = %q
+portRange = [%s, %s]
+bounds = ["graceS=6", "maxHoldS=10", "budgetSlack=56"]
+appAddress = %q
+service = %q
+[zones]
+z1 = "r1"
+z2 = "r2"
+[listenAddresses]
+outbound = %q
+ready = %q
+control = %q
+[platform]
+address = %q
+`, name, zone, port, port, backend.address(), service, front, freeAddress(t), control, store))
+	if err != nil {
+		t.Fatal(err)
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	ctx, cancel := context.WithCancel(context.Background())
+	started := &testDaemon{daemon: newDaemon(settings, "", log), backend: backend, front: front, cancel: cancel, ended: make(chan struct{})}
+	go func() {
+		defer close(started.ended)
+		if err := started.run(ctx); err != nil {
+			t.Error(err)
+		}
+	}()
+	go func() {
+		for ctx.Err() == nil {
+			if err := backend.beat(control); err != nil && ctx.Err() == nil {
+				time.Sleep(10 * time.Millisecond)
+				continue
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+	}()
+	t.Cleanup(func() { cancel(); <-started.ended })
+	return started
+}
+
+// request sends a request to a daemon's clients' address.
+func request(front, method, path, id string, key int, body io.Reader) (int, string, http.Header) {
+	made, err := http.NewRequest(method, "http://"+front+path, body)
+	if err != nil {
+		return 0, err.Error(), nil
+	}
+	made.Host = "h"
+	made.Header.Set("X-Request-Id", id)
+	made.Header.Set("X-Deadline-Ms", "2000")
+	if key >= 0 {
+		made.Header.Set("X-Shard-Key", fmt.Sprint(key))
+	}
+	response, err := http.DefaultClient.Do(made)
+	if err != nil {
+		return 0, err.Error(), nil
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, err.Error(), nil
+	}
+	return response.StatusCode, string(text), response.Header
+}
+
+// until waits for a condition.
+func until(t *testing.T, what string, term time.Duration, condition func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(term); time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
+		if condition() {
+			return
+		}
+	}
+	t.Fatalf("%s: not within %v", what, term)
+}
+
+// startFleet starts daemons of both services in both regions.
+func startFleet(t *testing.T) (*platformStore, map[string]*testDaemon) {
+	store, address := newPlatformStore(t)
+	store.put(t, "op/config", fmt.Sprintf(wholeConfig, 1))
+	fleet := map[string]*testDaemon{}
+	for _, name := range []string{"plain-1", "plain-2", "divided-1", "divided-2"} {
+		service, number, _ := strings.Cut(name, "-")
+		fleet[name] = startDaemon(t, name, "z"+number, service, address)
+	}
+	until(t, "the fleet serves all keys", 15*time.Second, func() bool {
+		for key := 0; key < 65536; key += 1024 {
+			if status, _, _ := request(fleet["plain-1"].front, "GET", "/keyed/x", fmt.Sprint("warm-", key), key, nil); status != 200 {
+				return false
+			}
+		}
+		status, _, _ := request(fleet["plain-1"].front, "GET", "/read/x", "warm", -1, nil)
+		return status == 200
+	})
+	return store, fleet
+}
+
+func TestWholePath(t *testing.T) {
+	store, fleet := startFleet(t)
+	front := fleet["divided-1"].front
+	t.Run("plain", func(t *testing.T) {
+		status, text, header := request(front, "POST", "/write/x?y=%2F", "w1", -1, strings.NewReader("body"))
+		if status != 200 || text != "POST /write/x?y=%2F for divided: body" || !strings.HasPrefix(header.Get("X-Server-Signature"), "signed-by-i-plain") {
+			t.Errorf("%d %s %v", status, text, header)
+		}
+	})
+	t.Run("unknown route", func(t *testing.T) {
+		if status, _, _ := request(front, "GET", "/none/", "n1", -1, nil); status != 404 {
+			t.Errorf("got %d", status)
+		}
+	})
+	t.Run("long body", func(t *testing.T) {
+		const length = 32 << 20
+		status, text, _ := request(front, "POST", "/write/x", "long", -1, io.LimitReader(letters{}, length))
+		if status != 200 || len(text) < length {
+			t.Errorf("got %d, %d bytes", status, len(text))
+		}
+	})
+	t.Run("new configuration", func(t *testing.T) {
+		store.put(t, "op/config", strings.ReplaceAll(fmt.Sprintf(wholeConfig, 5), "/read/", "/reading/"))
+		until(t, "the new route is served everywhere and the old one is not", 2*time.Second, func() bool {
+			for _, daemon := range fleet {
+				added, _, _ := request(daemon.front, "GET", "/reading/x", "c1", -1, nil)
+				dropped, _, _ := request(daemon.front, "GET", "/read/x", "c2", -1, nil)
+				if added != 200 || dropped != 404 {
+					return false
+				}
+			}
+			return true
+		})
+	})
+	t.Run("evacuation moves keys", func(t *testing.T) {
+		store.put(t, "op/evacuate/z1", "{}")
+		until(t, "zone z2 serves all keys", 5*time.Second, func() bool {
+			for key := 0; key < 65536; key += 2048 {
+				status, _, header := request(front, "GET", "/keyed/x", fmt.Sprint("e", key), key, nil)
+				if status != 200 || header.Get("X-Server-Signature") != "signed-by-i-divided-2" {
+					return false
+				}
+			}
+			return true
+		})
+		store.remove("op/evacuate/z1")
+	})
+	t.Run("store is down", func(t *testing.T) {
+		store.setDown(true)
+		defer store.setDown(false)
+		for began := time.Now(); time.Since(began) < 3*time.Second; time.Sleep(50 * time.Millisecond) {
+			if status, text, _ := request(front, "GET", "/keyed/x", "d1", 77, nil); status != 200 {
+				t.Fatalf("after %v: %d %s", time.Since(began), status, text)
+			}
+		}
+	})
+}
+
+type letters struct{}
+
+func (letters) Read(data []byte) (int, error) {
+	for index := range data {
+		data[index] = 'x'
+	}
+	return len(data), nil
+}
+
+func TestStopCutsNoRequest(t *testing.T) {
+	_, fleet := startFleet(t)
+	stopped := fleet["divided-1"]
+	for _, daemon := range fleet {
+		daemon.backend.delay = 200 * time.Millisecond
+	}
+	var clients sync.WaitGroup
+	time.AfterFunc(300*time.Millisecond, stopped.cancel)
+	for number := range 6 {
+		clients.Go(func() {
+			for count := 0; ; count++ {
+				select {
+				case <-stopped.ended:
+					return
+				default:
+				}
+				status, text, _ := request(stopped.front, "POST", "/write/x", fmt.Sprintf("s-%d-%d", number, count), -1, strings.NewReader("x"))
+				if status != 200 && status != 503 && !strings.Contains(text, "refused") {
+					// A connection that is refused never took the request.
+					t.Errorf("got %d %s", status, text)
+				}
+				if status != 200 {
+					return
+				}
+			}
+		})
+	}
+	clients.Wait()
+	<-stopped.ended
+}
--- /dev/null
+++ b/mesh/acceptor/acceptor_test.go
@@ -0,0 +1,100 @@
+package acceptor
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"lagoonlanding.example/lagoonlanding"
+	"lagoonlanding.example/lagoonlanding/mesh/gatekeeper"
+	"lagoonlanding.example/lagoonlanding/mesh/grantor"
+	"lagoonlanding.example/lagoonlanding/timekeeper"
+)
+
+var id = lagoonlanding.NewBackendID("daemon", "server", 1)
+
+// fakeRunner counts the tasks that reach the backend server.
+type fakeRunner struct {
+	result lagoonlanding.Result
+	count  int
+}
+
+func (runner *fakeRunner) Run(context.Context, lagoonlanding.BackendID, string, lagoonlanding.Task) lagoonlanding.Result {
+	runner.count++
+	return runner.result
+}
+
+func newAcceptor(runner *fakeRunner, holding *grantor.Holding, lost func(lagoonlanding.BackendID)) (*Acceptor, *gatekeeper.Gate) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	gate := gatekeeper.NewGate(gatekeeper.Config{Clock: timekeeper.Clock{}, MaxWaiting: 4})
+	gate.Open(id, 2, time.Time{}, 0)
+	return New(Config{
+		Service: "s", Gate: gate, Runner: runner, Holding: func() *grantor.Holding { return holding }, Lost: lost,
+		Clock: timekeeper.Clock{}, Log: logrus.NewEntry(log),
+	}), gate
+}
+
+func task(service string, key int) lagoonlanding.Task {
+	return lagoonlanding.NewTask(lagoonlanding.TaskConfig{
+		ID: "1", Service: service, ShardKey: key, Objective: time.Now().Add(time.Second), Deadline: time.Now().Add(time.Second),
+	})
+}
+
+func TestTaskOfAnotherServiceIsRefused(t *testing.T) {
+	runner := &fakeRunner{}
+	acceptor, _ := newAcceptor(runner, nil, nil)
+	result := acceptor.Handle(t.Context(), task("other", lagoonlanding.NoShardKey))
+	if result.Outcome() != lagoonlanding.OutcomeNotRun || result.IsReached() || runner.count != 0 {
+		t.Errorf("got %v, %d runs", result.Outcome(), runner.count)
+	}
+}
+
+func TestKeyThatIsNotHeldIsRefused(t *testing.T) {
+	runner := &fakeRunner{}
+	ranges := []lagoonlanding.HeldRange{lagoonlanding.NewHeldRange(0, 255, 1, "")}
+	for name, holding := range map[string]*grantor.Holding{
+		"another range": grantor.NewHolding(ranges, time.Now().Add(time.Minute)),
+		"lapsed":        grantor.NewHolding([]lagoonlanding.HeldRange{lagoonlanding.NewHeldRange(256, 511, 1, "")}, time.Now().Add(-time.Second)),
+	} {
+		acceptor, _ := newAcceptor(runner, holding, nil)
+		if result := acceptor.Handle(t.Context(), task("s", 300)); result.Reason() != lagoonlanding.ReasonMoving || runner.count != 0 {
+			t.Errorf("%s: got %s, %d runs", name, result.Reason(), runner.count)
+		}
+	}
+}
+
+func TestEndOfTheBackendServerIsTold(t *testing.T) {
+	runner := &fakeRunner{result: lagoonlanding.NotRun(lagoonlanding.ReasonNoUpstream, time.Now())}
+	var lost lagoonlanding.BackendID
+	acceptor, gate := newAcceptor(runner, nil, func(ended lagoonlanding.BackendID) { lost = ended })
+	acceptor.Handle(t.Context(), task("s", lagoonlanding.NoShardKey))
+	if lost != id || gate.Load().Running() != 0 {
+		t.Errorf("lost %v, %d running", lost, gate.Load().Running())
+	}
+}
+
+func TestSlotIsFreeOnceTheAnswerIsHere(t *testing.T) {
+	for length, running := range map[int64]int{4: 0, -1: 1} {
+		runner := &fakeRunner{result: lagoonlanding.NewResult(lagoonlanding.ResultConfig{
+			Outcome: lagoonlanding.OutcomeAnswered,
+			Answer: lagoonlanding.NewAnswer(lagoonlanding.AnswerConfig{
+				Status: 200, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("body")), BodyLength: length,
+			}),
+		})}
+		acceptor, gate := newAcceptor(runner, nil, nil)
+		result := acceptor.Handle(t.Context(), task("s", lagoonlanding.NoShardKey))
+		if got := gate.Load().Running(); got != running {
+			t.Errorf("length %d: %d running before the body was read", length, got)
+		}
+		result.Answer().Body().Close()
+		if got := gate.Load().Running(); got != 0 {
+			t.Errorf("length %d: %d running in the end", length, got)
+		}
+	}
+}
--- /dev/null
+++ b/mesh/forwarder/forwarder_test.go
@@ -0,0 +1,252 @@
+package forwarder
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"lagoonlanding.example/lagoonlanding"
+	"lagoonlanding.example/lagoonlanding/mesh/allocator"
+	"lagoonlanding.example/lagoonlanding/mesh/chooser"
+	"lagoonlanding.example/lagoonlanding/mesh/coordinator"
+	"lagoonlanding.example/lagoonlanding/timekeeper"
+)
+
+// fakeDaemons answer by the script and note who was asked.
+type fakeDaemons struct {
+	script func(daemon string, task lagoonlanding.Task) lagoonlanding.Result
+	asked  []string
+	bodies []string
+}
+
+func (daemons *fakeDaemons) Carry(_ context.Context, backend lagoonlanding.Backend, task lagoonlanding.Task) lagoonlanding.Result {
+	daemons.asked = append(daemons.asked, backend.ID().Daemon())
+	if task.Body() != nil {
+		text, _ := io.ReadAll(task.Body())
+		daemons.bodies = append(daemons.bodies, string(text))
+	}
+	return daemons.script(backend.ID().Daemon(), task)
+}
+
+func answered(status int) lagoonlanding.Result {
+	return lagoonlanding.NewResult(lagoonlanding.ResultConfig{
+		Outcome: lagoonlanding.OutcomeAnswered, Reached: true,
+		Answer: lagoonlanding.NewAnswer(lagoonlanding.AnswerConfig{Status: status, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(""))}),
+	})
+}
+
+func backend(daemon, zone, region, service string) lagoonlanding.Backend {
+	return lagoonlanding.NewBackend(lagoonlanding.BackendConfig{
+		ID: lagoonlanding.NewBackendID(daemon, "server-"+daemon, 1), AvailabilityZone: zone, Region: region, Service: service,
+		Slots: 6, State: lagoonlanding.BackendReady,
+	})
+}
+
+// fixture is a forwarder in zone a1 of region a before three daemons of service s.
+type fixture struct {
+	*Forwarder
+	daemons  *fakeDaemons
+	snapshot coordinator.SnapshotConfig
+}
+
+func newFixture(change func(route *lagoonlanding.PathRouteConfig), script func(daemon string, task lagoonlanding.Task) lagoonlanding.Result) *fixture {
+	route := lagoonlanding.PathRouteConfig{
+		Name: "r", Host: "h", Prefix: "/p/", Idempotent: true, Timeout: 2 * time.Second, Objective: 600 * time.Millisecond, Attempts: 2,
+		Shares: []lagoonlanding.Share{lagoonlanding.NewShare("s", 1)},
+	}
+	change(&route)
+	fixture := &fixture{daemons: &fakeDaemons{script: script}}
+	fixture.snapshot = coordinator.SnapshotConfig{
+		Routing: lagoonlanding.NewRouting(lagoonlanding.RoutingConfig{
+			Version: 1, Routes: []lagoonlanding.PathRoute{lagoonlanding.NewPathRoute(route)},
+			Services: []lagoonlanding.ServiceTerms{
+				lagoonlanding.NewServiceTerms(lagoonlanding.ServiceTermsConfig{Name: "s"}),
+				lagoonlanding.NewServiceTerms(lagoonlanding.ServiceTermsConfig{Name: "divided", Divided: true}),
+			},
+		}),
+		Backends: []lagoonlanding.Backend{
+			backend("near", "a1", "a", "s"), backend("beside", "a2", "a", "s"), backend("far", "b1", "b", "s"), backend("owner", "a1", "a", "divided"),
+		},
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	fixture.Forwarder = New(Config{
+		Daemon: "self", Service: "mine", Carrier: fixture.daemons, Clock: timekeeper.Clock{}, Log: logrus.NewEntry(log),
+		Chooser: chooser.New(chooser.Config{
+			AvailabilityZone: "a1", Region: "a", ZoneCost: 20 * time.Millisecond, RegionCost: 400 * time.Millisecond,
+			ReportTerm: time.Second, AvoidTerm: time.Second, Random: rand.New(rand.NewPCG(1, 1)),
+		}),
+		Budgets:  NewBudgets(BudgetsConfig{Share: 0.1, Slack: 4, Daemons: func() int { return 1 }}),
+		Snapshot: func() *coordinator.Snapshot { return coordinator.NewSnapshot(fixture.snapshot) }, Draw: func() float64 { return 0 },
+	})
+	return fixture
+}
+
+func (fixture *fixture) send(change func(task *lagoonlanding.TaskConfig)) lagoonlanding.Result {
+	config := lagoonlanding.TaskConfig{
+		ID: "1", Method: "GET", Host: "h", Target: "/p/x?y", Header: http.Header{}, Received: time.Now(), Deadline: time.Now().Add(5 * time.Second),
+		ShardKey: lagoonlanding.NoShardKey,
+	}
+	change(&config)
+	return fixture.Handle(context.Background(), lagoonlanding.NewTask(config))
+}
+
+func same[T any](*T) {}
+
+func TestRequestGoesToTheNearestAndNamesItsCaller(t *testing.T) {
+	var caller, service string
+	fixture := newFixture(same, func(_ string, task lagoonlanding.Task) lagoonlanding.Result {
+		caller, service = task.Caller(), task.Service()
+		return answered(200)
+	})
+	if result := fixture.send(same); result.Outcome() != lagoonlanding.OutcomeAnswered {
+		t.Fatal(result.Reason())
+	}
+	if !slices.Equal(fixture.daemons.asked, []string{"near"}) || caller != "mine" || service != "s" {
+		t.Errorf("asked %v, caller %q, service %q", fixture.daemons.asked, caller, service)
+	}
+}
+
+func TestRequestThatMayHaveRunIsNotSentAgain(t *testing.T) {
+	fixture := newFixture(func(route *lagoonlanding.PathRouteConfig) { route.Idempotent = false }, func(string, lagoonlanding.Task) lagoonlanding.Result {
+		return lagoonlanding.MayHaveRun(lagoonlanding.ReasonConnectionLost)
+	})
+	if result := fixture.send(same); result.Outcome() != lagoonlanding.OutcomeUnknown || len(fixture.daemons.asked) != 1 {
+		t.Errorf("%v after %v", result.Outcome(), fixture.daemons.asked)
+	}
+}
+
+func TestIdempotentRequestIsSentToAsManyAsItsRouteAllows(t *testing.T) {
+	fixture := newFixture(same, func(string, lagoonlanding.Task) lagoonlanding.Result {
+		return lagoonlanding.MayHaveRun(lagoonlanding.ReasonConnectionLost)
+	})
+	if fixture.send(same); !slices.Equal(fixture.daemons.asked, []string{"near", "beside"}) {
+		t.Errorf("asked %v", fixture.daemons.asked)
+	}
+}
+
+func TestRefusalByADaemonCostsNoAttempt(t *testing.T) {
+	fixture := newFixture(func(route *lagoonlanding.PathRouteConfig) { route.Idempotent = false; route.Attempts = 1 },
+		func(daemon string, _ lagoonlanding.Task) lagoonlanding.Result {
+			if daemon == "near" {
+				return lagoonlanding.NotRun(lagoonlanding.ReasonQueueFull, time.Now())
+			}
+			return answered(200)
+		})
+	result := fixture.send(func(task *lagoonlanding.TaskConfig) {
+		task.Method, task.Body, task.BodyLength = "POST", NewReplayable(strings.NewReader("body")), 4
+	})
+	if result.Outcome() != lagoonlanding.OutcomeAnswered || !slices.Equal(fixture.daemons.bodies, []string{"body", "body"}) {
+		t.Errorf("%v, bodies %v", result.Outcome(), fixture.daemons.bodies)
+	}
+}
+
+func TestRequestStaysInItsRegions(t *testing.T) {
+	fixture := newFixture(func(route *lagoonlanding.PathRouteConfig) { route.Regions = []string{"b"} }, func(string, lagoonlanding.Task) lagoonlanding.Result {
+		return lagoonlanding.NotRun(lagoonlanding.ReasonQueueFull, time.Now())
+	})
+	if fixture.send(same); !slices.Equal(fixture.daemons.asked, []string{"far"}) {
+		t.Errorf("asked %v", fixture.daemons.asked)
+	}
+}
+
+func TestEvacuatedZoneGetsNothing(t *testing.T) {
+	fixture := newFixture(same, func(string, lagoonlanding.Task) lagoonlanding.Result { return answered(200) })
+	fixture.snapshot.Evacuated = map[string]bool{"a1": true}
+	if fixture.send(same); !slices.Equal(fixture.daemons.asked, []string{"beside"}) {
+		t.Errorf("asked %v", fixture.daemons.asked)
+	}
+}
+
+func TestBudgetBoundsFurtherTries(t *testing.T) {
+	fixture := newFixture(same, func(string, lagoonlanding.Task) lagoonlanding.Result { return answered(500) })
+	for range 40 {
+		fixture.send(same)
+	}
+	if further := len(fixture.daemons.asked) - 40; further > 8 {
+		t.Errorf("%d further tries", further)
+	}
+}
+
+func TestDeadlineIsThatOfTheRouteIfThatIsSooner(t *testing.T) {
+	var left time.Duration
+	fixture := newFixture(same, func(_ string, task lagoonlanding.Task) lagoonlanding.Result {
+		left = time.Until(task.Deadline())
+		return answered(200)
+	})
+	if fixture.send(same); left > 2*time.Second {
+		t.Errorf("%v left", left)
+	}
+}
+
+func TestUnknownRouteAndMissingConfigurationAreToldApart(t *testing.T) {
+	fixture := newFixture(same, func(string, lagoonlanding.Task) lagoonlanding.Result { return answered(200) })
+	if result := fixture.send(func(task *lagoonlanding.TaskConfig) { task.Target = "/q/" }); result.Reason() != lagoonlanding.ReasonNoRoute {
+		t.Errorf("got %s", result.Reason())
+	}
+	fixture.snapshot.Routing = nil
+	if result := fixture.send(same); result.Reason() != lagoonlanding.ReasonNotReady {
+		t.Errorf("got %s", result.Reason())
+	}
+}
+
+func keyed(route *lagoonlanding.PathRouteConfig) {
+	route.Shares = []lagoonlanding.Share{lagoonlanding.NewShare("divided", 1)}
+}
+
+func (fixture *fixture) allot(owner lagoonlanding.BackendID) {
+	allotment, _ := allocator.NewAllotment(allocator.AllotmentConfig{Service: "divided"}).Plan(allocator.PlanConfig{
+		Backends: []lagoonlanding.Backend{lagoonlanding.NewBackend(lagoonlanding.BackendConfig{ID: owner})},
+		IsGone:   func(lagoonlanding.BackendID) bool { return false },
+	})
+	fixture.snapshot.Allotments = map[string]*allocator.Allotment{"divided": allotment}
+}
+
+func TestKeyedRequestGoesToItsOwnerOnly(t *testing.T) {
+	fixture := newFixture(keyed, func(string, lagoonlanding.Task) lagoonlanding.Result {
+		return lagoonlanding.NotRun(lagoonlanding.ReasonQueueFull, time.Now())
+	})
+	fixture.allot(lagoonlanding.NewBackendID("owner", "server-owner", 1))
+	result := fixture.send(func(task *lagoonlanding.TaskConfig) { task.ShardKey = 7 })
+	if result.Outcome() != lagoonlanding.OutcomeNotRun || !slices.Equal(fixture.daemons.asked, []string{"owner"}) {
+		t.Errorf("%v after %v", result.Outcome(), fixture.daemons.asked)
+	}
+}
+
+func TestKeyOnItsWayIsWaitedForNoLongerThanHalfTheObjective(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fixture := newFixture(keyed, func(string, lagoonlanding.Task) lagoonlanding.Result {
+			return lagoonlanding.NotRun(lagoonlanding.ReasonMoving, time.Now())
+		})
+		fixture.allot(lagoonlanding.NewBackendID("owner", "server-owner", 1))
+		began := time.Now()
+		result := fixture.send(func(task *lagoonlanding.TaskConfig) { task.ShardKey = 7 })
+		if waited := time.Since(began); waited < 200*time.Millisecond || waited > 400*time.Millisecond {
+			t.Errorf("it waited %v", waited)
+		}
+		if result.Outcome() != lagoonlanding.OutcomeNotRun {
+			t.Errorf("got %v", result.Outcome())
+		}
+	})
+}
+
+func TestBodyThatIsTooLongToKeepIsNotSentAgain(t *testing.T) {
+	fixture := newFixture(same, func(string, lagoonlanding.Task) lagoonlanding.Result {
+		return lagoonlanding.MayHaveRun(lagoonlanding.ReasonConnectionLost)
+	})
+	long := strings.Repeat("x", keptBody+1)
+	fixture.send(func(task *lagoonlanding.TaskConfig) {
+		task.Body, task.BodyLength = NewReplayable(strings.NewReader(long)), int64(len(long))
+	})
+	if len(fixture.daemons.asked) != 1 {
+		t.Errorf("asked %v", fixture.daemons.asked)
+	}
+}
--- a/mesh/syncer/view.go
+++ b/mesh/syncer/view.go
@@ -138,7 +138,7 @@
 	call, cancel := context.WithTimeout(ctx, term)
 	defer cancel()
 	if source.direct {
-		go view.guard(call, cancel)
+		go view.guard(call, cancel, view.since)
 	}
 	changes, err := source.feed.Watch(call, view.journal.Prefix(), view.journal.Reached())
 	if err != nil {
@@ -150,9 +150,9 @@
 }
 
 // guard ends a watch of the store when the store no longer answers other calls: the watch may hear nothing any more.
-func (view *view) guard(ctx context.Context, cancel context.CancelFunc) {
+func (view *view) guard(ctx context.Context, cancel context.CancelFunc, since time.Time) {
 	for ctx.Err() == nil {
-		if !view.syncer.isInTouch(view.since) {
+		if !view.syncer.isInTouch(since) {
 			cancel()
 			return
 		}
