--- a/lagoonmesh/whole_test.go
+++ b/lagoonmesh/whole_test.go
@@ -102,6 +102,7 @@
 	defer response.Body.Close()
 	var answer struct {
 		Holds *[][4]any `json:"holds"`
+		HoldS float64   `json:"holdS"`
 	}
 	if err := json.NewDecoder(response.Body).Decode(&answer); err != nil || answer.Holds == nil {
 		return err
