Serve metrics, and tell other daemons truly that a stopping daemon did not run a task

Cause: the refusal of a stopping daemon to its peers bore no result, so they took the task for one that may have run and answered 502 (221 such answers in the replay of inc-0f18).

--- a/lagoonmesh/daemon.go
+++ b/lagoonmesh/daemon.go
@@ -21,6 +21,7 @@
 	"lagoonlanding.example/lagoonlanding/mesh/forwarder"
 	"lagoonlanding.example/lagoonlanding/mesh/gatekeeper"
 	"lagoonlanding.example/lagoonlanding/mesh/grantor"
+	"lagoonlanding.example/lagoonlanding/mesh/recorder"
 	"lagoonlanding.example/lagoonlanding/mesh/registrar"
 	"lagoonlanding.example/lagoonlanding/mesh/relayer"
 	"lagoonlanding.example/lagoonlanding/mesh/syncer"
@@ -39,15 +40,20 @@
 	syncer      *syncer.Syncer
 	acceptor    *acceptor.Acceptor
 	forwarder   *forwarder.Forwarder
+	meter       *recorder.Recorder
 	fleet       *relayer.Journal
 	orders      *relayer.Journal
 }
 
-func newDaemon(settings platform.Settings, path string, log *logrus.Logger) *daemon {
+func newDaemon(settings platform.Settings, path string, log *logrus.Logger, droppedLines func() uint64) *daemon {
 	daemon := &daemon{settings: settings, path: path, log: log}
 	daemon.fleet, daemon.orders = relayer.NewJournal(coordinator.FleetPrefix), relayer.NewJournal(platform.DirectivePrefix)
 	daemon.pool = caller.NewPool(caller.Config{DialTerm: dialTerm, IdleTerm: idleTerm, SilenceTerm: silenceTerm, MaxIdle: maxIdle})
 	gate := gatekeeper.NewGate(gatekeeper.Config{Clock: daemon.clock, MaxWaiting: maxWaiting})
+	daemon.meter = recorder.New(recorder.Config{
+		Load: gate.Load, DroppedLines: droppedLines,
+		Failed: func(err error) { daemon.part("metrics").WithError(err).Warn("Metric is not served.") },
+	})
 	daemon.buildControl(gate)
 	daemon.buildTraffic(gate)
 	return daemon
@@ -100,7 +106,7 @@
 			Share: retryPart * daemon.settings.RetryShare(defaultRetryShare), Slack: retryPart * daemon.settings.RetrySlack(0),
 			Daemons: func() int { return len(daemon.coordinator.Snapshot().Peers()) },
 		}),
-		Snapshot: daemon.coordinator.Snapshot, Clock: daemon.clock, Log: daemon.part("requests"), Draw: rand.Float64,
+		Snapshot: daemon.coordinator.Snapshot, Meter: daemon.meter, Clock: daemon.clock, Log: daemon.part("requests"), Draw: rand.Float64,
 	})
 }
 
--- a/lagoonmesh/drain.go
+++ b/lagoonmesh/drain.go
@@ -30,8 +30,8 @@
 	refuses  time.Time
 }
 
-// wrap counts the requests of a handler.
-func (drainer *drainer) wrap(handler http.Handler) http.Handler {
+// wrap counts the requests of a handler, and lets refuse answer those that come too late.
+func (drainer *drainer) wrap(handler http.Handler, refuse func(writer http.ResponseWriter)) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		stopping, refused := drainer.enter()
 		defer drainer.leave()
@@ -39,9 +39,7 @@
 			writer.Header().Set("Connection", "close")
 		}
 		if refused {
-			// Another process is up soon.
-			writer.Header().Set("Retry-After", "0.5")
-			writer.WriteHeader(http.StatusServiceUnavailable)
+			refuse(writer)
 			return
 		}
 		handler.ServeHTTP(writer, request)
--- a/lagoonmesh/main.go
+++ b/lagoonmesh/main.go
@@ -87,7 +87,7 @@
 	limitMemory(settings.MemoryLimit())
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	daemon := newDaemon(settings, options.settings, log)
+	daemon := newDaemon(settings, options.settings, log, queue.Dropped)
 	return daemon.run(ctx)
 }
 
--- a/lagoonmesh/servers.go
+++ b/lagoonmesh/servers.go
@@ -38,28 +38,25 @@
 	for _, server := range []struct {
 		address string
 		handler http.Handler
-		isFront bool
 	}{
-		{daemon.settings.AnnouncementAddress(), announcements, false},
-		{daemon.settings.PeerAddress(), peers, true},
-		{daemon.settings.ClientAddress(), clients, true},
-		{daemon.settings.ReadyAddress(), http.HandlerFunc(daemon.ready), false},
+		{daemon.settings.AnnouncementAddress(), announcements},
+		{daemon.settings.PeerAddress(), made.wrap(peers, peers.Refuse)},
+		{daemon.settings.ClientAddress(), made.wrap(clients, clients.Refuse)},
+		{daemon.settings.ReadyAddress(), http.HandlerFunc(daemon.ready)},
+		{daemon.settings.MetricsAddress(), daemon.meter.Handler()},
 	} {
-		if err := made.add(server.address, server.handler, server.isFront); err != nil {
+		if err := made.add(server.address, server.handler); err != nil {
 			return nil, err
 		}
 	}
 	return made, nil
 }
 
-func (servers *servers) add(address string, handler http.Handler, isFront bool) error {
+func (servers *servers) add(address string, handler http.Handler) error {
 	listener, err := net.Listen("tcp4", address)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	if isFront {
-		handler = servers.wrap(handler)
-	}
 	server := &http.Server{
 		Handler: handler, MaxHeaderBytes: maxHeader, ReadHeaderTimeout: headerTerm, IdleTimeout: clientIdleTerm,
 	}
--- a/lagoonmesh/whole_test.go
+++ b/lagoonmesh/whole_test.go
@@ -158,6 +158,7 @@
 ip = "127.0.0.1"
 zone = %q
 portRange = [%s, %s]
+metrics-port = 0
 bounds = ["graceS=6", "maxHoldS=10", "budgetSlack=56"]
 appAddress = %q
 service = %q
@@ -177,7 +178,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	ctx, cancel := context.WithCancel(context.Background())
-	started := &testDaemon{daemon: newDaemon(settings, "", log), backend: backend, front: front, cancel: cancel, ended: make(chan struct{})}
+	started := &testDaemon{daemon: newDaemon(settings, "", log, func() uint64 { return 0 }), backend: backend, front: front, cancel: cancel, ended: make(chan struct{})}
 	go func() {
 		defer close(started.ended)
 		if err := started.run(ctx); err != nil {
--- a/mesh/carrier/server.go
+++ b/mesh/carrier/server.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -51,6 +52,11 @@
 	server.answer(writer, task, result)
 }
 
+// Refuse tells the sender of a task that it was not run because the daemon is about to end.
+func (server *Server) Refuse(writer http.ResponseWriter) {
+	server.answer(writer, lagoonlanding.Task{}, lagoonlanding.NotRun(lagoonlanding.ReasonShuttingDown, time.Time{}))
+}
+
 func (server *Server) answer(writer http.ResponseWriter, task lagoonlanding.Task, result lagoonlanding.Result) {
 	if err := write(writer.Header(), headerResult, newResultTerms(server.config.Clock.Now(), result)); err != nil {
 		server.config.Log.WithField("request", task.ID()).WithError(err).Error("Result cannot be encoded.")
--- a/mesh/forwarder/forwarder.go
+++ b/mesh/forwarder/forwarder.go
@@ -36,6 +36,8 @@
 	Budgets *Budgets
 	// Snapshot returns what traffic may know of the control state.
 	Snapshot func() *coordinator.Snapshot
+	// Meter counts requests.
+	Meter lagoonlanding.TaskMeter
 	// Clock tells the time.
 	Clock lagoonlanding.Clock
 	// Log takes one line for each request.
@@ -258,9 +260,11 @@
 }
 
 func (forwarder *Forwarder) log(task lagoonlanding.Task, tries int, result lagoonlanding.Result) {
+	took := forwarder.config.Clock.Now().Sub(task.Received())
+	forwarder.config.Meter.Ended(task, result, tries, took)
 	fields := logrus.Fields{
 		"request": task.ID(), "route": task.Route(), "service": task.Service(), "tries": tries, "outcome": result.Outcome().String(),
-		"took-ms": forwarder.config.Clock.Now().Sub(task.Received()).Milliseconds(),
+		"took-ms": took.Milliseconds(),
 	}
 	if result.Reason() != lagoonlanding.ReasonNone {
 		fields["reason"] = result.Reason()
--- a/mesh/forwarder/forwarder_test.go
+++ b/mesh/forwarder/forwarder_test.go
@@ -36,6 +36,10 @@
 	return daemons.script(backend.ID().Daemon(), task)
 }
 
+type noMeter struct{}
+
+func (noMeter) Ended(lagoonlanding.Task, lagoonlanding.Result, int, time.Duration) {}
+
 func answered(status int) lagoonlanding.Result {
 	return lagoonlanding.NewResult(lagoonlanding.ResultConfig{
 		Outcome: lagoonlanding.OutcomeAnswered, Reached: true,
@@ -79,7 +83,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	fixture.Forwarder = New(Config{
-		Daemon: "self", Service: "mine", Carrier: fixture.daemons, Clock: timekeeper.Clock{}, Log: logrus.NewEntry(log),
+		Daemon: "self", Service: "mine", Carrier: fixture.daemons, Clock: timekeeper.Clock{}, Log: logrus.NewEntry(log), Meter: noMeter{},
 		Chooser: chooser.New(chooser.Config{
 			AvailabilityZone: "a1", Region: "a", ZoneCost: 20 * time.Millisecond, RegionCost: 400 * time.Millisecond,
 			ReportTerm: time.Second, AvoidTerm: time.Second, Random: rand.New(rand.NewPCG(1, 1)),
--- /dev/null
+++ b/mesh/recorder/doc.go
@@ -0,0 +1,2 @@
+// Package recorder counts requests and serves the counts and latencies as a page of metrics.
+package recorder
--- a/runner.go
+++ b/runner.go
@@ -25,6 +25,12 @@
 	Close(reason Reason)
 }
 
+// TaskMeter counts what becomes of the requests of clients.
+type TaskMeter interface {
+	// Ended notes the result of a request after so many tries, and how long it took.
+	Ended(task Task, result Result, tries int, took time.Duration)
+}
+
 // TaskHandler takes the tasks that arrive at a daemon.
 type TaskHandler interface {
 	// Handle returns what became of the task; whoever calls closes the body of an answer.
