--- /dev/null
+++ b/mesh/relayer/journal_test.go
@@ -0,0 +1,86 @@
+package relayer
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"lagoonlanding.example/lagoonlanding"
+)
+
+func write(key string, revision uint64) lagoonlanding.Change {
+	return lagoonlanding.NewChange(lagoonlanding.NewEntry(key, []byte("v"), revision), false)
+}
+
+func remove(key string, revision uint64) lagoonlanding.Change {
+	return lagoonlanding.NewChange(lagoonlanding.NewEntry(key, nil, revision), true)
+}
+
+func newJournal() *Journal {
+	journal := NewJournal("p/")
+	journal.Replace(lagoonlanding.NewListing([]lagoonlanding.Entry{lagoonlanding.NewEntry("p/a", []byte("v"), 3)}, 10))
+	journal.Connect(true)
+	return journal
+}
+
+func TestFollowerHearsWhatItMissed(t *testing.T) {
+	journal := newJournal()
+	journal.Apply(lagoonlanding.NewChangeList([]lagoonlanding.Change{write("p/b", 11), remove("p/a", 12), write("p/b", 13)}, 14))
+	changes, err := journal.Watch(t.Context(), "p/", 10)
+	if err != nil || fmt.Sprint(changes.Changes()[0].IsRemoved(), changes.Changes()[1].Entry().Revision()) != "true 13" || changes.Revision() != 14 {
+		t.Errorf("got %+v, %v", changes, err)
+	}
+	if _, err := journal.Watch(t.Context(), "p/", 9); !errors.Is(err, lagoonlanding.ErrCompacted) {
+		t.Errorf("a follower from before the listing got %v", err)
+	}
+}
+
+func TestOldChangesDoNotComeBack(t *testing.T) {
+	journal := newJournal()
+	journal.Apply(lagoonlanding.NewChangeList([]lagoonlanding.Change{write("p/a", 12), write("p/a", 11), remove("p/a", 10)}, 12))
+	listing, err := journal.List(t.Context(), "p/")
+	if err != nil || len(listing.Entries()) != 1 || listing.Entries()[0].Revision() != 12 {
+		t.Errorf("got %+v, %v", listing, err)
+	}
+}
+
+func TestWatchEndsInTimeAndWithANewChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		journal := newJournal()
+		began := time.Now()
+		changes, err := journal.Watch(t.Context(), "p/", 10)
+		if err != nil || len(changes.Changes()) != 0 || time.Since(began) != longestWait {
+			t.Errorf("got %+v, %v after %v", changes, err, time.Since(began))
+		}
+		time.AfterFunc(100*time.Millisecond, func() { journal.Apply(lagoonlanding.NewChangeList([]lagoonlanding.Change{write("p/b", 11)}, 11)) })
+		began = time.Now()
+		if changes, _ := journal.Watch(t.Context(), "p/", 10); len(changes.Changes()) != 1 || time.Since(began) != 100*time.Millisecond {
+			t.Errorf("got %+v after %v", changes, time.Since(began))
+		}
+	})
+}
+
+func TestWithoutTheStoreNothingIsPassedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		journal := newJournal()
+		time.AfterFunc(100*time.Millisecond, func() { journal.Connect(false) })
+		if _, err := journal.Watch(t.Context(), "p/", 10); !errors.Is(err, lagoonlanding.ErrUnavailable) {
+			t.Errorf("a waiting follower got %v", err)
+		}
+		if _, err := journal.List(t.Context(), "p/"); !errors.Is(err, lagoonlanding.ErrUnavailable) {
+			t.Errorf("a listing gave %v", err)
+		}
+	})
+}
+
+func TestRemovalsAreBounded(t *testing.T) {
+	journal := newJournal()
+	for number := range uint64(maxRemovals + 5) {
+		journal.Apply(lagoonlanding.NewChangeList([]lagoonlanding.Change{write("p/x", 20+2*number), remove("p/x", 21+2*number)}, 21+2*number))
+	}
+	if _, err := journal.Watch(t.Context(), "p/", 20); !errors.Is(err, lagoonlanding.ErrCompacted) {
+		t.Errorf("one that misses removals got %v", err)
+	}
+}
--- /dev/null
+++ b/mesh/syncer/view_test.go
@@ -0,0 +1,126 @@
+package syncer
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"lagoonlanding.example/lagoonlanding"
+	"lagoonlanding.example/lagoonlanding/mesh/coordinator"
+	"lagoonlanding.example/lagoonlanding/mesh/grantor"
+	"lagoonlanding.example/lagoonlanding/mesh/registrar"
+	"lagoonlanding.example/lagoonlanding/mesh/relayer"
+	"lagoonlanding.example/lagoonlanding/timekeeper"
+)
+
+// fakeStore cuts its first watch and then lets watches wait without a word, as a store does that has dropped its history.
+type fakeStore struct {
+	mutex   sync.Mutex
+	watches int
+	lists   int
+	deaf    bool
+}
+
+var errCut = errors.New("the watch was cut")
+
+func (store *fakeStore) List(context.Context, string) (lagoonlanding.Listing, error) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	store.lists++
+	return lagoonlanding.NewListing([]lagoonlanding.Entry{lagoonlanding.NewEntry("op/config", []byte{byte(store.lists)}, uint64(store.lists))}, uint64(store.lists)), nil
+}
+
+func (store *fakeStore) Watch(ctx context.Context, _ string, _ uint64) (lagoonlanding.ChangeList, error) {
+	store.mutex.Lock()
+	store.watches++
+	isFirst := store.watches == 1 && !store.deaf
+	store.mutex.Unlock()
+	if isFirst {
+		return lagoonlanding.ChangeList{}, errCut
+	}
+	<-ctx.Done()
+	return lagoonlanding.ChangeList{}, ctx.Err()
+}
+
+func (store *fakeStore) Get(context.Context, string) (lagoonlanding.Entry, error) {
+	return lagoonlanding.Entry{}, lagoonlanding.ErrNotFound
+}
+func (store *fakeStore) Put(context.Context, lagoonlanding.Put) (uint64, error) {
+	return 0, lagoonlanding.ErrUnavailable
+}
+func (store *fakeStore) PutIf(context.Context, lagoonlanding.Put, uint64) (uint64, error) {
+	return 0, lagoonlanding.ErrUnavailable
+}
+func (store *fakeStore) Grant(context.Context, time.Duration) (lagoonlanding.LeaseID, error) {
+	return 0, lagoonlanding.ErrUnavailable
+}
+func (store *fakeStore) Keep(context.Context, lagoonlanding.LeaseID) error {
+	return lagoonlanding.ErrUnavailable
+}
+func (store *fakeStore) End(context.Context, lagoonlanding.LeaseID) error { return nil }
+
+// versions reads the version of a configuration from its one byte.
+type versions struct{}
+
+func (versions) Encode(lagoonlanding.Directive) ([]byte, error) { return nil, nil }
+func (versions) Decode(entry lagoonlanding.Entry) (lagoonlanding.Directive, error) {
+	return lagoonlanding.NewRoutingDirective(lagoonlanding.NewRouting(lagoonlanding.RoutingConfig{Version: int64(entry.Value()[0])})), nil
+}
+
+type noGate struct{}
+
+func (noGate) Open(lagoonlanding.BackendID, int, time.Time, float64) {}
+func (noGate) Close(lagoonlanding.Reason)                            {}
+
+func newSyncer(store lagoonlanding.MetadataStore) *Syncer {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	entry := logrus.NewEntry(log)
+	self := lagoonlanding.NewBackend(lagoonlanding.BackendConfig{ID: lagoonlanding.NewBackendID("self", "", 0), PeerAddress: "p"})
+	return New(Config{
+		Coordinator: coordinator.New(time.Now(), coordinator.Config{
+			Self: self, Fleet: registrar.NewFleet(registrar.Config{}), Grantor: grantor.New(grantor.Config{Daemon: "self"}), Gate: noGate{}, Log: entry,
+		}),
+		Store: store, Daemon: "self", Fleet: relayer.NewJournal(coordinator.FleetPrefix), Orders: relayer.NewJournal("op/"),
+		Directives: versions{}, Clock: timekeeper.Clock{}, Log: entry,
+	})
+}
+
+func TestConfigurationIsListedAgainAfterAWatchWasCut(t *testing.T) {
+	store := &fakeStore{}
+	syncer := newSyncer(store)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() { syncer.Run(ctx); close(ended) }()
+	defer func() { cancel(); <-ended }()
+	for deadline := time.Now().Add(2 * time.Second); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		if routing := syncer.config.Coordinator.Snapshot().Routing(); routing != nil && routing.Version() > 1 {
+			return
+		}
+	}
+	t.Error("the configuration that was written while the watch was cut is not in force within two seconds")
+}
+
+func TestNothingIsPassedOnWithoutContactToTheStore(t *testing.T) {
+	store := &fakeStore{deaf: true}
+	syncer := newSyncer(store)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() { syncer.Run(ctx); close(ended) }()
+	defer func() { cancel(); <-ended }()
+	until := func(what string, term time.Duration, isSo func(err error) bool) {
+		for deadline := time.Now().Add(term); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+			if _, err := syncer.config.Orders.List(ctx, "op/"); isSo(err) {
+				return
+			}
+		}
+		t.Fatal(what)
+	}
+	until("nothing is passed on at all", time.Second, func(err error) bool { return err == nil })
+	until("news is still passed on though the store answers no call", contactTerm+renewInterval+time.Second, func(err error) bool { return err != nil })
+}
