List the store whenever it becomes the source of news

Ruled out: the bound on contact, which held. Change: a view lists whenever the store becomes its source.

--- a/mesh/syncer/view.go
+++ b/mesh/syncer/view.go
@@ -36,8 +36,6 @@
 	avoided map[string]time.Time
 	// since is when the view began to hear from its present source.
 	since time.Time
-	// gap says that a watch of the store was cut, so that changes before the next one may never be told.
-	gap bool
 }
 
 // source is where a view hears from.
@@ -94,7 +92,6 @@
 		view.journal.Connect(source.direct)
 		view.syncer.setDirect(view.name, source.direct)
 		if err = view.watch(ctx, source); err != nil {
-			view.gap = view.gap || source.direct
 			break
 		}
 		view.connect(true)
@@ -116,9 +113,11 @@
 	return err
 }
 
-// begin lists the part if it has not been listed yet, or if a watch of the store was cut.
+// begin lists the part, unless another daemon can tell what has changed since it was listed.
+//
+// The store may never tell a watch what changed before it, if an earlier watch was cut: it is listed whenever it becomes the source.
 func (view *view) begin(ctx context.Context, source source) error {
-	if view.journal.Reached() > 0 && !view.gap {
+	if view.journal.Reached() > 0 && !source.direct {
 		return nil
 	}
 	return view.list(ctx, source)
@@ -175,7 +174,6 @@
 	if err != nil {
 		return err
 	}
-	view.gap = view.gap && !source.direct
 	gone := view.journal.Replace(listing)
 	view.replace(asked, listing, gone)
 	return nil
