--- a/backend.go
+++ b/backend.go
@@ -183,19 +183,19 @@
 // Received returns when the announcement arrived.
 func (announcement Announcement) Received() time.Time { return announcement.config.Received }
 
-// HoldOrder is what a backend server is to hold, all else is to be let go.
+// HoldOrder is what a backend server is to hold; all else is to be let go.
 type HoldOrder struct {
 	ranges []HeldRange
-	term   time.Duration
+	ends   time.Time
 }
 
-// NewHoldOrder returns the order to hold the ranges for the term from when the announcement was sent.
-func NewHoldOrder(ranges []HeldRange, term time.Duration) HoldOrder {
-	return HoldOrder{ranges: ranges, term: term}
+// NewHoldOrder returns the order to hold the ranges until a time on the daemon's clock.
+func NewHoldOrder(ranges []HeldRange, ends time.Time) HoldOrder {
+	return HoldOrder{ranges: ranges, ends: ends}
 }
 
 // Ranges returns what the backend server is to hold.
 func (holdorder HoldOrder) Ranges() []HeldRange { return holdorder.ranges }
 
-// Term returns how long it holds from when it sent its announcement; zero renews nothing.
-func (holdorder HoldOrder) Term() time.Duration { return holdorder.term }
+// Ends returns until when it holds them unless it is told more; the zero time for an order that renews nothing.
+func (holdorder HoldOrder) Ends() time.Time { return holdorder.ends }
--- a/mesh/carrier/server.go
+++ b/mesh/carrier/server.go
@@ -60,6 +60,7 @@
 func (server *Server) answer(writer http.ResponseWriter, task lagoonlanding.Task, result lagoonlanding.Result) {
 	if err := write(writer.Header(), headerResult, newResultTerms(server.config.Clock.Now(), result)); err != nil {
 		server.config.Log.WithField("request", task.ID()).WithError(err).Error("Result cannot be encoded.")
+		// The server closes the connection, so that the sender takes the outcome for unknown.
 		panic(http.ErrAbortHandler)
 	}
 	writer.Header()["Date"] = nil
--- a/mesh/coordinator/ownership_test.go
+++ b/mesh/coordinator/ownership_test.go
@@ -293,7 +293,7 @@
 		return
 	}
 	server.handed = nil
-	if order.Term() > 0 {
+	if !order.Ends().IsZero() {
 		sim.obey(daemon, order)
 	}
 }
@@ -322,7 +322,7 @@
 			server.next = sim.now.Add(100 * time.Millisecond)
 		}
 	}
-	until := sim.now.Add(time.Duration(float64(order.Term()) * (1 + server.slow)))
+	until := sim.now.Add(time.Duration(float64(order.Ends().Sub(sim.now)) * (1 + server.slow)))
 	for stripe, token := range told {
 		sim.checkToken(daemon, stripe, token)
 		server.holds[stripe] = simHold{token: token, until: until}
--- a/mesh/forwarder/body.go
+++ b/mesh/forwarder/body.go
@@ -8,12 +8,6 @@
 	"sync"
 )
 
-// Replayer is a body that may be read from its start again.
-type Replayer interface {
-	// Replay goes back to the start; it is false if the body was too long to keep.
-	Replay() bool
-}
-
 // keptBody is how much of a request's body is kept for another try, in bytes.
 const keptBody = 64 << 10
 
--- a/mesh/forwarder/forwarder.go
+++ b/mesh/forwarder/forwarder.go
@@ -255,7 +255,7 @@
 	if journey.task.Body() == nil {
 		return true
 	}
-	replayer, ok := journey.task.Body().(Replayer)
+	replayer, ok := journey.task.Body().(lagoonlanding.Replayer)
 	return ok && replayer.Replay()
 }
 
--- a/mesh/grantor/grantor.go
+++ b/mesh/grantor/grantor.go
@@ -130,7 +130,7 @@
 	if len(ranges) > 0 {
 		grantor.lapses = now.Add(grantor.slowed(term))
 	}
-	return lagoonlanding.NewHoldOrder(ranges, term)
+	return lagoonlanding.NewHoldOrder(ranges, grantor.ends)
 }
 
 // slowed returns how long a term lasts at most by the clock of a backend server.
--- a/mesh/grantor/grantor_test.go
+++ b/mesh/grantor/grantor_test.go
@@ -44,15 +44,19 @@
 	allotment := allotmentOf(grantor.ID())
 	for late := time.Duration(0); late < 8*time.Second; late += 100 * time.Millisecond {
 		order := grantor.Order(start.Add(late), start, allotment)
-		if ends := late + time.Duration(float64(order.Term())*1.02); order.Term() > 0 && ends > 7*time.Second {
+		if order.Ends().IsZero() {
+			continue
+		}
+		term := order.Ends().Sub(start.Add(late))
+		if ends := late + time.Duration(float64(term)*1.02); ends > 7*time.Second {
 			t.Fatalf("%v after the proof keys are granted until %v", late, ends)
 		}
-		if order.Term() > 6*time.Second {
-			t.Fatalf("granted for %v", order.Term())
+		if term > 6*time.Second {
+			t.Fatalf("granted for %v", term)
 		}
 	}
-	if order := grantor.Order(start.Add(7*time.Second), start, allotment); order.Term() != 0 {
-		t.Errorf("granted for %v without the right to", order.Term())
+	if order := grantor.Order(start.Add(7*time.Second), start, allotment); !order.Ends().IsZero() {
+		t.Errorf("granted until %v without the right to", order.Ends())
 	}
 }
 
--- a/task.go
+++ b/task.go
@@ -102,3 +102,9 @@
 	change(&task.config)
 	return task
 }
+
+// Replayer is a body that may be read from its start again.
+type Replayer interface {
+	// Replay goes back to the start; it is false if the body was too long to keep.
+	Replay() bool
+}
