--- a/lagoonmesh/daemon.go
+++ b/lagoonmesh/daemon.go
@@ -39,6 +39,7 @@
 	coordinator *coordinator.Coordinator
 	syncer      *syncer.Syncer
 	acceptor    *acceptor.Acceptor
+	chooser     *chooser.Chooser
 	forwarder   *forwarder.Forwarder
 	meter       *recorder.Recorder
 	fleet       *relayer.Journal
@@ -95,13 +96,14 @@
 		Runner:  platform.NewUpstream(daemon.pool, daemon.clock, daemon.part("upstream")),
 		Holding: daemon.coordinator.Holding, Lost: daemon.syncer.Lost, Clock: daemon.clock, Log: daemon.part("backend"),
 	})
+	daemon.chooser = chooser.New(chooser.Config{
+		AvailabilityZone: daemon.settings.AvailabilityZone(), Region: daemon.settings.Region(), ZoneCost: zoneCost, RegionCost: regionCost,
+		ReportTerm: reportTerm, AvoidTerm: avoidTerm, Random: newRandom(),
+	})
 	daemon.forwarder = forwarder.New(forwarder.Config{
 		Daemon: daemon.settings.Daemon(), Service: daemon.settings.Service(), Local: daemon.acceptor,
 		Carrier: carrier.New(carrier.Config{Pool: daemon.pool, Clock: daemon.clock, Log: daemon.part("peers")}),
-		Chooser: chooser.New(chooser.Config{
-			AvailabilityZone: daemon.settings.AvailabilityZone(), Region: daemon.settings.Region(), ZoneCost: zoneCost, RegionCost: regionCost,
-			ReportTerm: reportTerm, AvoidTerm: avoidTerm, Random: newRandom(),
-		}),
+		Chooser: daemon.chooser,
 		Budgets: forwarder.NewBudgets(forwarder.BudgetsConfig{
 			Share: retryPart * daemon.settings.RetryShare(defaultRetryShare), Slack: retryPart * daemon.settings.RetrySlack(0),
 			Daemons: func() int { return len(daemon.coordinator.Snapshot().Peers()) },
@@ -155,7 +157,7 @@
 	}
 }
 
-// sweep closes connections that nobody uses.
+// sweep closes connections that nobody uses, and forgets daemons that are gone.
 func (daemon *daemon) sweep(ctx context.Context) {
 	for {
 		select {
@@ -163,6 +165,7 @@
 			return
 		case <-time.After(sweepInterval):
 			daemon.pool.Sweep(time.Now())
+			daemon.chooser.Forget(daemon.coordinator.Snapshot().Has)
 		}
 	}
 }
--- a/mesh/caller/body.go
+++ b/mesh/caller/body.go
@@ -11,9 +11,8 @@
 // body ends the use of a connection once it is read or closed.
 type body struct {
 	io.ReadCloser
-	once  sync.Once
-	whole bool
-	done  func(isWhole bool)
+	once sync.Once
+	done func(isWhole bool)
 }
 
 func newBody(response *http.Response, done func(isWhole bool)) io.ReadCloser {
--- a/mesh/caller/pool.go
+++ b/mesh/caller/pool.go
@@ -29,8 +29,6 @@
 	SilenceTerm time.Duration
 	// MaxIdle bounds the idle connections to one address.
 	MaxIdle int
-	// Opened is called for each new connection; nil for no call.
-	Opened func()
 }
 
 // readBuffer is the size of a connection's read buffer in bytes.
@@ -229,9 +227,6 @@
 	if err != nil {
 		return nil, err
 	}
-	if pool.config.Opened != nil {
-		pool.config.Opened()
-	}
 	return &connection{Conn: opened, address: address, reader: bufio.NewReaderSize(opened, readBuffer)}, nil
 }
 
@@ -247,16 +242,6 @@
 	pool.idle[connection.address] = append(kept, connection)
 }
 
-// Drop closes the idle connections to an address.
-func (pool *Pool) Drop(address string) {
-	pool.mutex.Lock()
-	defer pool.mutex.Unlock()
-	for _, connection := range pool.idle[address] {
-		connection.Close()
-	}
-	delete(pool.idle, address)
-}
-
 // Sweep closes idle connections that have expired.
 func (pool *Pool) Sweep(now time.Time) {
 	pool.mutex.Lock()
--- a/mesh/coordinator/coordinator.go
+++ b/mesh/coordinator/coordinator.go
@@ -190,15 +190,6 @@
 	}
 }
 
-// Evacuated returns the zones that are evacuated, for telling which of them a new listing lacks.
-func (coordinator *Coordinator) Evacuated() []string {
-	var zones []string
-	for zone := range coordinator.evacuated {
-		zones = append(zones, zone)
-	}
-	return zones
-}
-
 // IsReady reports whether the daemon can serve: it knows the configuration and the fleet, and does not stop.
 func (coordinator *Coordinator) IsReady() bool {
 	return coordinator.routing != nil && coordinator.view > 0 && !coordinator.stopping
--- a/mesh/coordinator/ownership_test.go
+++ b/mesh/coordinator/ownership_test.go
@@ -375,7 +375,7 @@
 	case 3:
 		daemon.asleepUntil = sim.now.Add(for_)
 	case 4:
-		sim.crash(daemon, for_)
+		sim.crash(daemon)
 	case 5:
 		sim.store.down = !sim.store.down
 	case 6:
@@ -386,7 +386,7 @@
 }
 
 // crash ends the server, which is another life from then on.
-func (sim *sim) crash(daemon *simDaemon, _ time.Duration) {
+func (sim *sim) crash(daemon *simDaemon) {
 	id := daemon.coordinator.config.Grantor.ID()
 	daemon.server.holds, daemon.server.handed = map[int]simHold{}, nil
 	daemon.server.born++
--- a/mesh/coordinator/write.go
+++ b/mesh/coordinator/write.go
@@ -48,6 +48,7 @@
 	if now.Before(coordinator.writeAt) {
 		return Write{}, coordinator.writeAt, false
 	}
+	coordinator.config.Fleet.Forget(now)
 	if write, ok := coordinator.registrationWrite(now); ok {
 		coordinator.writing = true
 		return write, time.Time{}, true
--- a/mesh/syncer/view_test.go
+++ b/mesh/syncer/view_test.go
@@ -62,7 +62,6 @@
 func (store *fakeStore) Keep(context.Context, lagoonlanding.LeaseID) error {
 	return lagoonlanding.ErrUnavailable
 }
-func (store *fakeStore) End(context.Context, lagoonlanding.LeaseID) error { return nil }
 
 // versions reads the version of a configuration from its one byte.
 type versions struct{}
--- a/metadata.go
+++ b/metadata.go
@@ -99,6 +99,4 @@
 	Grant(ctx context.Context, term time.Duration) (LeaseID, error)
 	// Keep renews a lease, and fails with ErrLeaseEnded if it is gone.
 	Keep(ctx context.Context, lease LeaseID) error
-	// End removes a lease with its entries.
-	End(ctx context.Context, lease LeaseID) error
 }
