--- a/mesh/coordinator/coordinator.go
+++ b/mesh/coordinator/coordinator.go
@@ -96,7 +96,7 @@
 		evacuated[zone] = true
 	}
 	coordinator.snapshot.Store(NewSnapshot(SnapshotConfig{
-		Routing: coordinator.routing, Backends: coordinator.config.Fleet.Backends(), Allotments: allotments, Evacuated: evacuated,
+		Routing: coordinator.routing, Revision: coordinator.view, Backends: coordinator.config.Fleet.Backends(), Allotments: allotments, Evacuated: evacuated,
 		Relays: coordinator.relays(),
 	}))
 	coordinator.steer()
--- a/mesh/coordinator/snapshot.go
+++ b/mesh/coordinator/snapshot.go
@@ -9,6 +9,8 @@
 type SnapshotConfig struct {
 	// Routing is the newest publication, nil before the first.
 	Routing *lagoonlanding.Routing
+	// Revision is the store's revision up to which the fleet is known.
+	Revision uint64
 	// Backends are the daemons of the fleet.
 	Backends []lagoonlanding.Backend
 	// Allotments say who holds the keys of divided services.
@@ -41,6 +43,9 @@
 // Routing returns the newest publication, nil before the first.
 func (snapshot *Snapshot) Routing() *lagoonlanding.Routing { return snapshot.config.Routing }
 
+// Revision returns the store's revision up to which the fleet is known.
+func (snapshot *Snapshot) Revision() uint64 { return snapshot.config.Revision }
+
 // Candidates returns the backend servers of a service that take tasks in zones that are not evacuated.
 func (snapshot *Snapshot) Candidates(service string) []lagoonlanding.Backend {
 	var candidates []lagoonlanding.Backend
--- a/mesh/forwarder/forwarder.go
+++ b/mesh/forwarder/forwarder.go
@@ -266,6 +266,11 @@
 		"request": task.ID(), "route": task.Route(), "service": task.Service(), "tries": tries, "outcome": result.Outcome().String(),
 		"took-ms": took.Milliseconds(),
 	}
+	snapshot := forwarder.config.Snapshot()
+	fields["fleet-revision"] = snapshot.Revision()
+	if snapshot.Routing() != nil {
+		fields["configuration"] = snapshot.Routing().Version()
+	}
 	if result.Reason() != lagoonlanding.ReasonNone {
 		fields["reason"] = result.Reason()
 	}
