Let the test's store fall silent for all calls

The test failed once while other processes were built and ended beside it: its store went on answering listings, so the daemon rightly was in touch again after a pause of 100 ms, which the test had to catch. The store now answers nothing, as the test says, and the state must last.

--- a/mesh/syncer/view_test.go
+++ b/mesh/syncer/view_test.go
@@ -23,7 +23,8 @@
 	mutex   sync.Mutex
 	watches int
 	lists   int
-	deaf    bool
+	// deaf says that the store answers nothing after its first two listings, one for each part.
+	deaf bool
 }
 
 var errCut = errors.New("the watch was cut")
@@ -31,6 +32,9 @@
 func (store *fakeStore) List(context.Context, string) (lagoonlanding.Listing, error) {
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
+	if store.deaf && store.lists == 2 {
+		return lagoonlanding.Listing{}, lagoonlanding.ErrUnavailable
+	}
 	store.lists++
 	return lagoonlanding.NewListing([]lagoonlanding.Entry{lagoonlanding.NewEntry("op/config", []byte{byte(store.lists)}, uint64(store.lists))}, uint64(store.lists)), nil
 }
@@ -121,5 +125,7 @@
 		t.Fatal(what)
 	}
 	until("nothing is passed on at all", time.Second, func(err error) bool { return err == nil })
+	// Only a store that answers again could change this.
+	defer until("news is passed on again", time.Second, func(err error) bool { return err != nil })
 	until("news is still passed on though the store answers no call", contactTerm+renewInterval+time.Second, func(err error) bool { return err != nil })
 }
