Cut the first watch of each part in the test of cut watches

Cause, in the test: its store cut only the first watch of all, which was that of the other part in about one run of ten, so nothing was to be listed again. Now the first watch of each part is cut.

--- a/mesh/syncer/view_test.go
+++ b/mesh/syncer/view_test.go
@@ -18,31 +18,36 @@
 	"lagoonlanding.example/lagoonlanding/timekeeper"
 )
 
-// fakeStore cuts its first watch and then lets watches wait without a word, as a store does that has dropped its history.
+// fakeStore cuts the first watch of each part and then lets watches wait without a word, as a store does that has dropped its history.
 type fakeStore struct {
 	mutex   sync.Mutex
-	watches int
-	lists   int
-	// deaf says that the store answers nothing after its first two listings, one for each part.
+	watches map[string]int
+	lists   map[string]int
+	// deaf says that the store answers nothing after its first listing of each part.
 	deaf bool
 }
 
+func newFakeStore(deaf bool) *fakeStore {
+	return &fakeStore{watches: map[string]int{}, lists: map[string]int{}, deaf: deaf}
+}
+
 var errCut = errors.New("the watch was cut")
 
-func (store *fakeStore) List(context.Context, string) (lagoonlanding.Listing, error) {
+func (store *fakeStore) List(_ context.Context, prefix string) (lagoonlanding.Listing, error) {
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
-	if store.deaf && store.lists == 2 {
+	if store.deaf && store.lists[prefix] == 1 {
 		return lagoonlanding.Listing{}, lagoonlanding.ErrUnavailable
 	}
-	store.lists++
-	return lagoonlanding.NewListing([]lagoonlanding.Entry{lagoonlanding.NewEntry("op/config", []byte{byte(store.lists)}, uint64(store.lists))}, uint64(store.lists)), nil
+	store.lists[prefix]++
+	count := store.lists[prefix]
+	return lagoonlanding.NewListing([]lagoonlanding.Entry{lagoonlanding.NewEntry("op/config", []byte{byte(count)}, uint64(count))}, uint64(count)), nil
 }
 
-func (store *fakeStore) Watch(ctx context.Context, _ string, _ uint64) (lagoonlanding.ChangeList, error) {
+func (store *fakeStore) Watch(ctx context.Context, prefix string, _ uint64) (lagoonlanding.ChangeList, error) {
 	store.mutex.Lock()
-	store.watches++
-	isFirst := store.watches == 1 && !store.deaf
+	store.watches[prefix]++
+	isFirst := store.watches[prefix] == 1 && !store.deaf
 	store.mutex.Unlock()
 	if isFirst {
 		return lagoonlanding.ChangeList{}, errCut
@@ -95,7 +100,7 @@
 }
 
 func TestConfigurationIsListedAgainAfterAWatchWasCut(t *testing.T) {
-	store := &fakeStore{}
+	store := newFakeStore(false)
 	syncer := newSyncer(store)
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan struct{})
@@ -110,7 +115,7 @@
 }
 
 func TestNothingIsPassedOnWithoutContactToTheStore(t *testing.T) {
-	store := &fakeStore{deaf: true}
+	store := newFakeStore(true)
 	syncer := newSyncer(store)
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan struct{})
