Serve the held keys from a restarted daemon's first second, and let a restarted server keep its keys

Ruled out: the store, which was in reach. Change: until its first order a daemon serves what its backend server says it holds; a new life inherits the stripes of the old one beside the same daemon.

--- a/mesh/allocator/allocator_test.go
+++ b/mesh/allocator/allocator_test.go
@@ -88,6 +88,23 @@
 	}
 }
 
+func TestNewLifeKeepsTheKeysOfItsDaemon(t *testing.T) {
+	old, fresh, other := life(1, 1), life(1, 2), life(2, 1)
+	allotment, _ := NewAllotment(AllotmentConfig{Service: "s"}).Plan(PlanConfig{Backends: backends(old, other), IsGone: nobodyGone})
+	next, changed := allotment.Inherit(fresh)
+	if !changed || counts(next)[fresh] != Stripes/2 || counts(next)[other] != Stripes/2 {
+		t.Fatalf("got %v, %v", changed, counts(next))
+	}
+	for number, stripe := range next.Stripes() {
+		if stripe.Owner() == fresh && (!stripe.IsSettled() || stripe.Token() <= allotment.Stripes()[number].Token()) {
+			t.Errorf("stripe %d has token %d", number, stripe.Token())
+		}
+	}
+	if _, changed := next.Inherit(fresh); changed {
+		t.Error("it inherits twice")
+	}
+}
+
 func TestRangesFitIntoAMessage(t *testing.T) {
 	a := life(1, 1)
 	var stripes []Stripe
--- a/mesh/allocator/allotment.go
+++ b/mesh/allocator/allotment.go
@@ -167,6 +167,26 @@
 	return &Allotment{config: config}
 }
 
+// Inherit returns the allotment in which a new life of a backend server has the keys of earlier lives beside the same daemon, which
+// ended before it began; it is false if they have none.
+func (allotment *Allotment) Inherit(heir lagoonlanding.BackendID) (*Allotment, bool) {
+	isLate := func(id lagoonlanding.BackendID) bool { return id.Daemon() == heir.Daemon() && id != heir }
+	if !slices.ContainsFunc(allotment.config.Stripes, func(stripe Stripe) bool { return isLate(stripe.Owner()) || isLate(stripe.Prior()) }) {
+		return nil, false
+	}
+	next := allotment.next()
+	for number := range next.config.Stripes {
+		config := &next.config.Stripes[number].config
+		if isLate(config.Prior) {
+			config.Prior = lagoonlanding.BackendID{}
+		}
+		if isLate(config.Owner) {
+			config.Owner, config.Token, config.Handover = heir, next.config.Version, ""
+		}
+	}
+	return next, true
+}
+
 // AwaitsRelease reports whether an owner waits for the holder to let go.
 func (allotment *Allotment) AwaitsRelease(holder lagoonlanding.BackendID) bool {
 	return slices.ContainsFunc(allotment.config.Stripes, func(stripe Stripe) bool { return stripe.Prior() == holder })
--- a/mesh/coordinator/write.go
+++ b/mesh/coordinator/write.go
@@ -98,6 +98,9 @@
 	if !exists {
 		known.allotment = allocator.NewAllotment(allocator.AllotmentConfig{Service: service})
 	}
+	if next, ok := coordinator.inherit(service, known.allotment); ok {
+		return coordinator.propose(now, next, known.revision)
+	}
 	if next, ok := coordinator.release(now, known.allotment); ok {
 		return coordinator.propose(now, next, known.revision)
 	}
@@ -129,6 +132,16 @@
 	return coordinator.propose(now, next, known.revision)
 }
 
+// inherit returns the allotment in which a backend server that was started again keeps the keys that it had, as nobody else holds them.
+func (coordinator *Coordinator) inherit(service string, allotment *allocator.Allotment) (*allocator.Allotment, bool) {
+	latest, ok := coordinator.config.Grantor.Latest()
+	isFit := ok && latest.Service() == service && !coordinator.isLeaving(latest) && !coordinator.evacuated[coordinator.config.Self.AvailabilityZone()]
+	if !isFit {
+		return nil, false
+	}
+	return allotment.Inherit(coordinator.config.Grantor.ID())
+}
+
 // release returns the allotment after the backend server beside this daemon has let go of what it is to lose.
 func (coordinator *Coordinator) release(now time.Time, allotment *allocator.Allotment) (*allocator.Allotment, bool) {
 	holder := coordinator.config.Grantor.ID()
--- a/mesh/grantor/grantor.go
+++ b/mesh/grantor/grantor.go
@@ -90,7 +90,7 @@
 
 // forget drops what was known of an earlier life, which ended when the next one began.
 func (grantor *Grantor) forget() {
-	grantor.lapses, grantor.released, grantor.ordered = time.Time{}, nil, nil
+	grantor.lapses, grantor.ends, grantor.released, grantor.ordered = time.Time{}, time.Time{}, nil, nil
 }
 
 // End notes that the backend server's process has ended.
@@ -156,10 +156,15 @@
 	return "", true
 }
 
-// Holding returns what the backend server holds after the last order, by its own account of time.
+// Holding returns what the backend server may be asked for: what it was told to hold, or before any order what it says it holds.
+//
+// After a restart of the daemon it goes on with the keys of the run before, and refuses a task for any that it no longer holds.
 func (grantor *Grantor) Holding() *Holding {
-	if !grantor.known || grantor.ended {
+	switch {
+	case !grantor.known || grantor.ended:
 		return NewHolding(nil, time.Time{})
+	case grantor.ends.IsZero():
+		return NewHolding(grantor.latest.Held(), grantor.SilentAt())
 	}
 	return NewHolding(grantor.ordered, grantor.ends)
 }
--- a/mesh/grantor/grantor_test.go
+++ b/mesh/grantor/grantor_test.go
@@ -108,3 +108,19 @@
 		t.Error("an ended life announced itself")
 	}
 }
+
+func TestKeysOfTheRunBeforeAreServedUntilTheFirstOrder(t *testing.T) {
+	grantor := newGrantor()
+	grantor.Announce(start, announcement(1, 40, lagoonlanding.NewHeldRange(0, 255, 3, "")))
+	if holding := grantor.Holding(); !holding.Has(start, 7) || holding.Has(start, 256) {
+		t.Error("a restarted daemon does not serve what its backend server holds")
+	}
+	grantor.Order(start, start, allotmentOf(lagoonlanding.NewBackendID("other", "o", 1)))
+	if grantor.Holding().Has(start, 7) {
+		t.Error("keys are served after the order to let go")
+	}
+	grantor.Announce(start, announcement(2, 1))
+	if grantor.Holding().Has(start, 7) {
+		t.Error("another life has the keys of the last one")
+	}
+}
