--- a/mesh/syncer/view_test.go
+++ b/mesh/syncer/view_test.go
@@ -41,7 +41,7 @@
 	}
 	store.lists[prefix]++
 	count := store.lists[prefix]
-	return lagoonlanding.NewListing([]lagoonlanding.Entry{lagoonlanding.NewEntry("op/config", []byte{byte(count)}, uint64(count))}, uint64(count)), nil
+	return lagoonlanding.NewListing([]lagoonlanding.Entry{lagoonlanding.NewEntry("orders/one", []byte{byte(count)}, uint64(count))}, uint64(count)), nil
 }
 
 func (store *fakeStore) Watch(ctx context.Context, prefix string, _ uint64) (lagoonlanding.ChangeList, error) {
@@ -94,7 +94,7 @@
 		Coordinator: coordinator.New(time.Now(), coordinator.Config{
 			Self: self, Fleet: registrar.NewFleet(registrar.Config{}), Grantor: grantor.New(grantor.Config{Daemon: "self"}), Gate: noGate{}, Log: entry,
 		}),
-		Store: store, Daemon: "self", Fleet: relayer.NewJournal(coordinator.FleetPrefix), Orders: relayer.NewJournal("op/"),
+		Store: store, Daemon: "self", Fleet: relayer.NewJournal(coordinator.FleetPrefix), Orders: relayer.NewJournal("orders/"),
 		Directives: versions{}, Clock: timekeeper.Clock{}, Log: entry,
 	})
 }
@@ -123,7 +123,7 @@
 	defer func() { cancel(); <-ended }()
 	until := func(what string, term time.Duration, isSo func(err error) bool) {
 		for deadline := time.Now().Add(term); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
-			if _, err := syncer.config.Orders.List(ctx, "op/"); isSo(err) {
+			if _, err := syncer.config.Orders.List(ctx, "orders/"); isSo(err) {
 				return
 			}
 		}
