Give tests addresses that nothing else can take

Ruled out: a fault of the settings check, which rightly refused two equal addresses. Change: package reserver gives each test process its own loopback host, from its process id, and ports below those of outgoing connections, each once.

--- a/demo/relayer/network_test.go
+++ b/demo/relayer/network_test.go
@@ -5,6 +5,8 @@
 	"net"
 	"os"
 	"testing"
+
+	"lagoonlanding.example/lagoonlanding/reserver"
 )
 
 // echo serves one connection that returns what it gets.
@@ -26,19 +28,9 @@
 	return listener.Addr().String()
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
-}
-
 func TestCutHoldsBytesUntilItHeals(t *testing.T) {
 	network := New(func() map[string]int { return map[string]int{"a": os.Getpid()} })
-	listen := freeAddress(t)
+	listen := reserver.Address()
 	if err := network.Relay(t.Context(), RouteConfig{Listen: listen, Target: echo(t), To: "b"}); err != nil {
 		t.Fatal(err)
 	}
--- a/invoker/invoker_test.go
+++ b/invoker/invoker_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -13,6 +12,7 @@
 	"time"
 
 	"lagoonlanding.example/lagoonlanding"
+	"lagoonlanding.example/lagoonlanding/reserver"
 )
 
 type fixedClock struct{ now time.Time }
@@ -108,12 +108,7 @@
 }
 
 func TestOnlyWithoutConnectionIsTheRequestNotSent(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	invoker := New(Config{Address: listener.Addr().String(), Clock: fixedClock{now: now}})
-	_ = listener.Close()
+	invoker := New(Config{Address: reserver.Address(), Clock: fixedClock{now: now}})
 	if _, err := invoker.Serve(t.Context(), newRequest(http.MethodPost), lagoonlanding.Fence{}); !errors.Is(err, lagoonlanding.ErrNotSent) {
 		t.Errorf("no listener: %v", err)
 	}
--- a/lagoond/fleet_test.go
+++ b/lagoond/fleet_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -20,6 +19,7 @@
 	"lagoonlanding.example/lagoonlanding/invoker"
 	"lagoonlanding.example/lagoonlanding/loader"
 	"lagoonlanding.example/lagoonlanding/publisher"
+	"lagoonlanding.example/lagoonlanding/reserver"
 )
 
 // patience bounds the wait for what must happen at some time.
@@ -41,16 +41,6 @@
 	}
 }
 
-func freeAddress(t testing.TB) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
-}
-
 func parseSettings(t testing.TB, name string) loader.Settings {
 	t.Helper()
 	text := fmt.Sprintf(`name = %q
@@ -61,7 +51,7 @@
 local-address = %q
 admin-address = %q
 store-url = "http://127.0.0.1:1"
-`, name, freeAddress(t), freeAddress(t), freeAddress(t), freeAddress(t))
+`, name, reserver.Address(), reserver.Address(), reserver.Address(), reserver.Address())
 	settings, err := loader.Parse("test.toml", text, nil)
 	if err != nil {
 		t.Fatal(err)
--- a/lagoonmesh/whole_test.go
+++ b/lagoonmesh/whole_test.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -17,6 +16,7 @@
 	"github.com/sirupsen/logrus"
 
 	"lagoonlanding.example/lagoonlanding/platform"
+	"lagoonlanding.example/lagoonlanding/reserver"
 )
 
 const wholeConfig = `{"version":%d,"routes":{
@@ -139,26 +139,15 @@
 	ended   chan struct{}
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	return listener.Addr().String()
-}
-
 func startDaemon(t *testing.T, name, zone, service, store string) *testDaemon {
 	t.Helper()
 	backend := newBackendServer(t, "i-"+name, service)
-	front, control, peer := freeAddress(t), freeAddress(t), freeAddress(t)
-	port := peer[strings.LastIndex(peer, ":")+1:]
+	front, control, port := reserver.Address(), reserver.Address(), reserver.Port()
 	settings, err := platform.ParseSettings(fmt.Sprintf(`
 nodeName = %q
-ip = "127.0.0.1"
+ip = %q
 zone = %q
-portRange = [%s, %s]
+portRange = [%d, %d]
 metrics-port = 0
 bounds = ["graceS=6", "maxHoldS=10", "budgetSlack=56"]
 appAddress = %q
@@ -172,7 +161,7 @@
 control = %q
 [platform]
 address = %q
-`, name, zone, port, port, backend.address(), service, front, freeAddress(t), control, store))
+`, name, reserver.Host(), zone, port, port, backend.address(), service, front, reserver.Address(), control, store))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/mesh/caller/pool_test.go
+++ b/mesh/caller/pool_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"lagoonlanding.example/lagoonlanding"
+	"lagoonlanding.example/lagoonlanding/reserver"
 )
 
 func newPool() *Pool {
@@ -114,13 +115,7 @@
 }
 
 func TestRefusedConnectionIsNotSent(t *testing.T) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	address := listener.Addr().String()
-	listener.Close()
-	if _, err := get(t, newPool(), address); !errors.Is(err, lagoonlanding.ErrNotSent) {
+	if _, err := get(t, newPool(), reserver.Address()); !errors.Is(err, lagoonlanding.ErrNotSent) {
 		t.Errorf("got %v", err)
 	}
 }
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"lagoonlanding.example/lagoonlanding"
+	"lagoonlanding.example/lagoonlanding/reserver"
 )
 
 var exported = cmp.Exporter(func(reflect.Type) bool { return true })
@@ -209,11 +210,10 @@
 }
 
 func TestForwardThatCannotConnectIsNotSent(t *testing.T) {
-	listener := listen(t)
-	_ = listener.Close()
 	messenger := New(Config{Clock: wallClock{}})
+	address := reserver.Address()
 	for range 2 {
-		_, err := messenger.Forward(patience(t), peerAt(listener.Addr().String()), request(nil))
+		_, err := messenger.Forward(patience(t), peerAt(address), request(nil))
 		if !errors.Is(err, lagoonlanding.ErrNotSent) {
 			t.Errorf("got %v", err)
 		}
--- /dev/null
+++ b/reserver/doc.go
@@ -0,0 +1,2 @@
+// Package reserver gives tests loopback addresses that no other process uses.
+package reserver
--- a/storer/client_test.go
+++ b/storer/client_test.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
 
 	"lagoonlanding.example/lagoonlanding"
+	"lagoonlanding.example/lagoonlanding/reserver"
 )
 
 func TestErrorsOfSwap(t *testing.T) {
@@ -53,13 +53,7 @@
 }
 
 func TestSwapWithoutConnectionIsUnavailable(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	address := listener.Addr().String()
-	_ = listener.Close()
-	_, err = New(Config{URL: "http://" + address}).Swap(t.Context(), "a", 0, nil)
+	_, err := New(Config{URL: "http://" + reserver.Address()}).Swap(t.Context(), "a", 0, nil)
 	if !errors.Is(err, lagoonlanding.ErrUnavailable) || errors.Is(err, lagoonlanding.ErrUnknown) {
 		t.Errorf("got %v", err)
 	}
