--- a/mesh/gatekeeper/gate.go
+++ b/mesh/gatekeeper/gate.go
@@ -1,6 +1,7 @@
 package gatekeeper
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -39,13 +40,16 @@
 	pace    pace
 	means   means
 	ranks   ranks
+	keys    keys
 	turns   uint64
 }
 
 // waiter is a task that waits for a slot.
 type waiter struct {
 	task lagoonlanding.Task
-	turn uint64
+	// round is how many tasks for the same key were here when it came; turn counts all that ever waited.
+	round int
+	turn  uint64
 	// latest is when the task must start to be worth its slot.
 	latest   time.Time
 	admitted chan lagoonlanding.Reason
@@ -53,7 +57,7 @@
 
 // NewGate returns a closed gate.
 func NewGate(config Config) *Gate {
-	return &Gate{config: config, closed: lagoonlanding.ReasonNoUpstream, means: newMeans(), ranks: ranks{}}
+	return &Gate{config: config, closed: lagoonlanding.ReasonNoUpstream, means: newMeans(), ranks: ranks{}, keys: newKeys()}
 }
 
 // Pass lets one task run; Finish must be called once.
@@ -61,6 +65,7 @@
 	gate    *Gate
 	id      lagoonlanding.BackendID
 	route   string
+	key     int
 	started time.Time
 }
 
@@ -78,7 +83,7 @@
 	defer gate.mutex.Unlock()
 	if gate.id != id {
 		// The tasks of an earlier life ended with it.
-		gate.id, gate.running = id, 0
+		gate.id, gate.running, gate.keys = id, 0, newKeys()
 	}
 	gate.closed, gate.slots = lagoonlanding.ReasonNone, max(slots, 1)
 	gate.pace.set(gate.config.Clock.Now(), warmAt, coldRate)
@@ -91,6 +96,7 @@
 	defer gate.mutex.Unlock()
 	gate.closed = reason
 	for _, waiter := range gate.waiting {
+		gate.keys.leave(waiter.task.ShardKey())
 		waiter.admitted <- reason
 	}
 	gate.waiting = nil
@@ -155,16 +161,20 @@
 	gate.ranks.note(now, task.Rank())
 	if len(gate.waiting) == 0 && gate.running < gate.slots && gate.pace.take(now) {
 		gate.running++
+		gate.keys.enter(task.ShardKey())
 		return nil, gate.pass(task, now), lagoonlanding.ReasonNone, time.Time{}
 	}
-	startsAt, latest := gate.startsAt(now, task), gate.latest(task)
-	if len(gate.waiting) >= gate.config.MaxWaiting || startsAt.After(latest) {
+	gate.turns++
+	waiter := &waiter{
+		task: task, round: gate.keys.count(task.ShardKey()), turn: gate.turns, latest: gate.latest(task), admitted: make(chan lagoonlanding.Reason, 1),
+	}
+	startsAt := gate.startsAt(now, waiter)
+	if len(gate.waiting) >= gate.config.MaxWaiting || startsAt.After(waiter.latest) {
 		return nil, nil, gate.busy(now), now.Add(max(startsAt.Sub(now)/2, shortestRetry))
 	}
-	gate.turns++
-	waiter := &waiter{task: task, turn: gate.turns, latest: latest, admitted: make(chan lagoonlanding.Reason, 1)}
 	index, _ := slices.BinarySearchFunc(gate.waiting, waiter, before)
 	gate.waiting = slices.Insert(gate.waiting, index, waiter)
+	gate.keys.enter(task.ShardKey())
 	return waiter, nil, lagoonlanding.ReasonNone, time.Time{}
 }
 
@@ -189,32 +199,27 @@
 	return byObjective
 }
 
-// startsAt estimates when the task would get a slot.
-func (gate *Gate) startsAt(now time.Time, task lagoonlanding.Task) time.Time {
+// startsAt estimates when the waiter would get a slot.
+func (gate *Gate) startsAt(now time.Time, waiter *waiter) time.Time {
 	work := time.Duration(0)
 	ahead := 0
 	for _, other := range gate.waiting {
-		if other.task.Rank() <= task.Rank() {
+		if before(other, waiter) < 0 {
 			work += gate.means.of(other.task.Route())
 			ahead++
 		}
 	}
+	wait := work / time.Duration(max(gate.slots, 1))
 	if gate.running >= gate.slots {
-		// On average half of each running task is left.
-		work += time.Duration(gate.running) * gate.means.overall() / 2
+		// The running tasks are at points of their work that are spread evenly, so the first of them ends after this part.
+		wait += gate.means.overall() / time.Duration(gate.running+1)
 	}
-	return gate.pace.after(now, ahead, now.Add(work/time.Duration(max(gate.slots, 1))))
+	return gate.pace.after(now, ahead, now.Add(wait))
 }
 
-// before orders waiting tasks by rank, and within a rank by arrival.
+// before orders waiting tasks by rank, and within a rank so that each key gets its turn: a busy key does not hold up the others.
 func before(a, b *waiter) int {
-	if a.task.Rank() != b.task.Rank() {
-		return a.task.Rank() - b.task.Rank()
-	}
-	if a.turn < b.turn {
-		return -1
-	}
-	return 1
+	return cmp.Or(cmp.Compare(a.task.Rank(), b.task.Rank()), cmp.Compare(a.round, b.round), cmp.Compare(a.turn, b.turn))
 }
 
 // admit lets waiting tasks run while there are free slots.
@@ -242,7 +247,7 @@
 }
 
 func (gate *Gate) pass(task lagoonlanding.Task, now time.Time) *Pass {
-	return &Pass{gate: gate, id: gate.id, route: task.Route(), started: now}
+	return &Pass{gate: gate, id: gate.id, route: task.Route(), key: task.ShardKey(), started: now}
 }
 
 // leave takes a task whose client has gone, or whose time is up, out of the queue.
@@ -253,12 +258,13 @@
 	select {
 	case reason := <-leaving.admitted:
 		if reason == lagoonlanding.ReasonNone {
-			gate.release(gate.id)
+			gate.release(gate.id, leaving.task.ShardKey())
 		}
 	default:
 		gate.waiting = slices.DeleteFunc(gate.waiting, func(waiter *waiter) bool { return waiter == leaving })
+		gate.keys.leave(leaving.task.ShardKey())
 	}
-	return nil, reason, now.Add(max(gate.startsAt(now, leaving.task).Sub(now), shortestRetry))
+	return nil, reason, now.Add(max(gate.startsAt(now, leaving).Sub(now), shortestRetry))
 }
 
 func (gate *Gate) finish(pass *Pass, completed bool) {
@@ -267,12 +273,13 @@
 	if completed {
 		gate.means.note(pass.route, gate.config.Clock.Now().Sub(pass.started))
 	}
-	gate.release(pass.id)
+	gate.release(pass.id, pass.key)
 }
 
-func (gate *Gate) release(id lagoonlanding.BackendID) {
+func (gate *Gate) release(id lagoonlanding.BackendID, key int) {
 	if gate.id == id && gate.running > 0 {
 		gate.running--
+		gate.keys.leave(key)
 	}
 	gate.admit()
 }
--- a/mesh/gatekeeper/gate_test.go
+++ b/mesh/gatekeeper/gate_test.go
@@ -176,3 +176,47 @@
 		}
 	})
 }
+
+// keyed returns a task for a shard key that may wait for long.
+func keyed(key int) lagoonlanding.Task {
+	return task(1, 20*time.Second, 20*time.Second).With(func(config *lagoonlanding.TaskConfig) { config.ShardKey = key })
+}
+
+func TestBusyKeyDoesNotHoldUpOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		gate := newGate(1)
+		running, _ := enter(t, gate, keyed(7))
+		order := make(chan int, 5)
+		for _, key := range []int{7, 7, 7, 7, 8} {
+			go func() {
+				if pass, _ := enter(t, gate, keyed(key)); pass != nil {
+					order <- key
+					pass.Finish(true)
+				}
+			}()
+			synctest.Wait()
+		}
+		running.Finish(true)
+		if first := <-order; first != 8 {
+			t.Errorf("key %d came before the one that had no task here", first)
+		}
+	})
+}
+
+func TestUrgentTaskIsLetInWhenASlotFreesInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		gate := newGate(6)
+		// Tasks of a second each, at points of their work that are spread evenly: one ends every sixth of a second.
+		for range 12 {
+			pass, _ := enter(t, gate, task(2, time.Minute, time.Minute))
+			if pass == nil {
+				t.Fatal("refused")
+			}
+			time.AfterFunc(time.Second, func() { pass.Finish(true) })
+			time.Sleep(time.Second / 6)
+		}
+		if pass, reason := enter(t, gate, task(1, 100*time.Millisecond, 1400*time.Millisecond)); pass == nil {
+			t.Errorf("refused for %s", reason)
+		}
+	})
+}
