Remember the speed of backend servers longer than their queues

Each daemon sends about one such task a second to some twenty backend servers, so after two seconds it knew neither queue nor speed of nearly all, and took each of these for one of 200 ms; the slow third got as many tasks as the quick one. Ruled out: full queues (the daemons beside them refuse 2,105 tasks, which then go elsewhere). Change: the mean that a report tells counts on and halves every 8 s towards what is typical; only the queue is forgotten after 2 s. Test: TestSlowServerIsAvoidedAfterItsQueueIsUnknown fails on the code before (run on a scratch copy).

--- a/mesh/chooser/chooser.go
+++ b/mesh/chooser/chooser.go
@@ -1,6 +1,7 @@
 package chooser
 
 import (
+	"math"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -16,8 +17,10 @@
 	ZoneCost time.Duration
 	// RegionCost is how much sooner an answer from another region must be expected.
 	RegionCost time.Duration
-	// ReportTerm is how long a report of the load counts.
+	// ReportTerm is how long a report of the queue counts.
 	ReportTerm time.Duration
+	// SpeedHalfLife is the age at which a report of the speed counts half: speeds last, but neighbours on an instance come and go.
+	SpeedHalfLife time.Duration
 	// AvoidTerm is how long a daemon that could not be reached is avoided.
 	AvoidTerm time.Duration
 	// Random breaks ties.
@@ -38,8 +41,8 @@
 // sight is what is known of one backend server.
 type sight struct {
 	load lagoonlanding.Load
-	// stale is when the report of the load no longer counts.
-	stale time.Time
+	// reported is when the load was reported, zero for never.
+	reported time.Time
 	// sent counts the own tasks that are there now; at the report it was sentThen.
 	sent, sentThen int
 	// avoid is until when the backend server is not picked unless there is no other.
@@ -54,8 +57,9 @@
 	chooser.mutex.Lock()
 	defer chooser.mutex.Unlock()
 	best, least := -1, time.Duration(0)
+	typical := chooser.typical(candidates)
 	for index, candidate := range candidates {
-		cost := chooser.cost(now, candidate)
+		cost := chooser.cost(now, candidate, typical)
 		if best < 0 || cost < least {
 			best, least = index, cost
 		}
@@ -63,13 +67,36 @@
 	return best
 }
 
+// typical returns how long a task takes at the candidates that have told it, on average.
+func (chooser *Chooser) typical(candidates []lagoonlanding.Backend) time.Duration {
+	sum, count := time.Duration(0), 0
+	for _, candidate := range candidates {
+		if known, ok := chooser.seen[candidate.ID().Daemon()]; ok && !known.reported.IsZero() {
+			sum += known.load.Mean()
+			count++
+		}
+	}
+	if count == 0 {
+		return firstMean
+	}
+	return sum / time.Duration(count)
+}
+
+// mean returns how long a task takes at the backend server: what it told last, and with the age of that ever more what is typical.
+func (chooser *Chooser) mean(now time.Time, known *sight, typical time.Duration) time.Duration {
+	if known.reported.IsZero() {
+		return typical
+	}
+	age := now.Sub(known.reported).Seconds() / chooser.config.SpeedHalfLife.Seconds()
+	return typical + time.Duration(float64(known.load.Mean()-typical)*math.Exp2(-age))
+}
+
 // cost is the expected time to an answer and what the way there is worth.
-func (chooser *Chooser) cost(now time.Time, candidate lagoonlanding.Backend) time.Duration {
+func (chooser *Chooser) cost(now time.Time, candidate lagoonlanding.Backend, typical time.Duration) time.Duration {
 	cost := chooser.distance(candidate)
 	known := chooser.sight(candidate.ID().Daemon())
-	mean, ahead, slots := firstMean, known.sent, max(candidate.Slots(), 1)
-	if now.Before(known.stale) {
-		mean = known.load.Mean()
+	mean, ahead, slots := chooser.mean(now, known, typical), known.sent, max(candidate.Slots(), 1)
+	if now.Before(known.reported.Add(chooser.config.ReportTerm)) {
 		slots = max(known.load.Slots(), 1)
 		ahead = max(known.load.Running()+known.load.Waiting()+known.sent-known.sentThen, known.sent)
 	}
@@ -118,8 +145,7 @@
 	known := chooser.sight(daemon)
 	known.sent--
 	if result.Load().Slots() > 0 {
-		known.load, known.sentThen = result.Load(), known.sent
-		known.stale = now.Add(chooser.config.ReportTerm)
+		known.load, known.sentThen, known.reported = result.Load(), known.sent, now
 	}
 	switch result.Reason() {
 	case lagoonlanding.ReasonUnreachable, lagoonlanding.ReasonConnectionLost, lagoonlanding.ReasonNoUpstream, lagoonlanding.ReasonShuttingDown:
--- /dev/null
+++ b/mesh/chooser/chooser_test.go
@@ -0,0 +1,96 @@
+package chooser
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"lagoonlanding.example/lagoonlanding"
+)
+
+var start = time.Unix(1000, 0)
+
+func newChooser() *Chooser {
+	return New(Config{
+		AvailabilityZone: "near", Region: "home", ZoneCost: 20 * time.Millisecond, RegionCost: 400 * time.Millisecond,
+		ReportTerm: 2 * time.Second, SpeedHalfLife: 8 * time.Second, AvoidTerm: time.Second, Random: rand.New(rand.NewPCG(1, 2)),
+	})
+}
+
+func candidates(places ...[2]string) []lagoonlanding.Backend {
+	var made []lagoonlanding.Backend
+	for index, place := range places {
+		made = append(made, lagoonlanding.NewBackend(lagoonlanding.BackendConfig{
+			ID: lagoonlanding.NewBackendID(fmt.Sprint("d", index), "b", 1), Region: place[0], AvailabilityZone: place[1], Slots: 6,
+		}))
+	}
+	return made
+}
+
+func report(chooser *Chooser, at time.Time, daemon string, mean time.Duration, running int) {
+	chooser.Sent(daemon)
+	chooser.Done(at, daemon, lagoonlanding.NewResult(lagoonlanding.ResultConfig{
+		Outcome: lagoonlanding.OutcomeAnswered,
+		Load:    lagoonlanding.NewLoad(lagoonlanding.LoadConfig{Slots: 6, Running: running, Mean: mean, Open: true}),
+	}))
+}
+
+func TestNearServersComeFirst(t *testing.T) {
+	chooser := newChooser()
+	all := candidates([2]string{"far", "other"}, [2]string{"home", "next"}, [2]string{"home", "near"})
+	if got := chooser.Choose(start, all); got != 2 {
+		t.Errorf("got %d", got)
+	}
+	if got := chooser.Choose(start, all[:2]); got != 1 {
+		t.Errorf("got %d", got)
+	}
+}
+
+func TestSlowServerIsAvoidedAfterItsQueueIsUnknown(t *testing.T) {
+	chooser := newChooser()
+	all := candidates([2]string{"home", "near"}, [2]string{"home", "near"})
+	report(chooser, start, "d0", 600*time.Millisecond, 1)
+	report(chooser, start, "d1", 200*time.Millisecond, 1)
+	for _, late := range []time.Duration{time.Second, 4 * time.Second, 10 * time.Second} {
+		if got := chooser.Choose(start.Add(late), all); got != 1 {
+			t.Errorf("after %v the slow one was chosen", late)
+		}
+	}
+}
+
+func TestSlowServerIsTriedAgainInTime(t *testing.T) {
+	chooser := newChooser()
+	all := candidates([2]string{"home", "near"}, [2]string{"home", "near"})
+	report(chooser, start, "d0", 600*time.Millisecond, 1)
+	later := start.Add(time.Minute)
+	report(chooser, later, "d1", 200*time.Millisecond, 18)
+	if got := chooser.Choose(later, all); got != 0 {
+		t.Error("a server that was slow a minute ago was not tried while the other one is full")
+	}
+}
+
+func TestBusyServerIsLeftWhileTheReportIsFresh(t *testing.T) {
+	chooser := newChooser()
+	all := candidates([2]string{"home", "near"}, [2]string{"home", "next"})
+	report(chooser, start, "d0", 200*time.Millisecond, 12)
+	if got := chooser.Choose(start.Add(time.Second), all); got != 1 {
+		t.Error("a server with a queue was preferred")
+	}
+	if got := chooser.Choose(start.Add(3*time.Second), all); got != 0 {
+		t.Error("an old queue still counts")
+	}
+}
+
+func TestUnreachableServerIsAvoidedForATime(t *testing.T) {
+	chooser := newChooser()
+	all := candidates([2]string{"home", "near"}, [2]string{"far", "other"})
+	chooser.Sent("d0")
+	chooser.Done(start, "d0", lagoonlanding.NotRun(lagoonlanding.ReasonUnreachable, start))
+	if got := chooser.Choose(start, all); got != 1 {
+		t.Error("an unreachable server was chosen")
+	}
+	if got := chooser.Choose(start.Add(1100*time.Millisecond), all); got != 0 {
+		t.Error("a server is avoided for too long")
+	}
+}
