Cut the keys of a large fleet into shorter stripes

Change: a plan cuts the stripes in two until there are about 72 for each holder (at most 4,096): 2,048 for 41 holders, still 256 for four. Cutting moves no key. With few holders left, neighbours stay together so that the ranges of each fit into a message of 4 KiB. Tests: 256 neighbouring keys have 8 owners or more of 41; finer stripes move no key; all keys are held with 1 to 30 of 41 holders left; the largest allotment stays under 6 kB in the store.

--- a/mesh/allocator/allotment.go
+++ b/mesh/allocator/allotment.go
@@ -9,12 +9,15 @@
 const (
 	// Keys is the number of shard keys of a divided service.
 	Keys = 65536
-	// Stripes is the number of parts that keys move in: few enough that one backend server's fit into a message of 4 KiB.
-	Stripes = 256
-	// maxRanges bounds the ranges that one backend server is told, so that they fit into a message of 4 KiB; beyond it neighbours are joined.
+	// LeastStripes is the number of parts that the keys of a new allotment move in.
+	LeastStripes = 256
+	// MostStripes bounds the parts: the allotment of a large fleet stays some kilobytes long.
+	MostStripes = 4096
+	// maxRanges bounds the ranges with handovers that one backend server is told, so that they fit into a message of 4 KiB; beyond it
+	// neighbours are joined.
 	maxRanges = 90
-	// stripeKeys is the number of keys in a stripe.
-	stripeKeys = Keys / Stripes
+	// maxJoined bounds the ranges without handovers for the same reason; keys of further ones are not served.
+	maxJoined = 160
 )
 
 // StripeConfig holds the parts of a Stripe.
@@ -76,7 +79,7 @@
 	Service string
 	// Version counts the writes of the allotment and is the greatest fencing token that was given out.
 	Version uint64
-	// Stripes are all stripes in the order of their keys; none for an allotment in which nobody holds a key.
+	// Stripes are all stripes in the order of their keys, a power of two of them; none for an allotment in which nobody holds a key.
 	Stripes []Stripe
 }
 
@@ -89,12 +92,17 @@
 
 // NewAllotment returns the allotment that the configuration describes.
 func NewAllotment(config AllotmentConfig) *Allotment {
-	if len(config.Stripes) != Stripes {
-		config.Stripes = make([]Stripe, Stripes)
+	if !isStripeCount(len(config.Stripes)) {
+		config.Stripes = make([]Stripe, LeastStripes)
 	}
 	return &Allotment{config: config}
 }
 
+// isStripeCount reports whether the keys may be cut into so many stripes of equal length.
+func isStripeCount(count int) bool {
+	return count >= LeastStripes && count <= MostStripes && count&(count-1) == 0
+}
+
 // Service returns the name of the divided service.
 func (allotment *Allotment) Service() string { return allotment.config.Service }
 
@@ -106,11 +114,17 @@
 
 // StripeOf returns the stripe of a key.
 func (allotment *Allotment) StripeOf(key int) Stripe {
-	return allotment.config.Stripes[StripeNumber(key)]
+	return allotment.config.Stripes[min(max(key, 0), Keys-1)/allotment.stripeKeys()]
 }
 
-// StripeNumber returns the number of the stripe in which a key lies.
-func StripeNumber(key int) int { return min(max(key, 0), Keys-1) / stripeKeys }
+// stripeKeys returns the number of keys in a stripe.
+func (allotment *Allotment) stripeKeys() int { return Keys / len(allotment.config.Stripes) }
+
+// bounds returns the first and the last key of a stripe.
+func (allotment *Allotment) bounds(number int) (first, last int) {
+	length := allotment.stripeKeys()
+	return number * length, (number+1)*length - 1
+}
 
 // Held returns the ranges that the backend server may be told to hold; neighbours under one token are one range.
 //
@@ -121,7 +135,7 @@
 		if !stripe.IsSettled() || stripe.Owner() != id {
 			continue
 		}
-		first, last := bounds(number)
+		first, last := allotment.bounds(number)
 		handover := stripe.Handover()
 		if handover != "" && holds(first, last) {
 			handover = ""
@@ -152,11 +166,7 @@
 		}
 		joined[len(joined)-1] = lagoonlanding.NewHeldRange(last.First(), held.Last(), max(last.Token(), held.Token()), "")
 	}
-	return joined
-}
-
-func bounds(number int) (first, last int) {
-	return number * stripeKeys, (number+1)*stripeKeys - 1
+	return joined[:min(len(joined), maxJoined)]
 }
 
 // next returns a copy that may be changed, with the version that its moves take as their token.
@@ -200,7 +210,7 @@
 		if stripe.Prior() != holder {
 			continue
 		}
-		handover, ok := hasLetGo(bounds(number))
+		handover, ok := hasLetGo(next.bounds(number))
 		if !ok {
 			continue
 		}
--- a/mesh/allocator/plan.go
+++ b/mesh/allocator/plan.go
@@ -11,6 +11,11 @@
 // A move costs the keys about a second of service, so small differences stay.
 const imbalance = 0.2
 
+// holderStripes is about how many stripes a backend server has: so many ranges fit into a message to it.
+//
+// Busy keys are close to one another, so more and shorter stripes spread them over more backend servers.
+const holderStripes = 72
+
 // PlanConfig holds what a plan follows from.
 type PlanConfig struct {
 	// Backends are the backend servers that may hold keys.
@@ -32,10 +37,25 @@
 	if len(config.Backends) == 0 {
 		return next, changed
 	}
+	changed = next.refine(len(config.Backends)) || changed
 	plan := newPlan(next, config)
 	return next, plan.placeOrphans() || plan.level() || changed
 }
 
+// refine cuts the stripes in two until there are enough for so many holders; nobody's keys change by that.
+func (allotment *Allotment) refine(holders int) bool {
+	changed := false
+	for count := 2 * len(allotment.config.Stripes); count <= min(holders*holderStripes, MostStripes); count *= 2 {
+		halves := make([]Stripe, 0, count)
+		for _, stripe := range allotment.config.Stripes {
+			halves = append(halves, stripe, stripe)
+		}
+		allotment.config.Stripes = halves
+		changed = true
+	}
+	return changed
+}
+
 // plan moves stripes within one new allotment.
 type plan struct {
 	allotment *Allotment
@@ -58,20 +78,30 @@
 	return made
 }
 
-// placeOrphans gives each stripe without a fit owner to the backend server with the fewest, in turn, so that neighbours part.
+// placeOrphans gives the stripes without a fit owner to the backend servers with the fewest, in turn, so that neighbours part.
+//
+// If few backend servers are left for many stripes, some neighbours stay together, so that the ranges of each still fit into a message.
 func (plan *plan) placeOrphans() bool {
-	changed := false
-	for number := range plan.allotment.config.Stripes {
-		stripe := &plan.allotment.config.Stripes[number]
+	stripes := plan.allotment.config.Stripes
+	together := (len(stripes) + len(plan.order)*maxRanges - 1) / (len(plan.order) * maxRanges)
+	changed, placed := false, 0
+	var taker lagoonlanding.BackendID
+	for number := range stripes {
+		stripe := &stripes[number]
 		if _, ok := plan.owned[stripe.Owner()]; ok {
+			placed = 0
 			continue
 		}
 		if back, ok := plan.returnable(stripe); ok {
 			plan.move(number, back)
-		} else {
-			plan.move(number, plan.fewest())
+			changed, placed = true, 0
+			continue
 		}
-		changed = true
+		if placed%together == 0 {
+			taker = plan.fewest()
+		}
+		plan.move(number, taker)
+		changed, placed = true, placed+1
 	}
 	return changed
 }
@@ -84,7 +114,7 @@
 
 // level moves stripes from backend servers with too many to those with the fewest.
 func (plan *plan) level() bool {
-	part := float64(Stripes) / float64(len(plan.order))
+	part := float64(len(plan.allotment.config.Stripes)) / float64(len(plan.order))
 	changed := false
 	for {
 		most, least := plan.most(), plan.fewest()
