--- a/mesh/allocator/allocator_test.go
+++ b/mesh/allocator/allocator_test.go
@@ -224,3 +224,32 @@
 		t.Errorf("%d bytes for %d stripes", len(encoded), len(allotment.Stripes()))
 	}
 }
+
+func BenchmarkDecodeLarge(b *testing.B) {
+	allotment, _ := NewAllotment(AllotmentConfig{Service: "s"}).Plan(PlanConfig{Backends: holdersOf(41), IsGone: nobodyGone})
+	encoded, err := Codec{}.Encode(allotment)
+	if err != nil {
+		b.Fatal(err)
+	}
+	for b.Loop() {
+		if _, err := (Codec{}).Decode(lagoonlanding.NewEntry("k", encoded, 1)); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func BenchmarkPlanThatHolds(b *testing.B) {
+	holders := holdersOf(41)
+	allotment, _ := NewAllotment(AllotmentConfig{Service: "s"}).Plan(PlanConfig{Backends: holders, IsGone: nobodyGone})
+	for b.Loop() {
+		allotment.Plan(PlanConfig{Backends: holders, IsGone: nobodyGone})
+	}
+}
+
+func BenchmarkHeld(b *testing.B) {
+	holders := holdersOf(41)
+	allotment, _ := NewAllotment(AllotmentConfig{Service: "s"}).Plan(PlanConfig{Backends: holders, IsGone: nobodyGone})
+	for b.Loop() {
+		allotment.Held(holders[0].ID(), func(int, int) bool { return false })
+	}
+}
--- a/mesh/allocator/codec.go
+++ b/mesh/allocator/codec.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"compress/flate"
+	"encoding/binary"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 
@@ -25,45 +27,38 @@
 	Born   int64  `json:"born"`
 }
 
-// encodedRun is a run of stripes that are alike; owners are counted from one in the list of lives, zero is nobody.
-type encodedRun struct {
-	Count    int    `json:"n"`
-	Owner    int    `json:"o,omitempty"`
-	Prior    int    `json:"p,omitempty"`
-	Token    uint64 `json:"t,omitempty"`
-	Handover string `json:"h,omitempty"`
-}
-
-// encodedAllotment is an allotment as it is written.
+// encodedAllotment is an allotment as it is written: the parts of the stripes by columns, which pack well and are read quickly.
 type encodedAllotment struct {
 	Service string        `json:"service"`
 	Version uint64        `json:"version"`
 	Lives   []encodedLife `json:"lives"`
-	Runs    []encodedRun  `json:"runs"`
+	// Owners and Priors are positions in the list of lives, counted from one, as variable-length numbers; zero is nobody.
+	Owners []byte `json:"owners"`
+	Priors []byte `json:"priors"`
+	// Tokens are variable-length numbers too.
+	Tokens []byte `json:"tokens"`
+	// Handovers are those of the stripes that have one.
+	Handovers map[int]string `json:"handovers,omitempty"`
 }
 
 // Encode returns the compressed bytes of the allotment.
 func (codec Codec) Encode(allotment *Allotment) ([]byte, error) {
-	encoded := encodedAllotment{Service: allotment.Service(), Version: allotment.Version()}
-	numbers := map[lagoonlanding.BackendID]int{{}: 0}
-	number := func(id lagoonlanding.BackendID) int {
+	encoded := encodedAllotment{Service: allotment.Service(), Version: allotment.Version(), Handovers: map[int]string{}}
+	numbers := map[lagoonlanding.BackendID]uint64{{}: 0}
+	number := func(id lagoonlanding.BackendID) uint64 {
 		if _, ok := numbers[id]; !ok {
 			encoded.Lives = append(encoded.Lives, encodedLife{Daemon: id.Daemon(), Name: id.Name(), Born: id.Born()})
-			numbers[id] = len(encoded.Lives)
+			numbers[id] = uint64(len(encoded.Lives))
 		}
 		return numbers[id]
 	}
-	for _, stripe := range allotment.Stripes() {
-		run := encodedRun{Count: 1, Owner: number(stripe.Owner()), Prior: number(stripe.Prior()), Token: stripe.Token(), Handover: stripe.Handover()}
-		if count := len(encoded.Runs); count > 0 {
-			last := encoded.Runs[count-1]
-			last.Count = 1
-			if last == run {
-				encoded.Runs[count-1].Count++
-				continue
-			}
+	for position, stripe := range allotment.Stripes() {
+		encoded.Owners = binary.AppendUvarint(encoded.Owners, number(stripe.Owner()))
+		encoded.Priors = binary.AppendUvarint(encoded.Priors, number(stripe.Prior()))
+		encoded.Tokens = binary.AppendUvarint(encoded.Tokens, stripe.Token())
+		if stripe.Handover() != "" {
+			encoded.Handovers[position] = stripe.Handover()
 		}
-		encoded.Runs = append(encoded.Runs, run)
 	}
 	plain, err := json.Marshal(encoded)
 	if err != nil {
@@ -101,21 +96,50 @@
 	for _, life := range encoded.Lives {
 		lives = append(lives, lagoonlanding.NewBackendID(life.Daemon, life.Name, life.Born))
 	}
-	var stripes []Stripe
-	for _, run := range encoded.Runs {
-		if run.Owner < 0 || run.Owner >= len(lives) || run.Prior < 0 || run.Prior >= len(lives) || run.Token > encoded.Version {
-			return nil, fmt.Errorf("decode allotment %s: a run names an unknown owner or token", entry.Key())
+	stripes := make([]Stripe, 0, min(len(encoded.Tokens), MostStripes))
+	columns := newColumns(encoded)
+	for columns.next() {
+		if columns.owner >= uint64(len(lives)) || columns.prior >= uint64(len(lives)) || columns.token > encoded.Version {
+			return nil, fmt.Errorf("decode allotment %s: a stripe names an unknown owner or token", entry.Key())
 		}
-		if run.Count < 1 || len(stripes)+run.Count > MostStripes {
+		if len(stripes) >= MostStripes {
 			return nil, fmt.Errorf("decode allotment %s: more than %d stripes", entry.Key(), MostStripes)
 		}
-		stripe := NewStripe(StripeConfig{Owner: lives[run.Owner], Prior: lives[run.Prior], Token: run.Token, Handover: run.Handover})
-		for range run.Count {
-			stripes = append(stripes, stripe)
-		}
+		stripes = append(stripes, NewStripe(StripeConfig{
+			Owner: lives[columns.owner], Prior: lives[columns.prior], Token: columns.token, Handover: encoded.Handovers[len(stripes)],
+		}))
+	}
+	if !columns.isWhole() {
+		return nil, fmt.Errorf("decode allotment %s: its columns differ in length", entry.Key())
 	}
 	if !isStripeCount(len(stripes)) {
 		return nil, fmt.Errorf("decode allotment %s: the keys cannot be cut into %d stripes", entry.Key(), len(stripes))
 	}
 	return NewAllotment(AllotmentConfig{Service: encoded.Service, Version: encoded.Version, Stripes: stripes}), nil
 }
+
+// columns reads the columns of an allotment side by side.
+type columns struct {
+	owners, priors, tokens *bytes.Reader
+	owner, prior, token    uint64
+	err                    error
+}
+
+func newColumns(encoded encodedAllotment) *columns {
+	return &columns{owners: bytes.NewReader(encoded.Owners), priors: bytes.NewReader(encoded.Priors), tokens: bytes.NewReader(encoded.Tokens)}
+}
+
+// next reads the numbers of one stripe; it is false at the end of a column.
+func (columns *columns) next() bool {
+	var errs [3]error
+	columns.owner, errs[0] = binary.ReadUvarint(columns.owners)
+	columns.prior, errs[1] = binary.ReadUvarint(columns.priors)
+	columns.token, errs[2] = binary.ReadUvarint(columns.tokens)
+	columns.err = errors.Join(errs[:]...)
+	return columns.err == nil
+}
+
+// isWhole reports whether all columns ended together, each after a whole number.
+func (columns *columns) isWhole() bool {
+	return columns.owners.Len()+columns.priors.Len()+columns.tokens.Len() == 0 && !errors.Is(columns.err, io.ErrUnexpectedEOF)
+}
--- a/mesh/carrier/feed.go
+++ b/mesh/carrier/feed.go
@@ -104,6 +104,8 @@
 	case http.StatusOK:
 	case http.StatusGone:
 		return newsAnswer{}, lagoonlanding.ErrCompacted
+	case http.StatusServiceUnavailable:
+		return newsAnswer{}, lagoonlanding.ErrOutOfTouch
 	default:
 		return newsAnswer{}, fmt.Errorf("%w: daemon answers %d", lagoonlanding.ErrUnavailable, response.StatusCode)
 	}
--- /dev/null
+++ b/mesh/coordinator/absences_test.go
@@ -0,0 +1,72 @@
+package coordinator
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"lagoonlanding.example/lagoonlanding"
+	"lagoonlanding.example/lagoonlanding/mesh/registrar"
+)
+
+func TestWriteReliesOnTheAbsenceOfThoseWhoseKeysItTakes(t *testing.T) {
+	start := time.Unix(1000, 0)
+	fleet := registrar.NewFleet(registrar.Config{GrantTerm: 7 * time.Second, Margin: time.Second})
+	fleet.Settle(start)
+	var lives []lagoonlanding.BackendID
+	for number := range 40 {
+		id := lagoonlanding.NewBackendID(fmt.Sprint("d", number), "s", 1)
+		lives = append(lives, id)
+		fleet.Register(lagoonlanding.NewBackend(lagoonlanding.BackendConfig{ID: id}), uint64(number+1))
+		if number > 0 {
+			fleet.Unregister(start, id.Daemon(), 100)
+		}
+	}
+	late := start.Add(9 * time.Second)
+	absences := newAbsences(fleet)
+	if absences.isGone(late, lives[0]) {
+		t.Error("a registered life is gone")
+	}
+	if !absences.isGone(late, lagoonlanding.NewBackendID("d0", "earlier", 0)) || len(absences.keys) != 0 {
+		t.Error("a life that another one of the same daemon follows is not gone, or that relies on an absence")
+	}
+	gone := 0
+	for _, id := range lives[1:] {
+		if absences.isGone(late, id) {
+			gone++
+		}
+	}
+	if gone != maxAbsences || len(absences.keys) != maxAbsences || absences.keys[0] != daemonPrefix+"d1" {
+		t.Errorf("%d gone by %v", gone, absences.keys)
+	}
+	if !absences.isGone(late, lives[1]) || len(absences.keys) != maxAbsences {
+		t.Error("an absence counts twice")
+	}
+}
+
+func TestFirstDaemonOfAZoneAsksTheStore(t *testing.T) {
+	at := func(name, zone, region string) lagoonlanding.Backend {
+		return lagoonlanding.NewBackend(lagoonlanding.BackendConfig{ID: lagoonlanding.NewBackendID(name, "", 0), AvailabilityZone: zone, Region: region})
+	}
+	all := []lagoonlanding.Backend{
+		at("a1", "a", "r"), at("a2", "a", "r"), at("a3", "a", "r"), at("a4", "a", "r"), at("a5", "a", "r"), at("b1", "b", "r"), at("b2", "b", "r"),
+		at("c1", "c", "far"), at("d1", "d", "far"),
+	}
+	for name, want := range map[string]string{"a1": "[a1 b1 c1]", "a2": "[a1 a2 b1 c1]", "a5": "[a1 a2 a3 a5 b1 c1]", "d1": "[d1 c1 a1]"} {
+		fleet := registrar.NewFleet(registrar.Config{})
+		coordinator := &Coordinator{config: Config{Fleet: fleet}}
+		for index, backend := range all {
+			fleet.Register(backend, uint64(index+1))
+			if backend.ID().Daemon() == name {
+				coordinator.config.Self = backend
+			}
+		}
+		var got []string
+		for _, relay := range coordinator.relays() {
+			got = append(got, relay.ID().Daemon())
+		}
+		if fmt.Sprint(got) != want {
+			t.Errorf("%s asks %v, want %s", name, got, want)
+		}
+	}
+}
--- a/mesh/coordinator/coordinator.go
+++ b/mesh/coordinator/coordinator.go
@@ -102,25 +102,37 @@
 	coordinator.steer()
 }
 
-// relays returns the first daemon of the zone, then this one for the store itself, then the next of the zone and of others.
+const (
+	// nearRelays is how many daemons of the zone are asked before the store: one passes news on, the others are there for its loss.
+	nearRelays = 3
+	// farRelays is how many daemons of other zones are asked after the store, by those that it does not answer.
+	farRelays = 2
+)
+
+// relays returns the daemons from which this one hears of changes, the preferred one first; itself stands for the store.
 //
-// One daemon of each zone watches the store, so that its calls grow with the zones and not with the daemons.
+// The first daemon of each zone by name watches the store, so that its calls grow with the zones and not with the daemons.
 func (coordinator *Coordinator) relays() []lagoonlanding.Backend {
-	var near, far []lagoonlanding.Backend
+	var near, region, far []lagoonlanding.Backend
 	self := coordinator.config.Self
+	leads := map[string]bool{self.AvailabilityZone(): true}
 	for _, backend := range coordinator.config.Fleet.Registered() {
+		zone := backend.AvailabilityZone()
 		switch {
-		case backend.ID().Daemon() == self.ID().Daemon():
-		case backend.AvailabilityZone() == self.AvailabilityZone():
-			near = append(near, backend)
+		case zone == self.AvailabilityZone():
+			if len(near) < nearRelays && backend.ID().Daemon() < self.ID().Daemon() {
+				near = append(near, backend)
+			}
+		case leads[zone]:
+		case backend.Region() == self.Region():
+			region = append(region, backend)
 		default:
 			far = append(far, backend)
 		}
+		leads[zone] = true
 	}
-	if len(near) > 0 && near[0].ID().Daemon() < self.ID().Daemon() {
-		return slices.Concat(near[:1], []lagoonlanding.Backend{self}, near[1:], far)
-	}
-	return slices.Concat([]lagoonlanding.Backend{self}, near, far)
+	others := slices.Concat(region, far)
+	return slices.Concat(near, []lagoonlanding.Backend{self}, others[:min(len(others), farRelays)])
 }
 
 // steer opens or closes the gate as the backend server's state and the zone's ask.
--- a/mesh/coordinator/ownership_test.go
+++ b/mesh/coordinator/ownership_test.go
@@ -234,7 +234,7 @@
 	sim.store.ends[session.Lease()] = sim.now.Add(simLease)
 	daemon.coordinator.Kept(sim.now, nil)
 	if session := daemon.coordinator.Session(); session.IsRegistered() && !session.IsVerified() {
-		daemon.coordinator.Replace(sim.now, sim.now, sim.listing())
+		daemon.coordinator.Verify(sim.now, sim.store.entries[daemon.coordinator.OwnKey()].Revision())
 	}
 }
 
@@ -255,7 +255,12 @@
 		}
 	}
 	if write.IsConditional() {
-		if sim.store.entries[put.Key()].Revision() != write.Expected() {
+		isExpected := sim.store.entries[put.Key()].Revision() == write.Expected()
+		for _, key := range write.Absent() {
+			_, isThere := sim.store.entries[key]
+			isExpected = isExpected && !isThere
+		}
+		if !isExpected {
 			daemon.coordinator.Wrote(sim.now, write, 0, lagoonlanding.ErrConflict)
 			return
 		}
@@ -369,7 +374,7 @@
 		daemon.cutUntil = sim.now.Add(for_)
 	case 1:
 		daemon.cutUntil = sim.now.Add(for_)
-		sim.store.remove(daemonPrefix + daemon.name)
+		sim.store.remove(daemon.coordinator.OwnKey())
 	case 2:
 		daemon.deadUntil = sim.now.Add(for_ / 3)
 	case 3:
--- a/mesh/coordinator/store.go
+++ b/mesh/coordinator/store.go
@@ -19,7 +19,11 @@
 	allotmentPrefix = FleetPrefix + "allotments/"
 )
 
-func (coordinator *Coordinator) ownKey() string {
+// ZonePrefix starts the keys under which the daemons of a zone write their peer addresses, for those that have just started.
+func ZonePrefix(zone string) string { return lagoonlanding.StorePrefix + "zones/" + zone + "/" }
+
+// OwnKey returns the key of the daemon's registration.
+func (coordinator *Coordinator) OwnKey() string {
 	return daemonPrefix + coordinator.config.Self.ID().Daemon()
 }
 
@@ -41,7 +45,7 @@
 	for _, entry := range listing.Entries() {
 		listed[entry.Key()] = true
 		coordinator.apply(now, lagoonlanding.NewChange(entry, false))
-		if entry.Key() == coordinator.ownKey() {
+		if entry.Key() == coordinator.OwnKey() {
 			own = entry.Revision()
 		}
 	}
@@ -58,6 +62,16 @@
 	coordinator.publish()
 }
 
+// Verify takes in the revision of the daemon's own entry, zero for none, as the store told when it was asked at the given time.
+//
+// It counts only if the allotments are known as of the registration or later: an entry that stands unchanged was never absent, so nobody
+// else took the keys since.
+func (coordinator *Coordinator) Verify(asked time.Time, revision uint64) {
+	if revision == 0 || coordinator.view >= coordinator.session.Revision() {
+		coordinator.session.Verify(asked, revision)
+	}
+}
+
 // Connect notes whether the view of the store's entries goes on; absences of daemons count from when it does.
 func (coordinator *Coordinator) Connect(now time.Time, isConnected bool) {
 	switch {
--- a/mesh/coordinator/write.go
+++ b/mesh/coordinator/write.go
@@ -24,6 +24,10 @@
 // Write is one write to the store that the control state asks for.
 type Write struct {
 	put lagoonlanding.Put
+	// pointer leads daemons that have just started to this one; it is written with the registration.
+	pointer lagoonlanding.Put
+	// absent are the keys of registrations that must not be there for an allotment to hold.
+	absent []string
 	// service is the divided service of an allotment, empty for the daemon's registration.
 	service  string
 	expected uint64
@@ -34,6 +38,12 @@
 // Put returns what is to be written.
 func (write Write) Put() lagoonlanding.Put { return write.put }
 
+// Pointer returns what is written with a registration for daemons that have just started.
+func (write Write) Pointer() lagoonlanding.Put { return write.pointer }
+
+// Absent returns the keys that must have no entry for a conditional write.
+func (write Write) Absent() []string { return write.absent }
+
 // IsConditional reports whether the write holds only for an expected revision.
 func (write Write) IsConditional() bool { return write.service != "" }
 
@@ -89,7 +99,9 @@
 		coordinator.config.Log.WithError(err).Error("Registration cannot be encoded.")
 		return Write{}, false
 	}
-	return Write{put: lagoonlanding.NewPut(coordinator.ownKey(), value, coordinator.session.Lease()), backend: backend, sent: now}, true
+	lease, self := coordinator.session.Lease(), coordinator.config.Self
+	pointer := lagoonlanding.NewPut(ZonePrefix(self.AvailabilityZone())+self.ID().Daemon(), []byte(self.PeerAddress()), lease)
+	return Write{put: lagoonlanding.NewPut(coordinator.OwnKey(), value, lease), pointer: pointer, backend: backend, sent: now}, true
 }
 
 // allotmentWrite returns the next allotment of a service if it should differ from the present one.
@@ -99,17 +111,18 @@
 		known.allotment = allocator.NewAllotment(allocator.AllotmentConfig{Service: service})
 	}
 	if next, ok := coordinator.inherit(service, known.allotment); ok {
-		return coordinator.propose(now, next, known.revision)
+		return coordinator.propose(now, next, known.revision, nil)
 	}
 	if next, ok := coordinator.release(now, known.allotment); ok {
-		return coordinator.propose(now, next, known.revision)
+		return coordinator.propose(now, next, known.revision, nil)
 	}
 	if rest, ok := coordinator.rests[service]; ok && rest.generation == coordinator.generation && (rest.until.IsZero() || now.Before(rest.until)) {
 		return Write{}, rest.until, false
 	}
+	absences := newAbsences(coordinator.config.Fleet)
 	next, ok := known.allotment.Plan(allocator.PlanConfig{
 		Backends: coordinator.holders(now, service),
-		IsGone:   func(id lagoonlanding.BackendID) bool { return coordinator.config.Fleet.IsGone(now, id) },
+		IsGone:   func(id lagoonlanding.BackendID) bool { return absences.isGone(now, id) },
 	})
 	if !ok {
 		delete(coordinator.needs, service)
@@ -129,7 +142,7 @@
 	if now.Before(due) {
 		return Write{}, due, false
 	}
-	return coordinator.propose(now, next, known.revision)
+	return coordinator.propose(now, next, known.revision, absences.keys)
 }
 
 // inherit returns the allotment in which a backend server that was started again keeps the keys that it had, as nobody else holds them.
@@ -153,14 +166,17 @@
 	})
 }
 
-func (coordinator *Coordinator) propose(now time.Time, allotment *allocator.Allotment, revision uint64) (Write, time.Time, bool) {
+func (coordinator *Coordinator) propose(
+	now time.Time, allotment *allocator.Allotment, revision uint64, absent []string,
+) (Write, time.Time, bool) {
 	value, err := allocator.Codec{}.Encode(allotment)
 	if err != nil {
 		coordinator.config.Log.WithError(err).Error("Allotment cannot be encoded.")
 		return Write{}, time.Time{}, false
 	}
 	return Write{
-		put: lagoonlanding.NewPut(allotmentPrefix+allotment.Service(), value, 0), service: allotment.Service(), expected: revision, sent: now,
+		put: lagoonlanding.NewPut(allotmentPrefix+allotment.Service(), value, 0), service: allotment.Service(), expected: revision,
+		absent: absent, sent: now,
 	}, time.Time{}, true
 }
 
--- a/mesh/registrar/fleet.go
+++ b/mesh/registrar/fleet.go
@@ -90,6 +90,12 @@
 	return now.After(fleet.GoneAt(since))
 }
 
+// IsRegistered reports whether the daemon is registered.
+func (fleet *Fleet) IsRegistered(name string) bool {
+	known, ok := fleet.daemons[name]
+	return ok && known.unlisted.IsZero()
+}
+
 // GoneAt returns when grants that were made until the given time have run out.
 func (fleet *Fleet) GoneAt(since time.Time) time.Time {
 	return since.Add(fleet.config.GrantTerm + fleet.config.Margin)
--- a/mesh/relayer/journal.go
+++ b/mesh/relayer/journal.go
@@ -119,7 +119,7 @@
 	journal.mutex.Lock()
 	defer journal.mutex.Unlock()
 	if !journal.direct {
-		return lagoonlanding.Listing{}, lagoonlanding.ErrUnavailable
+		return lagoonlanding.Listing{}, lagoonlanding.ErrOutOfTouch
 	}
 	var entries []lagoonlanding.Entry
 	for _, entry := range journal.entries {
@@ -152,7 +152,7 @@
 	journal.mutex.Lock()
 	defer journal.mutex.Unlock()
 	if !journal.direct {
-		return lagoonlanding.ChangeList{}, nil, lagoonlanding.ErrUnavailable
+		return lagoonlanding.ChangeList{}, nil, lagoonlanding.ErrOutOfTouch
 	}
 	if after < journal.horizon {
 		return lagoonlanding.ChangeList{}, nil, lagoonlanding.ErrCompacted
--- /dev/null
+++ b/mesh/syncer/outage_test.go
@@ -0,0 +1,193 @@
+package syncer
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"lagoonlanding.example/lagoonlanding"
+	"lagoonlanding.example/lagoonlanding/mesh/coordinator"
+)
+
+// countingStore counts the calls that it gets, and can be out of reach.
+type countingStore struct {
+	mutex sync.Mutex
+	down  chan struct{}
+	calls map[string]int
+	peers []lagoonlanding.Entry
+}
+
+func newCountingStore() *countingStore { return &countingStore{calls: map[string]int{}} }
+
+// call counts a call and fails while the store is out of reach.
+func (store *countingStore) call(kind string) error {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	store.calls[kind]++
+	if store.down != nil {
+		return lagoonlanding.ErrUnavailable
+	}
+	return nil
+}
+
+// setDown takes the store out of reach, or back.
+func (store *countingStore) setDown(isDown bool) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	if isDown {
+		store.down = make(chan struct{})
+	} else {
+		store.down = nil
+	}
+}
+
+func (store *countingStore) count(kind string) int {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	return store.calls[kind]
+}
+
+func (store *countingStore) List(_ context.Context, prefix string) (lagoonlanding.Listing, error) {
+	return lagoonlanding.NewListing(nil, 1), store.call("list " + prefix)
+}
+
+func (store *countingStore) Watch(ctx context.Context, prefix string, after uint64) (lagoonlanding.ChangeList, error) {
+	for {
+		if err := store.call("look " + prefix); err != nil {
+			return lagoonlanding.ChangeList{}, err
+		}
+		select {
+		case <-ctx.Done():
+			return lagoonlanding.ChangeList{}, ctx.Err()
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+func (store *countingStore) Peek(context.Context, string) (lagoonlanding.Listing, error) {
+	return lagoonlanding.NewListing(store.peers, 1), store.call("peek")
+}
+func (store *countingStore) Get(context.Context, string) (lagoonlanding.Entry, error) {
+	return lagoonlanding.Entry{}, store.call("get")
+}
+func (store *countingStore) Put(context.Context, ...lagoonlanding.Put) (uint64, error) {
+	return 1, store.call("put")
+}
+func (store *countingStore) PutIf(context.Context, lagoonlanding.Put, uint64, ...string) (uint64, error) {
+	return 1, store.call("put-if")
+}
+func (store *countingStore) Grant(context.Context, time.Duration) (lagoonlanding.LeaseID, error) {
+	return 7, store.call("grant")
+}
+func (store *countingStore) Keep(context.Context, lagoonlanding.LeaseID) error {
+	return store.call("keep")
+}
+
+// run runs the syncer until the test ends.
+func run(t *testing.T, syncer *Syncer) {
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() { syncer.Run(ctx); close(ended) }()
+	t.Cleanup(func() { cancel(); <-ended })
+}
+
+func TestStoreThatDoesNotAnswerIsAskedSeldom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newCountingStore()
+		run(t, newSyncer(store))
+		time.Sleep(5 * time.Second)
+		before := store.count("list orders/")
+		store.setDown(true)
+		time.Sleep(8 * time.Second)
+		if asked := store.count("list orders/") - before; asked > 5 {
+			t.Errorf("the store was asked %d times in 8 s without an answer", asked)
+		}
+		before = store.count("list orders/")
+		store.setDown(false)
+		// Entries must be back within two seconds of the store's return.
+		time.Sleep(2 * time.Second)
+		if store.count("list orders/") == before {
+			t.Error("the store was not asked within two seconds of its return")
+		}
+	})
+}
+
+// tellingPeers are daemons that tell news, or hear none themselves.
+type tellingPeers struct {
+	mutex   sync.Mutex
+	asked   map[string]int
+	touched bool
+}
+
+func (peers *tellingPeers) Feed(address string) lagoonlanding.Feed {
+	return &tellingPeer{peers: peers, address: address}
+}
+
+type tellingPeer struct {
+	peers   *tellingPeers
+	address string
+}
+
+func (peer *tellingPeer) tell() error {
+	peer.peers.mutex.Lock()
+	defer peer.peers.mutex.Unlock()
+	peer.peers.asked[peer.address]++
+	if !peer.peers.touched {
+		return lagoonlanding.ErrOutOfTouch
+	}
+	return nil
+}
+
+func (peer *tellingPeer) List(context.Context, string) (lagoonlanding.Listing, error) {
+	return lagoonlanding.NewListing(nil, 1), peer.tell()
+}
+
+func (peer *tellingPeer) Watch(ctx context.Context, _ string, _ uint64) (lagoonlanding.ChangeList, error) {
+	select {
+	case <-ctx.Done():
+		return lagoonlanding.ChangeList{}, ctx.Err()
+	case <-time.After(500 * time.Millisecond):
+	}
+	return lagoonlanding.NewChangeList(nil, 1), peer.tell()
+}
+
+func newFollower(store *countingStore, peers *tellingPeers) *Syncer {
+	store.peers = []lagoonlanding.Entry{
+		lagoonlanding.NewEntry(coordinator.ZonePrefix("")+"first", []byte("address-of-first"), 1),
+		lagoonlanding.NewEntry(coordinator.ZonePrefix("")+"zeta", []byte("address-of-zeta"), 1),
+	}
+	syncer := newSyncer(store)
+	syncer.config.Peers = peers
+	return syncer
+}
+
+func TestStartingDaemonHearsTheNewsFromTheFirstOfItsZone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, peers := newCountingStore(), &tellingPeers{asked: map[string]int{}, touched: true}
+		run(t, newFollower(store, peers))
+		time.Sleep(10 * time.Second)
+		if peers.asked["address-of-first"] == 0 || peers.asked["address-of-zeta"] != 0 {
+			t.Errorf("asked %v", peers.asked)
+		}
+		for kind, count := range store.calls {
+			if strings.HasPrefix(kind, "list") || strings.HasPrefix(kind, "look") {
+				t.Errorf("the store was asked itself: %d times %s", count, kind)
+			}
+		}
+	})
+}
+
+func TestDaemonAsksTheStoreItselfIfNobodyTellsNews(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, peers := newCountingStore(), &tellingPeers{asked: map[string]int{}}
+		run(t, newFollower(store, peers))
+		time.Sleep(discoverTerm + followTerm + time.Second)
+		if count := store.count(fmt.Sprint("list ", coordinator.FleetPrefix)); count == 0 {
+			t.Error("the daemon waits for news that nobody tells")
+		}
+	})
+}
--- a/mesh/syncer/syncer.go
+++ b/mesh/syncer/syncer.go
@@ -42,8 +42,8 @@
 	Coordinator *coordinator.Coordinator
 	// Store keeps what the fleet has to agree on.
 	Store lagoonlanding.MetadataStore
-	// Daemon is the name of the daemon.
-	Daemon string
+	// Daemon is the name of the daemon and AvailabilityZone where it runs.
+	Daemon, AvailabilityZone string
 	// Peers are the feeds of other daemons.
 	Peers lagoonlanding.PeerFeeds
 	// Fleet is what the daemons share, and Orders what operators write, as this daemon passes them on.
@@ -62,10 +62,13 @@
 	control *executor.Executor[*coordinator.Coordinator]
 	changed chan struct{}
 
-	mutex   sync.Mutex
-	lost    map[string]bool
-	contact time.Time
-	directs map[string]bool
+	mutex sync.Mutex
+	lost  map[string]bool
+	// contact is when the store was last sent a call that it answered, and regained when it first did so after a pause.
+	contact, regained time.Time
+	directs           map[string]bool
+	// seeds are daemons of the zone that were registered when this one started.
+	seeds []lagoonlanding.Backend
 }
 
 var _ lagoonlanding.AnnouncementHandler = (*Syncer)(nil)
@@ -84,8 +87,11 @@
 	parts.Go(func() { syncer.control.Run(ctx) })
 	parts.Go(func() { syncer.keepRegistration(ctx) })
 	parts.Go(func() { syncer.write(ctx) })
-	parts.Go(func() { syncer.follow(ctx, newFleetView(syncer)) })
-	parts.Go(func() { syncer.follow(ctx, newDirectiveView(syncer)) })
+	parts.Go(func() {
+		syncer.discover(ctx)
+		parts.Go(func() { syncer.follow(ctx, newFleetView(syncer)) })
+		parts.Go(func() { syncer.follow(ctx, newDirectiveView(syncer)) })
+	})
 	parts.Wait()
 }
 
@@ -187,7 +193,19 @@
 func (syncer *Syncer) touch(sent time.Time) {
 	syncer.mutex.Lock()
 	defer syncer.mutex.Unlock()
-	syncer.contact = sent
+	if sent.After(syncer.contact.Add(contactTerm)) {
+		syncer.regained = sent
+	}
+	if sent.After(syncer.contact) {
+		syncer.contact = sent
+	}
+}
+
+// contacts returns when the store was last sent a call that it answered, and when that began after a pause.
+func (syncer *Syncer) contacts() (last, regained time.Time) {
+	syncer.mutex.Lock()
+	defer syncer.mutex.Unlock()
+	return syncer.contact, syncer.regained
 }
 
 // isInTouch reports whether the store has answered lately, or since the given time could not yet have.
@@ -209,9 +227,17 @@
 	}
 }
 
-// verify reads the fleet's entries to see whether the registration still stands.
+// verify reads the registration to see whether it still stands.
 func (syncer *Syncer) verify(ctx context.Context) error {
-	return newFleetView(syncer).list(ctx, source{name: "store", feed: syncer.config.Store, direct: true})
+	call, cancel := context.WithTimeout(ctx, callTerm)
+	defer cancel()
+	asked := syncer.config.Clock.Now()
+	entry, err := syncer.config.Store.Get(call, syncer.config.Coordinator.OwnKey())
+	if err != nil && !errors.Is(err, lagoonlanding.ErrNotFound) {
+		return err
+	}
+	syncer.do(func(state *coordinator.Coordinator, _ time.Time) { state.Verify(asked, entry.Revision()) })
+	return nil
 }
 
 // write carries out the writes that the control state asks for, one at a time.
@@ -235,9 +261,9 @@
 	var revision uint64
 	var err error
 	if write.IsConditional() {
-		revision, err = syncer.config.Store.PutIf(call, write.Put(), write.Expected())
+		revision, err = syncer.config.Store.PutIf(call, write.Put(), write.Expected(), write.Absent()...)
 	} else {
-		revision, err = syncer.config.Store.Put(call, write.Put())
+		revision, err = syncer.config.Store.Put(call, write.Put(), write.Pointer())
 	}
 	syncer.do(func(state *coordinator.Coordinator, now time.Time) { state.Wrote(now, write, revision, err) })
 }
--- a/mesh/syncer/view.go
+++ b/mesh/syncer/view.go
@@ -14,8 +14,18 @@
 const (
 	// peerTerm bounds a watch at another daemon, which answers after 700 ms at the latest.
 	peerTerm = time.Second
-	// avoidTerm is how long a source that failed is not asked again.
+	// avoidTerm is how long a daemon that did not answer is not asked again.
 	avoidTerm = 3 * time.Second
+	// shortUntouchedTerm is how long a daemon that hears nothing from the store is not asked again at first: another may be about to.
+	shortUntouchedTerm = 100 * time.Millisecond
+	// untouchedTerm is that time later on.
+	untouchedTerm = 400 * time.Millisecond
+	// followTerm is how long a daemon that is not the first of its zone looks for others with news before it asks the store itself.
+	followTerm = 700 * time.Millisecond
+	// returnTerm is that time after the store has come back: renewals, which show it, come once a second.
+	returnTerm = time.Second
+	// blindTerm is the time between two questions to a store that does not answer renewals either, which cost less.
+	blindTerm = 4 * time.Second
 	// gatherTerm is the pause between two watches of the store, in which changes that come together are gathered.
 	gatherTerm = 50 * time.Millisecond
 	// startTerm is that pause while a new daemon knows no other: a whole fleet may be starting.
@@ -36,6 +46,13 @@
 	avoided map[string]time.Time
 	// since is when the view began to hear from its present source.
 	since time.Time
+	// dry is since when no other daemon tells news, zero while one does.
+	dry time.Time
+	// heard is when a source last told what there is.
+	heard time.Time
+	// failures counts the calls to the store without an answer in a row, and failed is when the last one ended.
+	failures int
+	failed   time.Time
 }
 
 // source is where a view hears from.
@@ -49,38 +66,72 @@
 func (syncer *Syncer) follow(ctx context.Context, view *view) {
 	pause := newPause()
 	for ctx.Err() == nil {
-		source := view.source()
+		source, ok := view.source()
+		if !ok {
+			view.dryUp()
+			syncer.lookAgain(ctx)
+			syncer.sleep(ctx, pause.next())
+			continue
+		}
+		began := view.heard
 		err := view.hear(ctx, source)
 		if ctx.Err() != nil {
 			return
 		}
 		view.journal.Connect(false)
+		if view.heard != began {
+			pause.reset()
+		}
 		if err != nil && source.direct {
 			syncer.note(view.name, err)
 			view.connect(false)
-			syncer.sleep(ctx, pause.next())
-		} else {
-			pause.reset()
+			view.failures, view.failed = view.failures+1, syncer.config.Clock.Now()
 		}
 	}
 }
 
-// source returns the first of the daemon's sources that has not failed lately: the store if all have.
-func (view *view) source() source {
+// dryUp notes that nobody can tell any news.
+func (view *view) dryUp() {
+	if view.dry.IsZero() {
+		view.dry = view.syncer.config.Clock.Now()
+		view.syncer.config.Log.WithField("dependency", view.name).WithField("revision", view.journal.Reached()).Info("Nobody tells news.")
+	}
+}
+
+// source returns the first of the daemon's sources that has not failed lately; it is false if there is none.
+func (view *view) source() (source, bool) {
 	now := view.syncer.config.Clock.Now()
-	direct := source{name: "store", feed: view.syncer.config.Store, direct: true}
-	for _, backend := range view.syncer.config.Coordinator.Snapshot().Relays() {
-		if backend.ID().Daemon() == view.syncer.config.Daemon {
-			if now.After(view.avoided[direct.name]) {
-				return direct
+	for index, backend := range view.syncer.relays() {
+		name := backend.ID().Daemon()
+		if name == view.syncer.config.Daemon {
+			if view.mayAskStore(now, index == 0) {
+				return source{name: "store", feed: view.syncer.config.Store, direct: true}, true
 			}
 			continue
 		}
-		if now.After(view.avoided[backend.ID().Daemon()]) {
-			return source{name: backend.ID().Daemon(), feed: view.syncer.config.Peers.Feed(backend.PeerAddress())}
+		if now.After(view.avoided[name]) {
+			return source{name: name, feed: view.syncer.config.Peers.Feed(backend.PeerAddress())}, true
 		}
 	}
-	return direct
+	return source{}, false
+}
+
+// mayAskStore reports whether the daemon may ask the store itself for news; isFirst says that others of its zone rely on that.
+//
+// Every call has its price also when it fails, so a store that failed is asked again only once it answers renewals. The others wait a
+// little for the first one's news.
+func (view *view) mayAskStore(now time.Time, isFirst bool) bool {
+	contact, regained := view.syncer.contacts()
+	if !isFirst && (view.dry.IsZero() || now.Before(view.dry.Add(followTerm))) {
+		return false
+	}
+	switch {
+	case view.failures <= 1:
+		return !now.Before(view.failed.Add(shortUntouchedTerm))
+	case contact.After(view.failed):
+		return isFirst || !now.Before(regained.Add(returnTerm))
+	}
+	return !now.Before(view.failed.Add(blindTerm))
 }
 
 // hear follows the source until it fails or another one comes first.
@@ -88,14 +139,14 @@
 	view.since = view.syncer.config.Clock.Now()
 	err := view.begin(ctx, source)
 	for err == nil {
-		view.syncer.note(view.name, nil)
+		view.succeed(source)
 		view.journal.Connect(source.direct)
 		view.syncer.setDirect(view.name, source.direct)
 		if err = view.watch(ctx, source); err != nil {
 			break
 		}
 		view.connect(true)
-		if view.source().name != source.name {
+		if preferred, ok := view.source(); ok && preferred.name != source.name && view.heard.After(view.since.Add(avoidTerm)) {
 			return nil
 		}
 		if source.direct {
@@ -106,13 +157,39 @@
 		view.syncer.config.Log.WithField("dependency", view.name).WithField("source", source.name).Info("Changes were dropped. Listing again.")
 		return view.list(ctx, source)
 	}
-	view.avoided[source.name] = view.syncer.config.Clock.Now().Add(avoidTerm)
 	if !source.direct {
-		view.syncer.config.Log.WithField("dependency", view.name).WithField("source", source.name).WithError(err).Info("Source is lost. Another one is used.")
+		view.avoid(source, err)
 	}
 	return err
 }
 
+// succeed notes that the source has told what there is.
+func (view *view) succeed(source source) {
+	view.syncer.note(view.name, nil)
+	view.heard = view.syncer.config.Clock.Now()
+	if source.direct {
+		view.failures = 0
+	} else {
+		view.dry = time.Time{}
+	}
+}
+
+// avoid lets other sources come first for a time.
+func (view *view) avoid(source source, err error) {
+	now := view.syncer.config.Clock.Now()
+	switch {
+	case !errors.Is(err, lagoonlanding.ErrOutOfTouch):
+		view.avoided[source.name] = now.Add(avoidTerm)
+	case view.dry.IsZero() || now.Before(view.dry.Add(followTerm)):
+		view.avoided[source.name] = now.Add(shortUntouchedTerm)
+	default:
+		view.avoided[source.name] = now.Add(untouchedTerm)
+	}
+	if view.dry.IsZero() {
+		view.syncer.config.Log.WithField("dependency", view.name).WithField("source", source.name).WithError(err).Info("Source is lost. Another one is used.")
+	}
+}
+
 // begin lists the part, unless another daemon can tell what has changed since it was listed.
 //
 // The store may never tell a watch what changed before it, if an earlier watch was cut: it is listed whenever it becomes the source.
@@ -174,6 +251,9 @@
 	if err != nil {
 		return err
 	}
+	if source.direct {
+		view.syncer.touch(asked)
+	}
 	gone := view.journal.Replace(listing)
 	view.replace(asked, listing, gone)
 	return nil
--- a/mesh/syncer/view_test.go
+++ b/mesh/syncer/view_test.go
@@ -59,10 +59,16 @@
 func (store *fakeStore) Get(context.Context, string) (lagoonlanding.Entry, error) {
 	return lagoonlanding.Entry{}, lagoonlanding.ErrNotFound
 }
-func (store *fakeStore) Put(context.Context, lagoonlanding.Put) (uint64, error) {
+func (store *fakeStore) Peek(context.Context, string) (lagoonlanding.Listing, error) {
+	if store.deaf {
+		return lagoonlanding.Listing{}, lagoonlanding.ErrUnavailable
+	}
+	return lagoonlanding.Listing{}, nil
+}
+func (store *fakeStore) Put(context.Context, ...lagoonlanding.Put) (uint64, error) {
 	return 0, lagoonlanding.ErrUnavailable
 }
-func (store *fakeStore) PutIf(context.Context, lagoonlanding.Put, uint64) (uint64, error) {
+func (store *fakeStore) PutIf(context.Context, lagoonlanding.Put, uint64, ...string) (uint64, error) {
 	return 0, lagoonlanding.ErrUnavailable
 }
 func (store *fakeStore) Grant(context.Context, time.Duration) (lagoonlanding.LeaseID, error) {
--- a/metadata.go
+++ b/metadata.go
@@ -12,6 +12,8 @@
 	ErrCompacted = errors.New("the store has dropped these changes")
 	// ErrLeaseEnded says that the store knows no such lease.
 	ErrLeaseEnded = errors.New("the lease has ended")
+	// ErrOutOfTouch says that a daemon has no news to pass on, since it hears nothing from the store itself.
+	ErrOutOfTouch = errors.New("the daemon hears nothing from the store")
 )
 
 // LeaseID names a lease of the store; zero stands for none.
@@ -91,10 +93,13 @@
 	// Get reads one entry and fails with ErrNotFound if there is none.
 	Get(ctx context.Context, key string) (Entry, error)
 	Feed
-	// Put writes an entry whatever it holds, and fails with ErrLeaseEnded if its lease is gone.
-	Put(ctx context.Context, put Put) (uint64, error)
-	// PutIf writes an entry that still has the expected revision, zero for none, or fails with ErrConflict.
-	PutIf(ctx context.Context, put Put, expected uint64) (uint64, error)
+	// Peek reads all entries under a prefix as they were some seconds ago at the earliest, at a fraction of the cost of List.
+	Peek(ctx context.Context, prefix string) (Listing, error)
+	// Put writes entries together, whatever they hold, and fails with ErrLeaseEnded if a lease of theirs is gone.
+	Put(ctx context.Context, puts ...Put) (uint64, error)
+	// PutIf writes an entry that still has the expected revision, zero for none, while there is no entry under the absent keys, or
+	// fails with ErrConflict.
+	PutIf(ctx context.Context, put Put, expected uint64, absent ...string) (uint64, error)
 	// Grant begins a lease that lapses unless it is kept, and returns when it lapses if it is not.
 	Grant(ctx context.Context, term time.Duration) (LeaseID, error)
 	// Keep renews a lease, and fails with ErrLeaseEnded if it is gone.
