--- a/mesh/coordinator/write.go
+++ b/mesh/coordinator/write.go
@@ -17,6 +17,8 @@
 	firstTerm = 2 * time.Second
 	// rankTerm is how much longer each further daemon waits for the ones before it to write.
 	rankTerm = 1200 * time.Millisecond
+	// planners is how many daemons work out allotments: the others would only repeat the work and come too late to write.
+	planners = 6
 	// retryTerm is the pause after a write that failed.
 	retryTerm = 250 * time.Millisecond
 )
@@ -119,6 +121,11 @@
 	if rest, ok := coordinator.rests[service]; ok && rest.generation == coordinator.generation && (rest.until.IsZero() || now.Before(rest.until)) {
 		return Write{}, rest.until, false
 	}
+	rank := coordinator.rank()
+	if rank >= planners {
+		delete(coordinator.needs, service)
+		return Write{}, time.Time{}, false
+	}
 	absences := newAbsences(coordinator.config.Fleet)
 	next, ok := known.allotment.Plan(allocator.PlanConfig{
 		Backends: coordinator.holders(now, service),
@@ -135,7 +142,7 @@
 		since = now
 		coordinator.needs[service] = since
 	}
-	due := since.Add(settleTerm + time.Duration(coordinator.rank())*rankTerm)
+	due := since.Add(settleTerm + time.Duration(rank)*rankTerm)
 	if first := coordinator.started.Add(firstTerm); !exists && due.Before(first) {
 		due = first
 	}
--- a/mesh/forwarder/forwarder.go
+++ b/mesh/forwarder/forwarder.go
@@ -14,6 +14,8 @@
 const (
 	// maxTries bounds the daemons that one request is offered to.
 	maxTries = 8
+	// maxRefusals bounds the busy backend servers of one region that a request is offered to: with so many full the others are too.
+	maxRefusals = 4
 	// lookTerm is the pause before a request for keys on their way looks again.
 	lookTerm = 40 * time.Millisecond
 	// comeBackTerm is when a request should come again if nobody can tell when it will be served.
@@ -58,12 +60,17 @@
 
 // journey is one request on its way.
 type journey struct {
-	task   lagoonlanding.Task
-	route  lagoonlanding.PathRoute
-	tried  map[string]bool
-	tries  int
-	ran    int
-	result lagoonlanding.Result
+	task  lagoonlanding.Task
+	route lagoonlanding.PathRoute
+	tried map[string]bool
+	tries int
+	ran   int
+	// last is the backend server that the request was offered to last.
+	last lagoonlanding.BackendID
+	// refusals counts by region the backend servers that were too busy, and retryAt is when the first of them may take the request.
+	refusals map[string]int
+	retryAt  time.Time
+	result   lagoonlanding.Result
 	// waits is until when the request waits for keys on their way.
 	waits time.Time
 }
@@ -72,13 +79,13 @@
 func (forwarder *Forwarder) Handle(ctx context.Context, task lagoonlanding.Task) lagoonlanding.Result {
 	journey, refusal := forwarder.begin(task)
 	if journey == nil {
-		forwarder.log(task, 0, refusal)
+		forwarder.log(task, lagoonlanding.BackendID{}, 0, refusal)
 		return refusal
 	}
 	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(journey.task.Deadline().Sub(task.Received())))
 	for forwarder.try(ctx, journey) {
 	}
-	forwarder.log(journey.task, journey.tries, journey.result)
+	forwarder.log(journey.task, journey.last, journey.tries, journey.result)
 	result := journey.result
 	if result.Outcome() != lagoonlanding.OutcomeAnswered {
 		cancel()
@@ -113,7 +120,7 @@
 	}
 	forwarder.config.Budgets.Earn(task.Service())
 	wait := time.Duration(float64(task.Objective().Sub(task.Received())) * waitShare)
-	return &journey{task: task, route: route, tried: map[string]bool{}, waits: now.Add(wait)}, lagoonlanding.Result{}
+	return &journey{task: task, route: route, tried: map[string]bool{}, refusals: map[string]int{}, waits: now.Add(wait)}, lagoonlanding.Result{}
 }
 
 // serviceOf draws one of the services of the route by their weights.
@@ -142,14 +149,34 @@
 		return forwarder.wait(ctx, journey)
 	}
 	journey.tries++
-	journey.tried[backend.ID().Daemon()] = true
+	journey.tried[backend.ID().Daemon()], journey.last = true, backend.ID()
 	journey.result = forwarder.send(ctx, backend, journey.task)
 	if journey.result.IsReached() {
 		journey.ran++
 	}
+	journey.noteRefusal(backend)
 	return forwarder.mayGoOn(ctx, journey)
 }
 
+// noteRefusal counts a refusal by a busy backend server, and keeps the earliest time at which one of them may take the request.
+func (journey *journey) noteRefusal(backend lagoonlanding.Backend) {
+	switch journey.result.Reason() {
+	case lagoonlanding.ReasonQueueFull, lagoonlanding.ReasonUpstreamCold:
+	default:
+		return
+	}
+	journey.refusals[backend.Region()]++
+	if retryAt := journey.result.RetryAt(); journey.retryAt.IsZero() || retryAt.Before(journey.retryAt) {
+		journey.retryAt = retryAt
+	}
+	journey.result = journey.result.With(func(config *lagoonlanding.ResultConfig) { config.RetryAt = journey.retryAt })
+}
+
+// mayAsk reports whether the request may be offered to the backend server.
+func (journey *journey) mayAsk(candidate lagoonlanding.Backend) bool {
+	return journey.route.Allows(candidate.Region()) && !journey.tried[candidate.ID().Daemon()] && journey.refusals[candidate.Region()] < maxRefusals
+}
+
 // pick returns the backend server that the request goes to next.
 func (forwarder *Forwarder) pick(journey *journey) (lagoonlanding.Backend, bool) {
 	snapshot := forwarder.config.Snapshot()
@@ -159,7 +186,7 @@
 	}
 	var candidates []lagoonlanding.Backend
 	for _, candidate := range snapshot.Candidates(journey.task.Service()) {
-		if journey.route.Allows(candidate.Region()) && !journey.tried[candidate.ID().Daemon()] {
+		if journey.mayAsk(candidate) {
 			candidates = append(candidates, candidate)
 		}
 	}
@@ -259,7 +286,7 @@
 	return ok && replayer.Replay()
 }
 
-func (forwarder *Forwarder) log(task lagoonlanding.Task, tries int, result lagoonlanding.Result) {
+func (forwarder *Forwarder) log(task lagoonlanding.Task, last lagoonlanding.BackendID, tries int, result lagoonlanding.Result) {
 	took := forwarder.config.Clock.Now().Sub(task.Received())
 	forwarder.config.Meter.Ended(task, result, tries, took)
 	fields := logrus.Fields{
@@ -271,6 +298,9 @@
 	if snapshot.Routing() != nil {
 		fields["configuration"] = snapshot.Routing().Version()
 	}
+	if !last.IsZero() {
+		fields["backend-server"] = last.String()
+	}
 	if result.Reason() != lagoonlanding.ReasonNone {
 		fields["reason"] = result.Reason()
 	}
--- a/mesh/forwarder/forwarder_test.go
+++ b/mesh/forwarder/forwarder_test.go
@@ -86,7 +86,7 @@
 		Daemon: "self", Service: "mine", Carrier: fixture.daemons, Clock: timekeeper.Clock{}, Log: logrus.NewEntry(log), Meter: noMeter{},
 		Chooser: chooser.New(chooser.Config{
 			AvailabilityZone: "a1", Region: "a", ZoneCost: 20 * time.Millisecond, RegionCost: 400 * time.Millisecond,
-			ReportTerm: time.Second, AvoidTerm: time.Second, Random: rand.New(rand.NewPCG(1, 1)),
+			ReportTerm: time.Second, SpeedHalfLife: 8 * time.Second, AvoidTerm: time.Second, Random: rand.New(rand.NewPCG(1, 1)),
 		}),
 		Budgets:  NewBudgets(BudgetsConfig{Share: 0.1, Slack: 4, Daemons: func() int { return 1 }}),
 		Snapshot: func() *coordinator.Snapshot { return coordinator.NewSnapshot(fixture.snapshot) }, Draw: func() float64 { return 0 },
@@ -254,3 +254,30 @@
 		t.Errorf("asked %v", fixture.daemons.asked)
 	}
 }
+
+func TestFullRegionIsLeftForAnother(t *testing.T) {
+	now := time.Now()
+	fixture := newFixture(same, func(daemon string, _ lagoonlanding.Task) lagoonlanding.Result {
+		if daemon == "far" {
+			return answered(200)
+		}
+		return lagoonlanding.NotRun(lagoonlanding.ReasonQueueFull, now.Add(time.Second))
+	})
+	for _, name := range []string{"n1", "n2", "n3", "n4", "n5", "n6"} {
+		fixture.snapshot.Backends = append(fixture.snapshot.Backends, backend(name, "a1", "a", "s"))
+	}
+	if result := fixture.send(same); result.Outcome() != lagoonlanding.OutcomeAnswered || len(fixture.daemons.asked) != maxRefusals+1 {
+		t.Errorf("%v after %v", result.Outcome(), fixture.daemons.asked)
+	}
+}
+
+func TestRefusalNamesTheFirstServerThatMayBeFree(t *testing.T) {
+	now := time.Now()
+	waits := map[string]time.Duration{"near": 900 * time.Millisecond, "beside": 300 * time.Millisecond, "far": 600 * time.Millisecond}
+	fixture := newFixture(same, func(daemon string, _ lagoonlanding.Task) lagoonlanding.Result {
+		return lagoonlanding.NotRun(lagoonlanding.ReasonQueueFull, now.Add(waits[daemon]))
+	})
+	if result := fixture.send(same); result.Outcome() != lagoonlanding.OutcomeNotRun || !result.RetryAt().Equal(now.Add(300*time.Millisecond)) {
+		t.Errorf("%v, again in %v", result.Outcome(), result.RetryAt().Sub(now))
+	}
+}
--- a/mesh/gatekeeper/gate.go
+++ b/mesh/gatekeeper/gate.go
@@ -41,7 +41,9 @@
 	means   means
 	ranks   ranks
 	keys    keys
-	turns   uint64
+	// promised is until when the slots are spoken for by refused tasks that were told to come back.
+	promised time.Time
+	turns    uint64
 }
 
 // waiter is a task that waits for a slot.
@@ -170,7 +172,7 @@
 	}
 	startsAt := gate.startsAt(now, waiter)
 	if len(gate.waiting) >= gate.config.MaxWaiting || startsAt.After(waiter.latest) {
-		return nil, nil, gate.busy(now), now.Add(max(startsAt.Sub(now)/2, shortestRetry))
+		return nil, nil, gate.busy(now), gate.retryAt(now, startsAt, task)
 	}
 	index, _ := slices.BinarySearchFunc(gate.waiting, waiter, before)
 	gate.waiting = slices.Insert(gate.waiting, index, waiter)
@@ -178,6 +180,24 @@
 	return waiter, nil, lagoonlanding.ReasonNone, time.Time{}
 }
 
+// retryAt returns when a refused task should come back.
+//
+// A task for a shard key has nowhere else to go, so it gets a time of its own after all those that were refused before it. Others are
+// tried elsewhere first.
+func (gate *Gate) retryAt(now, startsAt time.Time, task lagoonlanding.Task) time.Time {
+	if task.ShardKey() == lagoonlanding.NoShardKey {
+		return now.Add(max(startsAt.Sub(now)/2, shortestRetry))
+	}
+	if gate.promised.Before(startsAt) {
+		gate.promised = startsAt
+	}
+	promised := gate.promised.Add(gate.means.of(task.Route()) / time.Duration(max(gate.slots, 1)))
+	if promised.Before(task.Deadline()) {
+		gate.promised = promised
+	}
+	return promised
+}
+
 // busy returns the reason for which a task is not let in.
 func (gate *Gate) busy(now time.Time) lagoonlanding.Reason {
 	if gate.pace.isCold(now) {
--- a/mesh/gatekeeper/gate_test.go
+++ b/mesh/gatekeeper/gate_test.go
@@ -220,3 +220,19 @@
 		}
 	})
 }
+
+func TestRefusedTasksForABusyKeyComeBackOneAfterTheOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		gate := newGate(1)
+		enter(t, gate, keyed(7))
+		var last time.Time
+		for number := range 5 {
+			task := keyed(7).With(func(config *lagoonlanding.TaskConfig) { config.Objective = time.Now().Add(firstMean) })
+			_, reason, retryAt := gate.Enter(t.Context(), task)
+			if reason != lagoonlanding.ReasonQueueFull || number > 0 && retryAt.Sub(last) < firstMean {
+				t.Errorf("%s, again %v after the one before", reason, retryAt.Sub(last))
+			}
+			last = retryAt
+		}
+	})
+}
