--- a/Makefile
+++ b/Makefile
@@ -45,19 +45,19 @@
 # soak plays one seed, or with SEEDS="1 2 3" several.
 SEEDS ?= $(SEED)
 soak:
-	@cd soak && go build -o $(CURDIR)/bin/soak .
+	@cd trials/soak && go build -o $(CURDIR)/bin/soak .
 	@for seed in $(SEEDS); do bin/soak -seed $$seed -steps $(STEPS) || exit 1; done
 
 # measure runs the experiments on the request path and draws them under out/.
 measure:
-	@cd measure && go build -o $(CURDIR)/bin/measure .
+	@cd trials/measure && go build -o $(CURDIR)/bin/measure .
 	@bin/measure -seed $(SEED) -out out
 
 # mutants builds the soak with one fault each and fails if no seed finds one of them.
 MUTANT_SEEDS ?= 36
 mutants:
-	@cd soak && go build -o $(CURDIR)/bin/soak . && $(CURDIR)/bin/soak -mutants $(MUTANT_SEEDS) -steps 250
+	@cd trials/soak && go build -o $(CURDIR)/bin/soak . && $(CURDIR)/bin/soak -mutants $(MUTANT_SEEDS) -steps 250
 
 # slopes measures what the control code costs as members, shards, groups and changes grow.
 slopes:
-	@cd slopes && go build -o $(CURDIR)/bin/slopes . && $(CURDIR)/bin/slopes
+	@cd trials/slopes && go build -o $(CURDIR)/bin/slopes . && $(CURDIR)/bin/slopes
--- a/encoder/difference.go
+++ b/adapters/encoder/difference.go
@@ -11,7 +11,7 @@
 	"github.com/samber/oops"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/publisher"
+	"lagoonlanding.example/lagoonlanding/operations/publisher"
 )
 
 // ErrOtherBase says that a difference is not to the set that it was applied to, so the whole set is needed.
--- a/encoder/set.go
+++ b/adapters/encoder/set.go
@@ -7,7 +7,7 @@
 	"github.com/samber/oops"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/publisher"
+	"lagoonlanding.example/lagoonlanding/operations/publisher"
 )
 
 // The limits of an encoded set.
--- a/encoder/set_test.go
+++ b/adapters/encoder/set_test.go
@@ -10,7 +10,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/publisher"
+	"lagoonlanding.example/lagoonlanding/operations/publisher"
 )
 
 var compareSets = cmp.AllowUnexported(
--- a/encoder/wireobject.go
+++ b/adapters/encoder/wireobject.go
@@ -1,6 +1,6 @@
 package encoder
 
-import "lagoonlanding.example/lagoonlanding/publisher"
+import "lagoonlanding.example/lagoonlanding/operations/publisher"
 
 func toWireRegion(region publisher.HomeRegion) wireRegion {
 	return wireRegion{Name: region.Name(), Store: region.HasStore()}
--- a/encoder/wireset.go
+++ b/adapters/encoder/wireset.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"lagoonlanding.example/lagoonlanding/publisher"
+	"lagoonlanding.example/lagoonlanding/operations/publisher"
 )
 
 type wireSet struct {
--- a/invoker/invoker_test.go
+++ b/adapters/invoker/invoker_test.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/reserver"
+	"lagoonlanding.example/lagoonlanding/runtime/reserver"
 )
 
 type fixedClock struct{ now time.Time }
--- a/messenger/bench_test.go
+++ b/adapters/messenger/bench_test.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/encoder"
+	"lagoonlanding.example/lagoonlanding/adapters/encoder"
 )
 
 func renewal() lagoonlanding.RenewRequest {
--- a/messenger/link.go
+++ b/adapters/messenger/link.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/encoder"
+	"lagoonlanding.example/lagoonlanding/adapters/encoder"
 )
 
 const (
--- a/messenger/messenger.go
+++ b/adapters/messenger/messenger.go
@@ -6,7 +6,7 @@
 	"sync/atomic"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/encoder"
+	"lagoonlanding.example/lagoonlanding/adapters/encoder"
 )
 
 const (
--- a/messenger/messenger_test.go
+++ b/adapters/messenger/messenger_test.go
@@ -13,7 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/reserver"
+	"lagoonlanding.example/lagoonlanding/runtime/reserver"
 )
 
 var exported = cmp.Exporter(func(reflect.Type) bool { return true })
--- a/messenger/session.go
+++ b/adapters/messenger/session.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/encoder"
+	"lagoonlanding.example/lagoonlanding/adapters/encoder"
 )
 
 // The names under which net/rpc knows the messages.
--- a/receiver/receiver_test.go
+++ b/adapters/receiver/receiver_test.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/publisher"
-	"lagoonlanding.example/lagoonlanding/router"
+	"lagoonlanding.example/lagoonlanding/operations/publisher"
+	"lagoonlanding.example/lagoonlanding/requests/router"
 )
 
 var start = time.Unix(1_700_000_000, 0)
--- a/reporter/control.go
+++ b/adapters/reporter/control.go
@@ -7,8 +7,8 @@
 	"github.com/uber-go/tally/v4"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/messenger"
-	"lagoonlanding.example/lagoonlanding/router"
+	"lagoonlanding.example/lagoonlanding/adapters/messenger"
+	"lagoonlanding.example/lagoonlanding/requests/router"
 )
 
 // control are the metrics of the control state.
--- a/reporter/reporter.go
+++ b/adapters/reporter/reporter.go
@@ -13,7 +13,7 @@
 	"github.com/uber-go/tally/v4/prometheus"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/router"
+	"lagoonlanding.example/lagoonlanding/requests/router"
 )
 
 const (
--- a/reporter/reporter_test.go
+++ b/adapters/reporter/reporter_test.go
@@ -8,9 +8,9 @@
 	"time"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/messenger"
-	"lagoonlanding.example/lagoonlanding/publisher"
-	"lagoonlanding.example/lagoonlanding/router"
+	"lagoonlanding.example/lagoonlanding/adapters/messenger"
+	"lagoonlanding.example/lagoonlanding/operations/publisher"
+	"lagoonlanding.example/lagoonlanding/requests/router"
 )
 
 type fixed struct{ snapshot *router.Snapshot }
--- a/storer/client.go
+++ b/adapters/storer/client.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/storer/encoder"
+	"lagoonlanding.example/lagoonlanding/adapters/storer/encoder"
 )
 
 const (
--- a/storer/client_test.go
+++ b/adapters/storer/client_test.go
@@ -8,7 +8,7 @@
 	"testing"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/reserver"
+	"lagoonlanding.example/lagoonlanding/runtime/reserver"
 )
 
 func TestErrorsOfSwap(t *testing.T) {
--- a/storer/memory.go
+++ b/adapters/storer/memory.go
@@ -5,7 +5,7 @@
 	"sync"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/keeper"
+	"lagoonlanding.example/lagoonlanding/adapters/keeper"
 )
 
 // Memory is a store within this process, for tests; it is down, or loses answers, when it is told to.
--- a/lagoonctl/caller/caller.go
+++ b/lagoonctl/caller/caller.go
@@ -13,7 +13,7 @@
 
 	"github.com/samber/oops"
 
-	"lagoonlanding.example/lagoonlanding/administrator/encoder"
+	"lagoonlanding.example/lagoonlanding/operations/administrator/encoder"
 )
 
 // maxAnswerSize bounds an answer of the daemon.
--- a/lagoonctl/commander/commands.go
+++ b/lagoonctl/commander/commands.go
@@ -6,7 +6,7 @@
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
-	"lagoonlanding.example/lagoonlanding/administrator/encoder"
+	"lagoonlanding.example/lagoonlanding/operations/administrator/encoder"
 )
 
 func commands(options *options) []*ffcli.Command {
--- a/lagoonctl/commander/direct.go
+++ b/lagoonctl/commander/direct.go
@@ -5,15 +5,15 @@
 	"crypto/rand"
 	"time"
 
-	"lagoonlanding.example/lagoonlanding/administrator/encoder"
-	"lagoonlanding.example/lagoonlanding/conductor"
-	storeencoder "lagoonlanding.example/lagoonlanding/encoder"
-	"lagoonlanding.example/lagoonlanding/parser"
-	"lagoonlanding.example/lagoonlanding/placer"
-	"lagoonlanding.example/lagoonlanding/publisher"
-	"lagoonlanding.example/lagoonlanding/storer"
-	"lagoonlanding.example/lagoonlanding/submitter"
-	"lagoonlanding.example/lagoonlanding/timekeeper"
+	storeencoder "lagoonlanding.example/lagoonlanding/adapters/encoder"
+	"lagoonlanding.example/lagoonlanding/adapters/storer"
+	"lagoonlanding.example/lagoonlanding/operations/administrator/encoder"
+	"lagoonlanding.example/lagoonlanding/operations/conductor"
+	"lagoonlanding.example/lagoonlanding/operations/parser"
+	"lagoonlanding.example/lagoonlanding/operations/publisher"
+	"lagoonlanding.example/lagoonlanding/operations/submitter"
+	"lagoonlanding.example/lagoonlanding/ownership/placer"
+	"lagoonlanding.example/lagoonlanding/runtime/timekeeper"
 )
 
 // publishDirectly writes the set through the store, for a fleet that has no daemon yet.
--- a/lagoonctl/commander/publish.go
+++ b/lagoonctl/commander/publish.go
@@ -8,8 +8,8 @@
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 
-	"lagoonlanding.example/lagoonlanding/administrator/encoder"
-	"lagoonlanding.example/lagoonlanding/parser"
+	"lagoonlanding.example/lagoonlanding/operations/administrator/encoder"
+	"lagoonlanding.example/lagoonlanding/operations/parser"
 )
 
 // orderFlags are the flags of commands that publish.
--- a/lagoonctl/printer/printer.go
+++ b/lagoonctl/printer/printer.go
@@ -7,7 +7,7 @@
 	"strings"
 	"text/tabwriter"
 
-	"lagoonlanding.example/lagoonlanding/administrator/encoder"
+	"lagoonlanding.example/lagoonlanding/operations/administrator/encoder"
 )
 
 // The formats of the output.
--- a/lagoonctl/printer/status.go
+++ b/lagoonctl/printer/status.go
@@ -5,7 +5,7 @@
 	"strings"
 	"time"
 
-	"lagoonlanding.example/lagoonlanding/administrator/encoder"
+	"lagoonlanding.example/lagoonlanding/operations/administrator/encoder"
 )
 
 // Set writes a published set as TOML, with its version as a comment.
--- a/lagoond/bench_test.go
+++ b/lagoond/bench_test.go
@@ -5,7 +5,7 @@
 	"net/http"
 	"testing"
 
-	"lagoonlanding.example/lagoonlanding/storer"
+	"lagoonlanding.example/lagoonlanding/adapters/storer"
 )
 
 // BenchmarkPaths sends requests through the owner's daemon and through another one; client and backend server count in.
--- a/lagoond/beside.go
+++ b/lagoond/beside.go
@@ -7,9 +7,9 @@
 	"github.com/sirupsen/logrus"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/announcer"
-	"lagoonlanding.example/lagoonlanding/invoker"
-	"lagoonlanding.example/lagoonlanding/prober"
+	"lagoonlanding.example/lagoonlanding/adapters/announcer"
+	"lagoonlanding.example/lagoonlanding/adapters/invoker"
+	"lagoonlanding.example/lagoonlanding/requests/prober"
 )
 
 // beside tends the backend server beside the daemon: it connects to it and watches it.
--- a/lagoond/daemon_test.go
+++ b/lagoond/daemon_test.go
@@ -15,7 +15,7 @@
 
 	"github.com/sirupsen/logrus"
 
-	"lagoonlanding.example/lagoonlanding/storer"
+	"lagoonlanding.example/lagoonlanding/adapters/storer"
 )
 
 func TestRequestsReachTheOneOwnerFromEveryDaemon(t *testing.T) {
--- a/lagoond/fleet_test.go
+++ b/lagoond/fleet_test.go
@@ -15,11 +15,11 @@
 	"github.com/sirupsen/logrus"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/encoder"
-	"lagoonlanding.example/lagoonlanding/invoker"
-	"lagoonlanding.example/lagoonlanding/loader"
-	"lagoonlanding.example/lagoonlanding/publisher"
-	"lagoonlanding.example/lagoonlanding/reserver"
+	"lagoonlanding.example/lagoonlanding/adapters/encoder"
+	"lagoonlanding.example/lagoonlanding/adapters/invoker"
+	"lagoonlanding.example/lagoonlanding/adapters/loader"
+	"lagoonlanding.example/lagoonlanding/operations/publisher"
+	"lagoonlanding.example/lagoonlanding/runtime/reserver"
 )
 
 // patience bounds the wait for what must happen at some time.
--- a/lagoond/listeners.go
+++ b/lagoond/listeners.go
@@ -5,7 +5,7 @@
 
 	"github.com/samber/oops"
 
-	"lagoonlanding.example/lagoonlanding/loader"
+	"lagoonlanding.example/lagoonlanding/adapters/loader"
 )
 
 // listeners are open before anything starts, so that a port in use stops the daemon at once.
--- a/lagoond/log.go
+++ b/lagoond/log.go
@@ -9,7 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/loader"
+	"lagoonlanding.example/lagoonlanding/adapters/loader"
 )
 
 // partField is the field that says which part of the daemon writes.
--- a/lagoond/main.go
+++ b/lagoond/main.go
@@ -12,8 +12,8 @@
 
 	"github.com/sirupsen/logrus"
 
-	"lagoonlanding.example/lagoonlanding/loader"
-	"lagoonlanding.example/lagoonlanding/storer"
+	"lagoonlanding.example/lagoonlanding/adapters/loader"
+	"lagoonlanding.example/lagoonlanding/adapters/storer"
 )
 
 // The exit codes of the program.
--- a/lagoond/options.go
+++ b/lagoond/options.go
@@ -7,7 +7,7 @@
 
 	"github.com/peterbourgon/ff/v3"
 
-	"lagoonlanding.example/lagoonlanding/loader"
+	"lagoonlanding.example/lagoonlanding/adapters/loader"
 )
 
 // environmentPrefix starts the names of the environment variables, such as LAGOOND_STORE_URL.
--- a/lagoonmesh/daemon.go
+++ b/lagoonmesh/daemon.go
@@ -26,7 +26,7 @@
 	"lagoonlanding.example/lagoonlanding/mesh/relayer"
 	"lagoonlanding.example/lagoonlanding/mesh/syncer"
 	"lagoonlanding.example/lagoonlanding/platform"
-	"lagoonlanding.example/lagoonlanding/timekeeper"
+	"lagoonlanding.example/lagoonlanding/runtime/timekeeper"
 )
 
 // daemon is the router's process beside one backend server.
@@ -67,7 +67,7 @@
 
 func (daemon *daemon) self() lagoonlanding.Backend {
 	return lagoonlanding.NewBackend(lagoonlanding.BackendConfig{
-		ID: lagoonlanding.NewBackendID(daemon.settings.Daemon(), "", 0), PeerAddress: daemon.settings.PeerAddress(),
+		ID: lagoonlanding.NewBackendID(daemon.settings.Daemon(), "", 0), PeerAddress: daemon.settings.AdvertisedPeerAddress(),
 		AvailabilityZone: daemon.settings.AvailabilityZone(), Region: daemon.settings.Region(), Service: daemon.settings.Service(),
 		State: lagoonlanding.BackendAbsent,
 	})
--- a/lagoonmesh/store_test.go
+++ b/lagoonmesh/store_test.go
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"lagoonlanding.example/lagoonlanding/keeper"
+	"lagoonlanding.example/lagoonlanding/adapters/keeper"
 )
 
 // platformStore speaks the form of the platform's store over the entries of a keeper.Table.
--- a/lagoonmesh/whole_test.go
+++ b/lagoonmesh/whole_test.go
@@ -16,7 +16,7 @@
 	"github.com/sirupsen/logrus"
 
 	"lagoonlanding.example/lagoonlanding/platform"
-	"lagoonlanding.example/lagoonlanding/reserver"
+	"lagoonlanding.example/lagoonlanding/runtime/reserver"
 )
 
 const wholeConfig = `{"version":%d,"routes":{
--- a/mesh/acceptor/acceptor_test.go
+++ b/mesh/acceptor/acceptor_test.go
@@ -13,7 +13,7 @@
 	"lagoonlanding.example/lagoonlanding"
 	"lagoonlanding.example/lagoonlanding/mesh/gatekeeper"
 	"lagoonlanding.example/lagoonlanding/mesh/grantor"
-	"lagoonlanding.example/lagoonlanding/timekeeper"
+	"lagoonlanding.example/lagoonlanding/runtime/timekeeper"
 )
 
 var id = lagoonlanding.NewBackendID("daemon", "server", 1)
--- a/mesh/allocator/allocator_test.go
+++ b/mesh/allocator/allocator_test.go
@@ -253,3 +253,20 @@
 		allotment.Held(holders[0].ID(), func(int, int) bool { return false })
 	}
 }
+
+func TestNewcomerToALargeFleetTakesFromFew(t *testing.T) {
+	holders := holdersOf(42)
+	before, _ := NewAllotment(AllotmentConfig{Service: "s"}).Plan(PlanConfig{Backends: holders[:41], IsGone: nobodyGone})
+	after, changed := before.Plan(PlanConfig{Backends: holders, IsGone: nobodyGone})
+	givers := map[lagoonlanding.BackendID]bool{}
+	moved := 0
+	for number, stripe := range after.Stripes() {
+		if stripe.Owner() != before.Stripes()[number].Owner() {
+			givers[stripe.Prior()] = true
+			moved++
+		}
+	}
+	if part := len(after.Stripes()) / 42; !changed || moved < part || moved > part+1 || len(givers) > 14 {
+		t.Errorf("%d stripes moved from %d holders", moved, len(givers))
+	}
+}
--- a/mesh/allocator/plan.go
+++ b/mesh/allocator/plan.go
@@ -112,23 +112,57 @@
 	return stripe.Prior(), ok
 }
 
-// level moves stripes from backend servers with too many to those with the fewest.
+// level fills backend servers that have too few stripes, and takes from those that have too many.
 func (plan *plan) level() bool {
 	part := float64(len(plan.allotment.config.Stripes)) / float64(len(plan.order))
+	tolerance := max(1, part*imbalance)
 	changed := false
 	for {
 		most, least := plan.most(), plan.fewest()
-		excess := float64(len(plan.owned[most])) - part
-		lack := part - float64(len(plan.owned[least]))
-		isUneven := excess > max(1, part*imbalance) || lack > max(1, part*imbalance)
-		if !isUneven && !(changed && excess >= 1 && lack >= 1) {
+		switch {
+		case plan.lack(least, part) > tolerance:
+			plan.fill(least, part)
+		case -plan.lack(most, part) > tolerance:
+			plan.relieve(most, part)
+		default:
 			return changed
 		}
-		plan.give(most, least)
 		changed = true
 	}
 }
 
+// lack returns how many stripes the backend server has less than its part.
+func (plan *plan) lack(id lagoonlanding.BackendID, part float64) float64 {
+	return part - float64(len(plan.owned[id]))
+}
+
+// fill gives a backend server its part, several stripes from each of a few givers: each giver writes to the store when it has let go.
+func (plan *plan) fill(taker lagoonlanding.BackendID, part float64) {
+	for plan.lack(taker, part) >= 1 {
+		giver := plan.most()
+		if len(plan.owned[giver]) <= len(plan.owned[taker])+1 {
+			return
+		}
+		for count := 0; count < batch(part) && plan.lack(taker, part) >= 1 && len(plan.owned[giver]) > len(plan.owned[taker])+1; count++ {
+			plan.give(giver, taker)
+		}
+	}
+}
+
+// relieve takes from a backend server what it has beyond its part.
+func (plan *plan) relieve(giver lagoonlanding.BackendID, part float64) {
+	for -plan.lack(giver, part) >= 1 {
+		taker := plan.fewest()
+		if len(plan.owned[giver]) <= len(plan.owned[taker])+1 {
+			return
+		}
+		plan.give(giver, taker)
+	}
+}
+
+// batch returns how many stripes one backend server gives to another at a time.
+func batch(part float64) int { return max(1, int(part*imbalance/2)) }
+
 // give moves one stripe; those of one owner are taken from the middle of its list so that neighbours part.
 func (plan *plan) give(from, to lagoonlanding.BackendID) {
 	numbers := plan.owned[from]
--- a/mesh/coordinator/write.go
+++ b/mesh/coordinator/write.go
@@ -13,8 +13,9 @@
 const (
 	// settleTerm is how long changes of the fleet are gathered before keys move.
 	settleTerm = 300 * time.Millisecond
-	// firstTerm is how long a new daemon gathers the fleet before it allots keys that nobody has allotted yet.
-	firstTerm = 2 * time.Second
+	// firstTerm is how long a new daemon gathers the fleet before it allots keys that nobody has allotted yet: backend servers announce
+	// themselves within about two seconds, and keys that move again right away cost a write by each holder.
+	firstTerm = 4 * time.Second
 	// rankTerm is how much longer each further daemon waits for the ones before it to write.
 	rankTerm = 1200 * time.Millisecond
 	// planners is how many daemons work out allotments: the others would only repeat the work and come too late to write.
--- a/mesh/forwarder/budget.go
+++ b/mesh/forwarder/budget.go
@@ -3,7 +3,7 @@
 import (
 	"sync"
 
-	"lagoonlanding.example/lagoonlanding/retrier"
+	"lagoonlanding.example/lagoonlanding/requests/retrier"
 )
 
 // BudgetsConfig holds what Budgets are built from.
--- a/mesh/forwarder/forwarder_test.go
+++ b/mesh/forwarder/forwarder_test.go
@@ -17,7 +17,7 @@
 	"lagoonlanding.example/lagoonlanding/mesh/allocator"
 	"lagoonlanding.example/lagoonlanding/mesh/chooser"
 	"lagoonlanding.example/lagoonlanding/mesh/coordinator"
-	"lagoonlanding.example/lagoonlanding/timekeeper"
+	"lagoonlanding.example/lagoonlanding/runtime/timekeeper"
 )
 
 // fakeDaemons answer by the script and note who was asked.
--- a/mesh/gatekeeper/gate_test.go
+++ b/mesh/gatekeeper/gate_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/timekeeper"
+	"lagoonlanding.example/lagoonlanding/runtime/timekeeper"
 )
 
 var id = lagoonlanding.NewBackendID("daemon", "server", 1)
--- a/mesh/syncer/discover.go
+++ b/mesh/syncer/discover.go
@@ -1,6 +1,7 @@
 package syncer
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"strings"
@@ -11,65 +12,92 @@
 )
 
 const (
-	// discoverTerm bounds the search for daemons of the zone; of a whole fleet that starts some have registered within an announcement.
-	discoverTerm = 1200 * time.Millisecond
-	// discoverInterval is the time between two looks.
-	discoverInterval = 400 * time.Millisecond
+	// discoverTerm bounds the wait for the own registration, which follows the first announcement of the backend server.
+	discoverTerm = 2500 * time.Millisecond
+	// leaseWait bounds the wait for a lease: without one there is no registration to wait for.
+	leaseWait = 300 * time.Millisecond
+	// discoverInterval is the time between two looks whether this daemon has registered.
+	discoverInterval = 50 * time.Millisecond
+	// seedsByName and seedsByAge bound the daemons that a starting one asks before the store: in a fleet that runs, the first by name have
+	// news, in one that starts, those that registered first.
+	seedsByName = 2
+	seedsByAge  = 2
 )
 
 // discover looks for daemons of the zone that can tell the news, so that a daemon that starts does not read it all from the store.
 //
-// It ends without any if this daemon registers and comes first in its zone, if the store does not answer, or if nobody was found in time.
+// A cheap read finds them in a fleet that runs. It may be too old to show a fleet that has just started, so the zone is listed once more
+// after this daemon has registered.
 func (syncer *Syncer) discover(ctx context.Context) {
-	for end := syncer.config.Clock.Now().Add(discoverTerm); ctx.Err() == nil && syncer.config.Clock.Now().Before(end); {
-		seeds, err := syncer.peek(ctx)
-		if len(seeds) > 0 {
-			syncer.setSeeds(seeds)
-			return
-		}
-		if err != nil || syncer.isRegistered() {
+	if isFound, err := syncer.search(ctx, syncer.config.Store.Peek); isFound || err != nil {
+		return
+	}
+	began := syncer.config.Clock.Now()
+	for ctx.Err() == nil && !syncer.isRegistered() {
+		waited := syncer.config.Clock.Now().Sub(began)
+		if waited > discoverTerm || waited > leaseWait && !syncer.hasLease() {
 			return
 		}
 		syncer.sleep(ctx, discoverInterval)
 	}
+	if _, err := syncer.search(ctx, syncer.config.Store.List); err != nil {
+		syncer.config.Log.WithError(err).Debug("Zone cannot be listed.")
+	}
 }
 
-// peek returns the daemons of the zone that come before this one by name.
-func (syncer *Syncer) peek(ctx context.Context) ([]lagoonlanding.Backend, error) {
+// search reads the zone and keeps the daemons that may have news; it is false if there are none.
+func (syncer *Syncer) search(ctx context.Context, read func(context.Context, string) (lagoonlanding.Listing, error)) (bool, error) {
 	call, cancel := context.WithTimeout(ctx, callTerm)
 	defer cancel()
 	prefix := coordinator.ZonePrefix(syncer.config.AvailabilityZone)
-	listing, err := syncer.config.Store.Peek(call, prefix)
+	listing, err := read(call, prefix)
 	syncer.note("discovery", err)
 	if err != nil {
-		return nil, err
+		return false, err
 	}
-	var seeds []lagoonlanding.Backend
+	var others []lagoonlanding.Entry
 	for _, entry := range listing.Entries() {
-		name := strings.TrimPrefix(entry.Key(), prefix)
-		if name < syncer.config.Daemon && len(entry.Value()) > 0 {
-			seeds = append(seeds, lagoonlanding.NewBackend(lagoonlanding.BackendConfig{
-				ID: lagoonlanding.NewBackendID(name, "", 0), PeerAddress: string(entry.Value()), AvailabilityZone: syncer.config.AvailabilityZone,
-			}))
+		if entry.Key() != prefix+syncer.config.Daemon && len(entry.Value()) > 0 {
+			others = append(others, entry)
 		}
 	}
-	slices.SortFunc(seeds, func(a, b lagoonlanding.Backend) int { return strings.Compare(a.ID().Daemon(), b.ID().Daemon()) })
-	return seeds[:min(len(seeds), maxSeeds)], nil
+	syncer.setSeeds(syncer.seedsOf(prefix, others))
+	return len(others) > 0, nil
 }
 
-// maxSeeds bounds the daemons that a starting one asks before the store.
-const maxSeeds = 3
+// seedsOf picks the first daemons by name, and then the first by registration.
+func (syncer *Syncer) seedsOf(prefix string, entries []lagoonlanding.Entry) []lagoonlanding.Backend {
+	byName := slices.SortedFunc(slices.Values(entries), func(a, b lagoonlanding.Entry) int { return strings.Compare(a.Key(), b.Key()) })
+	byAge := slices.SortedFunc(slices.Values(entries), func(a, b lagoonlanding.Entry) int { return cmp.Compare(a.Revision(), b.Revision()) })
+	picked := slices.Concat(byName[:min(len(byName), seedsByName)], byAge[:min(len(byAge), seedsByAge)])
+	var seeds []lagoonlanding.Backend
+	for _, entry := range picked {
+		seed := lagoonlanding.NewBackend(lagoonlanding.BackendConfig{
+			ID: lagoonlanding.NewBackendID(strings.TrimPrefix(entry.Key(), prefix), "", 0), PeerAddress: string(entry.Value()),
+			AvailabilityZone: syncer.config.AvailabilityZone,
+		})
+		if !slices.Contains(seeds, seed) {
+			seeds = append(seeds, seed)
+		}
+	}
+	return seeds
+}
 
 // lookAgain renews what is known of the daemons of the zone while that is all that is known of the fleet.
 func (syncer *Syncer) lookAgain(ctx context.Context) {
 	if len(syncer.config.Coordinator.Snapshot().Relays()) > 1 {
 		return
 	}
-	if seeds, err := syncer.peek(ctx); err == nil {
-		syncer.setSeeds(seeds)
+	if _, err := syncer.search(ctx, syncer.config.Store.Peek); err != nil {
+		syncer.config.Log.WithError(err).Debug("Zone cannot be looked up.")
 	}
 }
 
+func (syncer *Syncer) hasLease() (has bool) {
+	syncer.control.Do(func(state *coordinator.Coordinator) { session := state.Session(); has = session.Lease() != 0 })
+	return has
+}
+
 func (syncer *Syncer) isRegistered() (registered bool) {
 	syncer.control.Do(func(state *coordinator.Coordinator) { session := state.Session(); registered = session.IsRegistered() })
 	return registered
--- a/mesh/syncer/syncer.go
+++ b/mesh/syncer/syncer.go
@@ -9,9 +9,9 @@
 	"github.com/sirupsen/logrus"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/executor"
 	"lagoonlanding.example/lagoonlanding/mesh/coordinator"
 	"lagoonlanding.example/lagoonlanding/mesh/relayer"
+	"lagoonlanding.example/lagoonlanding/runtime/executor"
 )
 
 const (
--- a/mesh/syncer/view.go
+++ b/mesh/syncer/view.go
@@ -26,8 +26,8 @@
 	returnTerm = time.Second
 	// blindTerm is the time between two questions to a store that does not answer renewals either, which cost less.
 	blindTerm = 4 * time.Second
-	// gatherTerm is the pause between two watches of the store, in which changes that come together are gathered.
-	gatherTerm = 50 * time.Millisecond
+	// gatherTerm is the pause between two watches of the store, in which changes that come together are gathered; each watch has its price.
+	gatherTerm = 150 * time.Millisecond
 	// startTerm is that pause while a new daemon knows no other: a whole fleet may be starting.
 	startTerm = 1200 * time.Millisecond
 )
@@ -146,7 +146,7 @@
 			break
 		}
 		view.connect(true)
-		if preferred, ok := view.source(); ok && preferred.name != source.name && view.heard.After(view.since.Add(avoidTerm)) {
+		if view.hasBetter(ctx, source) {
 			return nil
 		}
 		if source.direct {
@@ -163,6 +163,24 @@
 	return err
 }
 
+// hasBetter reports whether a source that comes before the present one tells news again.
+//
+// It is asked once before the present one is given up, since a watch of the store that was given up begins with a listing.
+func (view *view) hasBetter(ctx context.Context, present source) bool {
+	preferred, ok := view.source()
+	if !ok || preferred.name == present.name {
+		return false
+	}
+	if preferred.direct {
+		return true
+	}
+	err := view.watch(ctx, preferred)
+	if err != nil {
+		view.avoid(preferred, err)
+	}
+	return err == nil
+}
+
 // succeed notes that the source has told what there is.
 func (view *view) succeed(source source) {
 	view.syncer.note(view.name, nil)
--- a/mesh/syncer/view_test.go
+++ b/mesh/syncer/view_test.go
@@ -15,7 +15,7 @@
 	"lagoonlanding.example/lagoonlanding/mesh/grantor"
 	"lagoonlanding.example/lagoonlanding/mesh/registrar"
 	"lagoonlanding.example/lagoonlanding/mesh/relayer"
-	"lagoonlanding.example/lagoonlanding/timekeeper"
+	"lagoonlanding.example/lagoonlanding/runtime/timekeeper"
 )
 
 // fakeStore cuts the first watch of each part and then lets watches wait without a word, as a store does that has dropped its history.
--- a/administrator/administrator.go
+++ b/operations/administrator/administrator.go
@@ -11,13 +11,13 @@
 	"github.com/sirupsen/logrus"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/administrator/encoder"
-	"lagoonlanding.example/lagoonlanding/conductor"
-	"lagoonlanding.example/lagoonlanding/confirmer"
-	"lagoonlanding.example/lagoonlanding/parser"
-	"lagoonlanding.example/lagoonlanding/publisher"
-	"lagoonlanding.example/lagoonlanding/router"
-	"lagoonlanding.example/lagoonlanding/submitter"
+	"lagoonlanding.example/lagoonlanding/operations/administrator/encoder"
+	"lagoonlanding.example/lagoonlanding/operations/conductor"
+	"lagoonlanding.example/lagoonlanding/operations/confirmer"
+	"lagoonlanding.example/lagoonlanding/operations/parser"
+	"lagoonlanding.example/lagoonlanding/operations/publisher"
+	"lagoonlanding.example/lagoonlanding/operations/submitter"
+	"lagoonlanding.example/lagoonlanding/requests/router"
 )
 
 const (
--- a/administrator/administrator_test.go
+++ b/operations/administrator/administrator_test.go
@@ -17,12 +17,12 @@
 	"github.com/sirupsen/logrus"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/administrator/encoder"
-	storeencoder "lagoonlanding.example/lagoonlanding/encoder"
-	"lagoonlanding.example/lagoonlanding/parser"
-	"lagoonlanding.example/lagoonlanding/placer"
-	"lagoonlanding.example/lagoonlanding/router"
-	"lagoonlanding.example/lagoonlanding/storer"
+	storeencoder "lagoonlanding.example/lagoonlanding/adapters/encoder"
+	"lagoonlanding.example/lagoonlanding/adapters/storer"
+	"lagoonlanding.example/lagoonlanding/operations/administrator/encoder"
+	"lagoonlanding.example/lagoonlanding/operations/parser"
+	"lagoonlanding.example/lagoonlanding/ownership/placer"
+	"lagoonlanding.example/lagoonlanding/requests/router"
 )
 
 // hastyClock lets every wait end at once, and time pass with it.
--- a/administrator/encoder/order.go
+++ b/operations/administrator/encoder/order.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"lagoonlanding.example/lagoonlanding/parser"
+	"lagoonlanding.example/lagoonlanding/operations/parser"
 )
 
 // Source is one TOML file of a set.
--- a/administrator/encoder/outcome.go
+++ b/operations/administrator/encoder/outcome.go
@@ -3,10 +3,10 @@
 import (
 	"time"
 
-	"lagoonlanding.example/lagoonlanding/conductor"
-	"lagoonlanding.example/lagoonlanding/confirmer"
-	"lagoonlanding.example/lagoonlanding/parser"
-	"lagoonlanding.example/lagoonlanding/publisher"
+	"lagoonlanding.example/lagoonlanding/operations/conductor"
+	"lagoonlanding.example/lagoonlanding/operations/confirmer"
+	"lagoonlanding.example/lagoonlanding/operations/parser"
+	"lagoonlanding.example/lagoonlanding/operations/publisher"
 )
 
 // Lag is one reason why a set is not yet known to be in force everywhere.
--- a/administrator/encoder/plan.go
+++ b/operations/administrator/encoder/plan.go
@@ -1,10 +1,10 @@
 package encoder
 
 import (
-	"lagoonlanding.example/lagoonlanding/conductor"
-	"lagoonlanding.example/lagoonlanding/parser"
-	"lagoonlanding.example/lagoonlanding/planner"
-	"lagoonlanding.example/lagoonlanding/publisher"
+	"lagoonlanding.example/lagoonlanding/operations/conductor"
+	"lagoonlanding.example/lagoonlanding/operations/parser"
+	"lagoonlanding.example/lagoonlanding/operations/planner"
+	"lagoonlanding.example/lagoonlanding/operations/publisher"
 )
 
 // Fault is one reason why a set is refused.
--- a/administrator/inspection.go
+++ b/operations/administrator/inspection.go
@@ -6,9 +6,9 @@
 	"time"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/administrator/encoder"
-	"lagoonlanding.example/lagoonlanding/confirmer"
-	"lagoonlanding.example/lagoonlanding/router"
+	"lagoonlanding.example/lagoonlanding/operations/administrator/encoder"
+	"lagoonlanding.example/lagoonlanding/operations/confirmer"
+	"lagoonlanding.example/lagoonlanding/requests/router"
 )
 
 // inspection is one group with what its witnesses know.
--- a/administrator/order.go
+++ b/operations/administrator/order.go
@@ -9,10 +9,10 @@
 	"strconv"
 	"time"
 
-	"lagoonlanding.example/lagoonlanding/administrator/encoder"
-	"lagoonlanding.example/lagoonlanding/conductor"
-	"lagoonlanding.example/lagoonlanding/parser"
-	"lagoonlanding.example/lagoonlanding/publisher"
+	"lagoonlanding.example/lagoonlanding/operations/administrator/encoder"
+	"lagoonlanding.example/lagoonlanding/operations/conductor"
+	"lagoonlanding.example/lagoonlanding/operations/parser"
+	"lagoonlanding.example/lagoonlanding/operations/publisher"
 )
 
 // none is the body of a call that has none.
--- a/administrator/status.go
+++ b/operations/administrator/status.go
@@ -10,9 +10,9 @@
 	"time"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/administrator/encoder"
-	"lagoonlanding.example/lagoonlanding/explainer"
-	"lagoonlanding.example/lagoonlanding/router"
+	"lagoonlanding.example/lagoonlanding/operations/administrator/encoder"
+	"lagoonlanding.example/lagoonlanding/operations/explainer"
+	"lagoonlanding.example/lagoonlanding/requests/router"
 )
 
 // statusTimeout is when a witness counts as silent.
--- a/conductor/conductor.go
+++ b/operations/conductor/conductor.go
@@ -8,11 +8,11 @@
 	"github.com/samber/oops"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/confirmer"
-	"lagoonlanding.example/lagoonlanding/planner"
-	"lagoonlanding.example/lagoonlanding/publisher"
-	"lagoonlanding.example/lagoonlanding/router"
-	"lagoonlanding.example/lagoonlanding/submitter"
+	"lagoonlanding.example/lagoonlanding/operations/confirmer"
+	"lagoonlanding.example/lagoonlanding/operations/planner"
+	"lagoonlanding.example/lagoonlanding/operations/publisher"
+	"lagoonlanding.example/lagoonlanding/operations/submitter"
+	"lagoonlanding.example/lagoonlanding/requests/router"
 )
 
 const (
--- a/conductor/conductor_test.go
+++ b/operations/conductor/conductor_test.go
@@ -12,12 +12,12 @@
 	"github.com/google/go-cmp/cmp"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/encoder"
-	"lagoonlanding.example/lagoonlanding/placer"
-	"lagoonlanding.example/lagoonlanding/planner"
-	"lagoonlanding.example/lagoonlanding/publisher"
-	"lagoonlanding.example/lagoonlanding/storer"
-	"lagoonlanding.example/lagoonlanding/submitter"
+	"lagoonlanding.example/lagoonlanding/adapters/encoder"
+	"lagoonlanding.example/lagoonlanding/adapters/storer"
+	"lagoonlanding.example/lagoonlanding/operations/planner"
+	"lagoonlanding.example/lagoonlanding/operations/publisher"
+	"lagoonlanding.example/lagoonlanding/operations/submitter"
+	"lagoonlanding.example/lagoonlanding/ownership/placer"
 )
 
 // hastyClock lets every wait end at once.
--- a/conductor/order.go
+++ b/operations/conductor/order.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"lagoonlanding.example/lagoonlanding/publisher"
+	"lagoonlanding.example/lagoonlanding/operations/publisher"
 )
 
 // OrderConfig describes an Order.
--- a/conductor/outcome.go
+++ b/operations/conductor/outcome.go
@@ -1,10 +1,10 @@
 package conductor
 
 import (
-	"lagoonlanding.example/lagoonlanding/confirmer"
-	"lagoonlanding.example/lagoonlanding/planner"
-	"lagoonlanding.example/lagoonlanding/publisher"
-	"lagoonlanding.example/lagoonlanding/submitter"
+	"lagoonlanding.example/lagoonlanding/operations/confirmer"
+	"lagoonlanding.example/lagoonlanding/operations/planner"
+	"lagoonlanding.example/lagoonlanding/operations/publisher"
+	"lagoonlanding.example/lagoonlanding/operations/submitter"
 )
 
 // Verdict says what became of an order.
--- a/explainer/explainer.go
+++ b/operations/explainer/explainer.go
@@ -5,8 +5,8 @@
 	"strings"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/publisher"
-	"lagoonlanding.example/lagoonlanding/router"
+	"lagoonlanding.example/lagoonlanding/operations/publisher"
+	"lagoonlanding.example/lagoonlanding/requests/router"
 )
 
 // Step is one step from a key to its owner.
--- a/explainer/explainer_test.go
+++ b/operations/explainer/explainer_test.go
@@ -7,8 +7,8 @@
 	"github.com/google/go-cmp/cmp"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/publisher"
-	"lagoonlanding.example/lagoonlanding/router"
+	"lagoonlanding.example/lagoonlanding/operations/publisher"
+	"lagoonlanding.example/lagoonlanding/requests/router"
 )
 
 func snapshot(withGroup bool) *router.Snapshot {
--- a/parser/fault.go
+++ b/operations/parser/fault.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"slices"
 
-	"lagoonlanding.example/lagoonlanding/publisher"
+	"lagoonlanding.example/lagoonlanding/operations/publisher"
 )
 
 // Fault is one reason why a source is refused, with its place.
--- a/parser/format.go
+++ b/operations/parser/format.go
@@ -6,7 +6,7 @@
 	"github.com/BurntSushi/toml"
 	"github.com/samber/oops"
 
-	"lagoonlanding.example/lagoonlanding/publisher"
+	"lagoonlanding.example/lagoonlanding/operations/publisher"
 )
 
 type fileSet struct {
--- a/parser/parser.go
+++ b/operations/parser/parser.go
@@ -5,7 +5,7 @@
 
 	"github.com/BurntSushi/toml"
 
-	"lagoonlanding.example/lagoonlanding/publisher"
+	"lagoonlanding.example/lagoonlanding/operations/publisher"
 )
 
 // The limits of the sources.
--- a/parser/parser_test.go
+++ b/operations/parser/parser_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"lagoonlanding.example/lagoonlanding/publisher"
+	"lagoonlanding.example/lagoonlanding/operations/publisher"
 )
 
 func TestParseGood(t *testing.T) {
--- a/parser/table.go
+++ b/operations/parser/table.go
@@ -9,7 +9,7 @@
 
 	"github.com/BurntSushi/toml"
 
-	"lagoonlanding.example/lagoonlanding/publisher"
+	"lagoonlanding.example/lagoonlanding/operations/publisher"
 )
 
 var errLocated = errors.New("located")
--- a/planner/change.go
+++ b/operations/planner/change.go
@@ -6,7 +6,7 @@
 	"slices"
 	"strings"
 
-	"lagoonlanding.example/lagoonlanding/publisher"
+	"lagoonlanding.example/lagoonlanding/operations/publisher"
 )
 
 // ChangeKind says what happens to an object.
--- a/planner/group.go
+++ b/operations/planner/group.go
@@ -5,8 +5,8 @@
 	"slices"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/publisher"
-	"lagoonlanding.example/lagoonlanding/router"
+	"lagoonlanding.example/lagoonlanding/operations/publisher"
+	"lagoonlanding.example/lagoonlanding/requests/router"
 )
 
 // tally counts the active members of a group before and after.
--- a/planner/plan.go
+++ b/operations/planner/plan.go
@@ -8,8 +8,8 @@
 	"strings"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/publisher"
-	"lagoonlanding.example/lagoonlanding/router"
+	"lagoonlanding.example/lagoonlanding/operations/publisher"
+	"lagoonlanding.example/lagoonlanding/requests/router"
 )
 
 // Config holds what a Plan is made from.
--- a/planner/plan_test.go
+++ b/operations/planner/plan_test.go
@@ -8,9 +8,9 @@
 	"github.com/google/go-cmp/cmp"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/placer"
-	"lagoonlanding.example/lagoonlanding/publisher"
-	"lagoonlanding.example/lagoonlanding/router"
+	"lagoonlanding.example/lagoonlanding/operations/publisher"
+	"lagoonlanding.example/lagoonlanding/ownership/placer"
+	"lagoonlanding.example/lagoonlanding/requests/router"
 )
 
 var zones = map[string]string{"piraeus": "attica", "marousi": "attica", "kalamaria": "macedonia", "ladadika": "macedonia"}
--- a/submitter/history.go
+++ b/operations/submitter/history.go
@@ -10,7 +10,7 @@
 	"github.com/samber/oops"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/publisher"
+	"lagoonlanding.example/lagoonlanding/operations/publisher"
 )
 
 // HistoryLength is how many sets the history keeps; the next one takes the place of the oldest.
--- a/submitter/submission.go
+++ b/operations/submitter/submission.go
@@ -1,6 +1,6 @@
 package submitter
 
-import "lagoonlanding.example/lagoonlanding/publisher"
+import "lagoonlanding.example/lagoonlanding/operations/publisher"
 
 // Result says what became of a submitted set.
 type Result uint8
--- a/submitter/submitter.go
+++ b/operations/submitter/submitter.go
@@ -8,7 +8,7 @@
 	"github.com/samber/oops"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/publisher"
+	"lagoonlanding.example/lagoonlanding/operations/publisher"
 )
 
 const (
--- a/balancer/balancer_test.go
+++ b/ownership/balancer/balancer_test.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/placer"
+	"lagoonlanding.example/lagoonlanding/ownership/placer"
 )
 
 const shards = 64
--- a/controller/accepted_test.go
+++ b/ownership/controller/accepted_test.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/confirmer"
-	"lagoonlanding.example/lagoonlanding/encoder"
+	"lagoonlanding.example/lagoonlanding/adapters/encoder"
+	"lagoonlanding.example/lagoonlanding/operations/confirmer"
 )
 
 // acceptance runs a cluster whose instances pause, restart and move while sets are published.
--- a/controller/answer.go
+++ b/ownership/controller/answer.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/grouper"
+	"lagoonlanding.example/lagoonlanding/ownership/grouper"
 )
 
 // OnRenew answers a member's renewal; one that was meant for an earlier run at this address gets no promise.
--- a/controller/cluster_test.go
+++ b/ownership/controller/cluster_test.go
@@ -8,11 +8,11 @@
 	"time"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/encoder"
-	"lagoonlanding.example/lagoonlanding/placer"
-	"lagoonlanding.example/lagoonlanding/publisher"
-	"lagoonlanding.example/lagoonlanding/router"
-	"lagoonlanding.example/lagoonlanding/storer"
+	"lagoonlanding.example/lagoonlanding/adapters/encoder"
+	"lagoonlanding.example/lagoonlanding/adapters/storer"
+	"lagoonlanding.example/lagoonlanding/operations/publisher"
+	"lagoonlanding.example/lagoonlanding/ownership/placer"
+	"lagoonlanding.example/lagoonlanding/requests/router"
 )
 
 // cluster runs controllers over a network without delay and a clock that only the test moves.
--- a/controller/controller.go
+++ b/ownership/controller/controller.go
@@ -5,11 +5,11 @@
 	"time"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/granter"
-	"lagoonlanding.example/lagoonlanding/grouper"
-	"lagoonlanding.example/lagoonlanding/holder"
-	"lagoonlanding.example/lagoonlanding/publisher"
-	"lagoonlanding.example/lagoonlanding/router"
+	"lagoonlanding.example/lagoonlanding/operations/publisher"
+	"lagoonlanding.example/lagoonlanding/ownership/granter"
+	"lagoonlanding.example/lagoonlanding/ownership/grouper"
+	"lagoonlanding.example/lagoonlanding/ownership/holder"
+	"lagoonlanding.example/lagoonlanding/requests/router"
 )
 
 const (
--- a/controller/coordinate.go
+++ b/ownership/controller/coordinate.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/balancer"
-	"lagoonlanding.example/lagoonlanding/grouper"
+	"lagoonlanding.example/lagoonlanding/ownership/balancer"
+	"lagoonlanding.example/lagoonlanding/ownership/grouper"
 )
 
 // isActing reports whether this instance coordinates the group: no witness before it answers.
--- a/controller/difference.go
+++ b/ownership/controller/difference.go
@@ -4,7 +4,7 @@
 	"fmt"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/publisher"
+	"lagoonlanding.example/lagoonlanding/operations/publisher"
 )
 
 // maxDifferences bounds the kept differences; an instance that missed more gets the whole set.
--- a/controller/difference_test.go
+++ b/ownership/controller/difference_test.go
@@ -7,9 +7,9 @@
 	"time"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/encoder"
-	"lagoonlanding.example/lagoonlanding/placer"
-	"lagoonlanding.example/lagoonlanding/publisher"
+	"lagoonlanding.example/lagoonlanding/adapters/encoder"
+	"lagoonlanding.example/lagoonlanding/operations/publisher"
+	"lagoonlanding.example/lagoonlanding/ownership/placer"
 )
 
 func newSetLearner(name string) *Controller {
--- a/controller/directory.go
+++ b/ownership/controller/directory.go
@@ -6,9 +6,9 @@
 	"strings"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/grouper"
-	"lagoonlanding.example/lagoonlanding/publisher"
-	"lagoonlanding.example/lagoonlanding/router"
+	"lagoonlanding.example/lagoonlanding/operations/publisher"
+	"lagoonlanding.example/lagoonlanding/ownership/grouper"
+	"lagoonlanding.example/lagoonlanding/requests/router"
 )
 
 // directory is what this instance knows of the store.
--- a/controller/group.go
+++ b/ownership/controller/group.go
@@ -4,10 +4,10 @@
 	"time"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/balancer"
-	"lagoonlanding.example/lagoonlanding/granter"
-	"lagoonlanding.example/lagoonlanding/grouper"
-	"lagoonlanding.example/lagoonlanding/holder"
+	"lagoonlanding.example/lagoonlanding/ownership/balancer"
+	"lagoonlanding.example/lagoonlanding/ownership/granter"
+	"lagoonlanding.example/lagoonlanding/ownership/grouper"
+	"lagoonlanding.example/lagoonlanding/ownership/holder"
 )
 
 // group is the state of one group in which this instance has, wants or had a role.
--- a/controller/membership.go
+++ b/ownership/controller/membership.go
@@ -10,8 +10,8 @@
 	"github.com/cespare/xxhash/v2"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/grouper"
-	"lagoonlanding.example/lagoonlanding/publisher"
+	"lagoonlanding.example/lagoonlanding/operations/publisher"
+	"lagoonlanding.example/lagoonlanding/ownership/grouper"
 )
 
 // minMembers is the size up to which a group takes instances that are members of another partition already.
--- a/controller/runner.go
+++ b/ownership/controller/runner.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/router"
+	"lagoonlanding.example/lagoonlanding/requests/router"
 )
 
 const (
--- a/holder/adopt.go
+++ b/ownership/holder/adopt.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/grouper"
+	"lagoonlanding.example/lagoonlanding/ownership/grouper"
 )
 
 // Change is what the adoption of a layout asks of the traffic path.
--- a/holder/holder.go
+++ b/ownership/holder/holder.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/grouper"
+	"lagoonlanding.example/lagoonlanding/ownership/grouper"
 )
 
 // Config holds what a Holder starts with.
--- a/dispatcher/dispatcher.go
+++ b/requests/dispatcher/dispatcher.go
@@ -5,12 +5,12 @@
 	"time"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/deduplicator"
-	"lagoonlanding.example/lagoonlanding/picker"
-	"lagoonlanding.example/lagoonlanding/publisher"
-	"lagoonlanding.example/lagoonlanding/quarantiner"
-	"lagoonlanding.example/lagoonlanding/retrier"
-	"lagoonlanding.example/lagoonlanding/router"
+	"lagoonlanding.example/lagoonlanding/operations/publisher"
+	"lagoonlanding.example/lagoonlanding/requests/deduplicator"
+	"lagoonlanding.example/lagoonlanding/requests/picker"
+	"lagoonlanding.example/lagoonlanding/requests/quarantiner"
+	"lagoonlanding.example/lagoonlanding/requests/retrier"
+	"lagoonlanding.example/lagoonlanding/requests/router"
 )
 
 // The bounds on further tries of a request at other instances.
--- a/dispatcher/dispatcher_test.go
+++ b/requests/dispatcher/dispatcher_test.go
@@ -7,9 +7,9 @@
 	"time"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/deduplicator"
-	"lagoonlanding.example/lagoonlanding/publisher"
-	"lagoonlanding.example/lagoonlanding/router"
+	"lagoonlanding.example/lagoonlanding/operations/publisher"
+	"lagoonlanding.example/lagoonlanding/requests/deduplicator"
+	"lagoonlanding.example/lagoonlanding/requests/router"
 )
 
 var (
--- a/dispatcher/forward.go
+++ b/requests/dispatcher/forward.go
@@ -5,7 +5,7 @@
 	"errors"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/router"
+	"lagoonlanding.example/lagoonlanding/requests/router"
 )
 
 // forward passes the request to another instance.
--- a/dispatcher/guard.go
+++ b/requests/dispatcher/guard.go
@@ -6,10 +6,10 @@
 	"time"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/limiter"
-	"lagoonlanding.example/lagoonlanding/publisher"
-	"lagoonlanding.example/lagoonlanding/router"
-	"lagoonlanding.example/lagoonlanding/scheduler"
+	"lagoonlanding.example/lagoonlanding/operations/publisher"
+	"lagoonlanding.example/lagoonlanding/requests/limiter"
+	"lagoonlanding.example/lagoonlanding/requests/router"
+	"lagoonlanding.example/lagoonlanding/requests/scheduler"
 )
 
 // guard is the limiter of the backend server, with the bounds that the published set gives its service.
--- a/dispatcher/load.go
+++ b/requests/dispatcher/load.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/sampler"
+	"lagoonlanding.example/lagoonlanding/ownership/sampler"
 )
 
 const (
--- a/dispatcher/member.go
+++ b/requests/dispatcher/member.go
@@ -5,7 +5,7 @@
 	"sync"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/router"
+	"lagoonlanding.example/lagoonlanding/requests/router"
 )
 
 // members ends what waits for instances that no group names any more.
--- a/dispatcher/member_test.go
+++ b/requests/dispatcher/member_test.go
@@ -3,7 +3,7 @@
 import (
 	"testing"
 
-	"lagoonlanding.example/lagoonlanding/router"
+	"lagoonlanding.example/lagoonlanding/requests/router"
 )
 
 func TestForwardEndsWithTheInstance(t *testing.T) {
--- a/dispatcher/pick.go
+++ b/requests/dispatcher/pick.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/router"
+	"lagoonlanding.example/lagoonlanding/requests/router"
 )
 
 // choice is a request to a service that is not divided by key, with the instances that may serve it.
--- a/dispatcher/pick_test.go
+++ b/requests/dispatcher/pick_test.go
@@ -8,11 +8,11 @@
 	"time"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/deduplicator"
-	"lagoonlanding.example/lagoonlanding/publisher"
-	"lagoonlanding.example/lagoonlanding/quarantiner"
-	"lagoonlanding.example/lagoonlanding/retrier"
-	"lagoonlanding.example/lagoonlanding/router"
+	"lagoonlanding.example/lagoonlanding/operations/publisher"
+	"lagoonlanding.example/lagoonlanding/requests/deduplicator"
+	"lagoonlanding.example/lagoonlanding/requests/quarantiner"
+	"lagoonlanding.example/lagoonlanding/requests/retrier"
+	"lagoonlanding.example/lagoonlanding/requests/router"
 )
 
 var began = time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)
--- a/dispatcher/serve.go
+++ b/requests/dispatcher/serve.go
@@ -5,10 +5,10 @@
 	"errors"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/deduplicator"
-	"lagoonlanding.example/lagoonlanding/limiter"
-	"lagoonlanding.example/lagoonlanding/quarantiner"
-	"lagoonlanding.example/lagoonlanding/router"
+	"lagoonlanding.example/lagoonlanding/requests/deduplicator"
+	"lagoonlanding.example/lagoonlanding/requests/limiter"
+	"lagoonlanding.example/lagoonlanding/requests/quarantiner"
+	"lagoonlanding.example/lagoonlanding/requests/router"
 )
 
 // serveOwned runs a request whose shard this instance owns.
--- a/dispatcher/services.go
+++ b/requests/dispatcher/services.go
@@ -6,9 +6,9 @@
 	"sync/atomic"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/hedger"
-	"lagoonlanding.example/lagoonlanding/picker"
-	"lagoonlanding.example/lagoonlanding/publisher"
+	"lagoonlanding.example/lagoonlanding/operations/publisher"
+	"lagoonlanding.example/lagoonlanding/requests/hedger"
+	"lagoonlanding.example/lagoonlanding/requests/picker"
 )
 
 // comparedChoices is how many upstreams of one distance are compared for a request; a service of today has all compared.
--- a/dispatcher/suspect.go
+++ b/requests/dispatcher/suspect.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/router"
+	"lagoonlanding.example/lagoonlanding/requests/router"
 )
 
 const (
--- a/hedger/hedger.go
+++ b/requests/hedger/hedger.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/retrier"
+	"lagoonlanding.example/lagoonlanding/requests/retrier"
 )
 
 // The bounds of a hedger whose configuration names none.
--- a/limiter/server_test.go
+++ b/requests/limiter/server_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/scheduler"
+	"lagoonlanding.example/lagoonlanding/requests/scheduler"
 )
 
 var start = time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)
--- a/router/decision.go
+++ b/requests/router/decision.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/publisher"
+	"lagoonlanding.example/lagoonlanding/operations/publisher"
 )
 
 // MaxHops bounds how many daemons a request passes after the one that its caller reached.
--- a/router/homes.go
+++ b/requests/router/homes.go
@@ -2,7 +2,7 @@
 
 import (
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/publisher"
+	"lagoonlanding.example/lagoonlanding/operations/publisher"
 )
 
 // Homes returns some active instances within the home regions of the workspace.
--- a/router/partition.go
+++ b/requests/router/partition.go
@@ -6,7 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/publisher"
+	"lagoonlanding.example/lagoonlanding/operations/publisher"
 )
 
 // Partition returns the partition that holds a key of the workspace; it is false if no partition is permitted.
--- a/router/partition_test.go
+++ b/requests/router/partition_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"testing"
 
-	"lagoonlanding.example/lagoonlanding/publisher"
+	"lagoonlanding.example/lagoonlanding/operations/publisher"
 )
 
 func TestPartitionStaysWithinHomeRegions(t *testing.T) {
--- a/router/snapshot.go
+++ b/requests/router/snapshot.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/publisher"
+	"lagoonlanding.example/lagoonlanding/operations/publisher"
 )
 
 // Holding is this instance's right to serve shards of one group.
--- a/router/table.go
+++ b/requests/router/table.go
@@ -7,7 +7,7 @@
 	"unicode/utf8"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/publisher"
+	"lagoonlanding.example/lagoonlanding/operations/publisher"
 )
 
 const (
--- a/router/table_test.go
+++ b/requests/router/table_test.go
@@ -4,7 +4,7 @@
 	"testing"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/publisher"
+	"lagoonlanding.example/lagoonlanding/operations/publisher"
 )
 
 func routes() *Table {
--- a/bench/backend.go
+++ b/trials/bench/backend.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/invoker"
+	"lagoonlanding.example/lagoonlanding/adapters/invoker"
 )
 
 const (
--- a/bench/fleet.go
+++ b/trials/bench/fleet.go
@@ -12,9 +12,9 @@
 	"time"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/encoder"
-	"lagoonlanding.example/lagoonlanding/publisher"
-	"lagoonlanding.example/lagoonlanding/storer"
+	"lagoonlanding.example/lagoonlanding/adapters/encoder"
+	"lagoonlanding.example/lagoonlanding/adapters/storer"
+	"lagoonlanding.example/lagoonlanding/operations/publisher"
 )
 
 const (
--- a/demo/relayer/network.go
+++ b/trials/demo/relayer/network.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"time"
 )
 
 // RouteConfig describes a listener whose connections are carried to a target.
@@ -19,17 +20,72 @@
 	To string
 }
 
-// Network holds the cuts between processes.
+// Network holds the cuts and delays between processes.
 type Network struct {
 	processes func() map[string]int
 	mutex     sync.Mutex
 	cut       func(from, to string) bool
+	delay     func(from, to string) time.Duration
 	changed   chan struct{}
+	carried   map[*carried]bool
+}
+
+// carried is one connection with the names of its ends.
+type carried struct {
+	from, to  func() string
+	near, far net.Conn
 }
 
 // New returns a network without cuts; processes gives the process ids by name.
 func New(processes func() map[string]int) *Network {
-	return &Network{processes: processes, changed: make(chan struct{})}
+	return &Network{processes: processes, changed: make(chan struct{}), carried: map[*carried]bool{}}
+}
+
+// Delay holds bytes for the time that the function gives for the way, until it is called with nil.
+func (network *Network) Delay(delay func(from, to string) time.Duration) {
+	network.mutex.Lock()
+	defer network.mutex.Unlock()
+	network.delay = delay
+}
+
+// Reset resets the present connections for which the function is true.
+func (network *Network) Reset(isHit func(from, to string) bool) {
+	network.mutex.Lock()
+	var all []*carried
+	for connection := range network.carried {
+		all = append(all, connection)
+	}
+	network.mutex.Unlock()
+	for _, connection := range all {
+		if isHit(connection.from(), connection.to()) {
+			abort(connection.near)
+			abort(connection.far)
+		}
+	}
+}
+
+// abort closes a connection so that its peer sees a reset.
+func abort(connection net.Conn) {
+	if tcp, ok := connection.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = connection.Close()
+}
+
+// hold waits for the delay of the way; it is false if ctx ends first.
+func (network *Network) hold(ctx context.Context, from, to func() string) bool {
+	network.mutex.Lock()
+	delay := network.delay
+	network.mutex.Unlock()
+	if delay == nil {
+		return true
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(delay(from(), to())):
+		return true
+	}
 }
 
 // Cut holds all bytes between the processes for which the function is true, until Heal.
@@ -99,6 +155,9 @@
 		return
 	}
 	defer func() { _ = far.Close() }()
+	connection := &carried{from: from, to: to, near: near, far: far}
+	network.note(connection, true)
+	defer network.note(connection, false)
 	stop := context.AfterFunc(ctx, func() {
 		_ = near.Close()
 		_ = far.Close()
@@ -110,6 +169,16 @@
 	ways.Wait()
 }
 
+func (network *Network) note(connection *carried, isOpen bool) {
+	network.mutex.Lock()
+	defer network.mutex.Unlock()
+	if isOpen {
+		network.carried[connection] = true
+	} else {
+		delete(network.carried, connection)
+	}
+}
+
 // source returns the name of the process that has made the connection.
 func (network *Network) source(route RouteConfig, near net.Conn) string {
 	if route.From != "" {
@@ -127,7 +196,7 @@
 	for {
 		count, err := source.Read(buffer)
 		// The end of a connection crosses a cut as little as its bytes do.
-		if !network.pass(ctx, from, to) {
+		if !network.pass(ctx, from, to) || !network.hold(ctx, from, to) {
 			return
 		}
 		if count > 0 {
--- a/demo/relayer/network_test.go
+++ b/trials/demo/relayer/network_test.go
@@ -6,7 +6,7 @@
 	"os"
 	"testing"
 
-	"lagoonlanding.example/lagoonlanding/reserver"
+	"lagoonlanding.example/lagoonlanding/runtime/reserver"
 )
 
 // echo serves one connection that returns what it gets.
--- a/measure/experimenter/coldstart.go
+++ b/trials/measure/experimenter/coldstart.go
@@ -4,8 +4,8 @@
 	"fmt"
 	"time"
 
-	"lagoonlanding.example/lagoonlanding/limiter"
-	"lagoonlanding.example/lagoonlanding/scheduler"
+	"lagoonlanding.example/lagoonlanding/requests/limiter"
+	"lagoonlanding.example/lagoonlanding/requests/scheduler"
 	"lagoonlanding.example/measure/faker"
 	"lagoonlanding.example/measure/player"
 	"lagoonlanding.example/measure/plotter"
--- a/measure/experimenter/fleet.go
+++ b/trials/measure/experimenter/fleet.go
@@ -6,10 +6,10 @@
 	"time"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/hedger"
-	"lagoonlanding.example/lagoonlanding/limiter"
-	"lagoonlanding.example/lagoonlanding/picker"
-	"lagoonlanding.example/lagoonlanding/scheduler"
+	"lagoonlanding.example/lagoonlanding/requests/hedger"
+	"lagoonlanding.example/lagoonlanding/requests/limiter"
+	"lagoonlanding.example/lagoonlanding/requests/picker"
+	"lagoonlanding.example/lagoonlanding/requests/scheduler"
 	"lagoonlanding.example/measure/faker"
 	"lagoonlanding.example/measure/player"
 )
--- a/measure/experimenter/order.go
+++ b/trials/measure/experimenter/order.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/limiter"
-	"lagoonlanding.example/lagoonlanding/scheduler"
+	"lagoonlanding.example/lagoonlanding/requests/limiter"
+	"lagoonlanding.example/lagoonlanding/requests/scheduler"
 	"lagoonlanding.example/measure/faker"
 	"lagoonlanding.example/measure/player"
 	"lagoonlanding.example/measure/plotter"
--- a/measure/experimenter/poison.go
+++ b/trials/measure/experimenter/poison.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/limiter"
-	"lagoonlanding.example/lagoonlanding/quarantiner"
+	"lagoonlanding.example/lagoonlanding/requests/limiter"
+	"lagoonlanding.example/lagoonlanding/requests/quarantiner"
 	"lagoonlanding.example/measure/faker"
 	"lagoonlanding.example/measure/player"
 	"lagoonlanding.example/measure/tabulator"
--- a/measure/experimenter/storm.go
+++ b/trials/measure/experimenter/storm.go
@@ -5,9 +5,9 @@
 	"time"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/limiter"
-	"lagoonlanding.example/lagoonlanding/retrier"
-	"lagoonlanding.example/lagoonlanding/scheduler"
+	"lagoonlanding.example/lagoonlanding/requests/limiter"
+	"lagoonlanding.example/lagoonlanding/requests/retrier"
+	"lagoonlanding.example/lagoonlanding/requests/scheduler"
 	"lagoonlanding.example/measure/faker"
 	"lagoonlanding.example/measure/player"
 	"lagoonlanding.example/measure/plotter"
--- a/measure/faker/backend.go
+++ b/trials/measure/faker/backend.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"lagoonlanding.example/lagoonlanding/limiter"
+	"lagoonlanding.example/lagoonlanding/requests/limiter"
 	"lagoonlanding.example/measure/player"
 )
 
--- a/measure/faker/node.go
+++ b/trials/measure/faker/node.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/limiter"
+	"lagoonlanding.example/lagoonlanding/requests/limiter"
 	"lagoonlanding.example/measure/player"
 )
 
--- a/slopes/sizer/directory.go
+++ b/trials/slopes/sizer/directory.go
@@ -5,9 +5,9 @@
 	"time"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/controller"
-	"lagoonlanding.example/lagoonlanding/encoder"
-	"lagoonlanding.example/lagoonlanding/placer"
+	"lagoonlanding.example/lagoonlanding/adapters/encoder"
+	"lagoonlanding.example/lagoonlanding/ownership/controller"
+	"lagoonlanding.example/lagoonlanding/ownership/placer"
 )
 
 // Directory is what the directory of all groups costs one daemon.
--- a/slopes/sizer/layout.go
+++ b/trials/slopes/sizer/layout.go
@@ -5,9 +5,9 @@
 	"time"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/encoder"
-	"lagoonlanding.example/lagoonlanding/grouper"
-	"lagoonlanding.example/lagoonlanding/publisher"
+	"lagoonlanding.example/lagoonlanding/adapters/encoder"
+	"lagoonlanding.example/lagoonlanding/operations/publisher"
+	"lagoonlanding.example/lagoonlanding/ownership/grouper"
 )
 
 const (
--- a/slopes/sizer/message.go
+++ b/trials/slopes/sizer/message.go
@@ -11,9 +11,9 @@
 	"github.com/sirupsen/logrus"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/encoder"
-	"lagoonlanding.example/lagoonlanding/messenger"
-	"lagoonlanding.example/lagoonlanding/timekeeper"
+	"lagoonlanding.example/lagoonlanding/adapters/encoder"
+	"lagoonlanding.example/lagoonlanding/adapters/messenger"
+	"lagoonlanding.example/lagoonlanding/runtime/timekeeper"
 )
 
 // Message is what one renewal with its answer costs on the wire and in both processes together.
--- a/slopes/sizer/steady.go
+++ b/trials/slopes/sizer/steady.go
@@ -6,9 +6,9 @@
 	"time"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/controller"
-	"lagoonlanding.example/lagoonlanding/encoder"
-	"lagoonlanding.example/lagoonlanding/placer"
+	"lagoonlanding.example/lagoonlanding/adapters/encoder"
+	"lagoonlanding.example/lagoonlanding/ownership/controller"
+	"lagoonlanding.example/lagoonlanding/ownership/placer"
 )
 
 // Steady is what a quiet group costs its daemons for each second, without the carriage of messages.
--- a/soak/mutator/mutator.go
+++ b/trials/soak/mutator/mutator.go
@@ -114,7 +114,7 @@
 	}
 	program := filepath.Join(folder, "soak")
 	command := exec.Command("go", "build", "-overlay", list, "-o", program, ".")
-	command.Dir = filepath.Join(config.Root, "soak")
+	command.Dir = filepath.Join(config.Root, "trials", "soak")
 	if output, err := command.CombinedOutput(); err != nil {
 		return "", fmt.Errorf("%w: %s", err, output)
 	}
--- a/soak/player/codec.go
+++ b/trials/soak/player/codec.go
@@ -6,7 +6,7 @@
 	"strings"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/publisher"
+	"lagoonlanding.example/lagoonlanding/operations/publisher"
 )
 
 // setCodec writes a set as its version and the availability zones that are out; the rest is the shape's.
--- a/soak/player/fleet.go
+++ b/trials/soak/player/fleet.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/deduplicator"
+	"lagoonlanding.example/lagoonlanding/requests/deduplicator"
 	"lagoonlanding.example/soak/checker"
 	"lagoonlanding.example/soak/drawer"
 	"lagoonlanding.example/soak/timer"
--- a/soak/player/outbox.go
+++ b/trials/soak/player/outbox.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/controller"
+	"lagoonlanding.example/lagoonlanding/ownership/controller"
 )
 
 // flush publishes the snapshot and does what the control state asks for, in the order of controller.Runner.
--- a/soak/player/shape.go
+++ b/trials/soak/player/shape.go
@@ -5,7 +5,7 @@
 	"math/rand/v2"
 	"time"
 
-	"lagoonlanding.example/lagoonlanding/publisher"
+	"lagoonlanding.example/lagoonlanding/operations/publisher"
 )
 
 const (
--- a/soak/player/store.go
+++ b/trials/soak/player/store.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/encoder"
-	"lagoonlanding.example/lagoonlanding/keeper"
+	"lagoonlanding.example/lagoonlanding/adapters/encoder"
+	"lagoonlanding.example/lagoonlanding/adapters/keeper"
 )
 
 const (
--- a/soak/player/traffic.go
+++ b/trials/soak/player/traffic.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/dispatcher"
-	"lagoonlanding.example/lagoonlanding/router"
+	"lagoonlanding.example/lagoonlanding/requests/dispatcher"
+	"lagoonlanding.example/lagoonlanding/requests/router"
 	"lagoonlanding.example/soak/checker"
 )
 
--- a/soak/player/trap.go
+++ b/trials/soak/player/trap.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/placer"
+	"lagoonlanding.example/lagoonlanding/ownership/placer"
 )
 
 // trap waits for a layout that takes a shard from a member that stays in the group, and then isolates that member.
--- a/storestandin/main.go
+++ b/trials/storestandin/main.go
@@ -14,7 +14,7 @@
 	"github.com/peterbourgon/ff/v3"
 	"github.com/sirupsen/logrus"
 
-	"lagoonlanding.example/lagoonlanding/executor"
+	"lagoonlanding.example/lagoonlanding/runtime/executor"
 	"lagoonlanding.example/storestandin/provider"
 	"lagoonlanding.example/storestandin/receiver"
 )
--- a/storestandin/provider/platform.go
+++ b/trials/storestandin/provider/platform.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/keeper"
+	"lagoonlanding.example/lagoonlanding/adapters/keeper"
 )
 
 // MaxValueBytes bounds the value of an entry.
--- a/storestandin/receiver/receiver.go
+++ b/trials/storestandin/receiver/receiver.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/executor"
+	"lagoonlanding.example/lagoonlanding/runtime/executor"
 	"lagoonlanding.example/storestandin/provider"
 )
 
--- a/storestandin/receiver/receiver_test.go
+++ b/trials/storestandin/receiver/receiver_test.go
@@ -10,8 +10,8 @@
 	"testing"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/executor"
-	"lagoonlanding.example/lagoonlanding/storer"
+	"lagoonlanding.example/lagoonlanding/adapters/storer"
+	"lagoonlanding.example/lagoonlanding/runtime/executor"
 	"lagoonlanding.example/storestandin/provider"
 )
 
--- a/upstreamstandin/main.go
+++ b/trials/upstreamstandin/main.go
@@ -13,7 +13,7 @@
 
 	"github.com/sirupsen/logrus"
 
-	"lagoonlanding.example/lagoonlanding/executor"
+	"lagoonlanding.example/lagoonlanding/runtime/executor"
 	"lagoonlanding.example/upstreamstandin/announcer"
 	"lagoonlanding.example/upstreamstandin/performer"
 	"lagoonlanding.example/upstreamstandin/receiver"
--- a/upstreamstandin/receiver/receiver.go
+++ b/trials/upstreamstandin/receiver/receiver.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/executor"
-	"lagoonlanding.example/lagoonlanding/invoker"
+	"lagoonlanding.example/lagoonlanding/adapters/invoker"
+	"lagoonlanding.example/lagoonlanding/runtime/executor"
 	"lagoonlanding.example/upstreamstandin/performer"
 )
 
--- a/upstreamstandin/receiver/standin.go
+++ b/trials/upstreamstandin/receiver/standin.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/invoker"
+	"lagoonlanding.example/lagoonlanding/adapters/invoker"
 	"lagoonlanding.example/upstreamstandin/performer"
 )
 
