Stop requests that crash backend servers everywhere

Cause: the quarantine was not wired into the daemon on the platform; a request that ends each backend server that runs it would be passed on by each daemon that it comes to. Change: after a broken connection the daemon looks whether its backend server still listens. If not, the requests in flight are suspects, which it writes to the store; the third crash stops a request everywhere as not run, an answer clears it. The look also tells of an ended backend server without waiting for the next request. Tests: six daemons run a request that crashes them three times and then refuse it; an answered request is cleared; a broken connection alone is no crash.

--- a/lagoonmesh/daemon.go
+++ b/lagoonmesh/daemon.go
@@ -26,6 +26,7 @@
 	"lagoonlanding.example/lagoonlanding/mesh/relayer"
 	"lagoonlanding.example/lagoonlanding/mesh/syncer"
 	"lagoonlanding.example/lagoonlanding/platform"
+	"lagoonlanding.example/lagoonlanding/requests/quarantiner"
 	"lagoonlanding.example/lagoonlanding/runtime/timekeeper"
 )
 
@@ -42,6 +43,7 @@
 	chooser     *chooser.Chooser
 	forwarder   *forwarder.Forwarder
 	meter       *recorder.Recorder
+	quarantine  *quarantiner.Quarantine
 	fleet       *relayer.Journal
 	orders      *relayer.Journal
 }
@@ -55,6 +57,7 @@
 		Load: gate.Load, DroppedLines: droppedLines,
 		Failed: func(err error) { daemon.part("metrics").WithError(err).Warn("Metric is not served.") },
 	})
+	daemon.quarantine = quarantiner.NewQuarantine(quarantiner.Config{Random: newRandom()})
 	daemon.buildControl(gate)
 	daemon.buildTraffic(gate)
 	return daemon
@@ -81,7 +84,7 @@
 			Daemon: daemon.settings.Daemon(), GrantTerm: grantTerm, LongestHold: min(longestHold, daemon.settings.LongestHold(longestHold)),
 			SlowClock: slowClock, SilentAfter: silentAfter,
 		}),
-		Gate: gate, Log: daemon.part("control"),
+		Gate: gate, Quarantine: daemon.quarantine, Log: daemon.part("control"),
 	})
 	daemon.syncer = syncer.New(syncer.Config{
 		Coordinator: daemon.coordinator, Store: platform.NewStore(daemon.pool, daemon.settings.StoreAddress()),
@@ -94,11 +97,12 @@
 	daemon.acceptor = acceptor.New(acceptor.Config{
 		Service: daemon.settings.Service(), Address: daemon.settings.BackendAddress(), Gate: gate,
 		Runner:  platform.NewUpstream(daemon.pool, daemon.clock, daemon.part("upstream")),
-		Holding: daemon.coordinator.Holding, Lost: daemon.syncer.Lost, Clock: daemon.clock, Log: daemon.part("backend"),
+		Holding: daemon.coordinator.Holding, Lost: daemon.syncer.Lost, Quarantine: daemon.quarantine, Crashed: daemon.syncer.Crashed,
+		Clock: daemon.clock, Log: daemon.part("backend"),
 	})
 	daemon.chooser = chooser.New(chooser.Config{
 		AvailabilityZone: daemon.settings.AvailabilityZone(), Region: daemon.settings.Region(), ZoneCost: zoneCost, RegionCost: regionCost,
-		ReportTerm: reportTerm, SpeedHalfLife: speedHalfLife, AvoidTerm: avoidTerm, Random: newRandom(),
+		QueueHalfLife: queueHalfLife, SpeedHalfLife: speedHalfLife, AvoidTerm: avoidTerm, Random: newRandom(),
 	})
 	daemon.forwarder = forwarder.New(forwarder.Config{
 		Daemon: daemon.settings.Daemon(), Service: daemon.settings.Service(), Local: daemon.acceptor,
--- a/lagoonmesh/terms.go
+++ b/lagoonmesh/terms.go
@@ -29,8 +29,8 @@
 	zoneCost = 20 * time.Millisecond
 	// regionCost is the wait that is preferred to an answer from another region, whose link is paid by volume.
 	regionCost = 400 * time.Millisecond
-	// reportTerm is how long a report of a queue counts: a few times as long as a task takes.
-	reportTerm = 2 * time.Second
+	// queueHalfLife is the age at which a report of a queue counts half: a few times as long as a task takes.
+	queueHalfLife = 2 * time.Second
 	// speedHalfLife is the age at which a report of speed counts half: neighbours on an instance stay for seconds.
 	speedHalfLife = 8 * time.Second
 	// avoidTerm is how long a daemon that could not be reached is avoided.
--- a/lagoonmesh/whole_test.go
+++ b/lagoonmesh/whole_test.go
@@ -1,9 +1,7 @@
 package main
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -16,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"lagoonlanding.example/lagoonlanding/platform"
+	"lagoonlanding.example/lagoonlanding/platform/simulator"
 	"lagoonlanding.example/lagoonlanding/runtime/reserver"
 )
 
@@ -26,114 +25,10 @@
  "keyed":{"host":"h","prefix":"/keyed/","routeType":"idempotent","timeoutS":2,"targetLatencyS":1,"priority":2,"service":"divided","attempts":2}},
  "services":{"plain":{"coldPerS":50},"divided":{"coldPerS":50,"sharded":true}},"limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864}}`
 
-// backendServer runs requests, and holds keys as it is told.
-type backendServer struct {
-	mutex    sync.Mutex
-	name     string
-	service  string
-	slots    int
-	state    string
-	born     int64
-	sequence int64
-	holds    [][3]int
-	released [][3]any
-	ran      map[string]int
-	delay    time.Duration
-	server   *httptest.Server
-}
-
-func newBackendServer(t *testing.T, name, service string) *backendServer {
-	backend := &backendServer{name: name, service: service, slots: 6, state: "ready", born: time.Now().UnixMilli(), ran: map[string]int{}}
-	backend.server = httptest.NewServer(backend)
-	t.Cleanup(backend.server.Close)
-	return backend
-}
-
-func (backend *backendServer) address() string { return backend.server.Listener.Addr().String() }
-
-func (backend *backendServer) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
-	writer.Header().Set("X-Request-Id", request.Header.Get("X-Request-Id"))
-	backend.mutex.Lock()
-	ok := request.Header.Get("X-Target-Instance") == backend.name && backend.holdsKey(request.Header.Get("X-Shard-Key"))
-	if ok {
-		backend.ran[request.Header.Get("X-Request-Id")]++
-	}
-	delay := backend.delay
-	backend.mutex.Unlock()
-	if !ok {
-		writer.WriteHeader(http.StatusMisdirectedRequest)
-		return
-	}
-	body, _ := io.ReadAll(request.Body)
-	time.Sleep(delay)
-	writer.Header().Set("X-Server-Signature", "signed-by-"+backend.name)
-	fmt.Fprintf(writer, "%s %s for %s: %s", request.Method, request.RequestURI, request.Header.Get("X-Caller-Service"), body)
-}
-
-func (backend *backendServer) holdsKey(text string) bool {
-	if backend.service != "divided" {
-		return true
-	}
-	var key int
-	fmt.Sscan(text, &key)
-	for _, row := range backend.holds {
-		if row[0] <= key && key <= row[1] {
-			return true
-		}
-	}
-	return false
-}
-
-// beat announces the backend server once and does what it is told.
-func (backend *backendServer) beat(control string) error {
-	backend.mutex.Lock()
-	defer backend.mutex.Unlock()
-	backend.sequence++
-	text, err := json.Marshal(map[string]any{
-		"address": backend.address(), "born": backend.born, "info": map[string]any{"service": backend.service, "slots": backend.slots},
-		"status": map[string]any{"state": backend.state, "sequence": backend.sequence}, "holds": backend.holds, "released": backend.released,
-	})
-	if err != nil {
-		return err
-	}
-	response, err := http.Post("http://"+control+"/rpc?call=instances.heartbeat&of="+backend.name, "application/json", bytes.NewReader(text))
-	if err != nil {
-		return err
-	}
-	defer response.Body.Close()
-	var answer struct {
-		Holds *[][4]any `json:"holds"`
-		HoldS float64   `json:"holdS"`
-	}
-	if err := json.NewDecoder(response.Body).Decode(&answer); err != nil || answer.Holds == nil {
-		return err
-	}
-	backend.obey(*answer.Holds)
-	return nil
-}
-
-func (backend *backendServer) obey(rows [][4]any) {
-	var holds [][3]int
-	for _, row := range rows {
-		holds = append(holds, [3]int{int(row[0].(float64)), int(row[1].(float64)), int(row[2].(float64))})
-	}
-	backend.released = nil
-	for _, old := range backend.holds {
-		kept := false
-		for _, row := range holds {
-			kept = kept || row[0] <= old[0] && old[1] <= row[1]
-		}
-		if !kept {
-			backend.released = append(backend.released, [3]any{old[0], old[1], "proof"})
-		}
-	}
-	backend.holds = holds
-}
-
 // testDaemon is a daemon of this process with its backend server.
 type testDaemon struct {
 	*daemon
-	backend *backendServer
+	backend *simulator.Server
 	front   string
 	cancel  context.CancelFunc
 	ended   chan struct{}
@@ -141,8 +36,10 @@
 
 func startDaemon(t *testing.T, name, zone, service, store string) *testDaemon {
 	t.Helper()
-	backend := newBackendServer(t, "i-"+name, service)
-	front, control, port := reserver.Address(), reserver.Address(), reserver.Port()
+	front, control, port, address := reserver.Address(), reserver.Address(), reserver.Port(), reserver.Address()
+	backend := simulator.NewServer(simulator.ServerConfig{
+		Name: "i-" + name, Service: service, Divided: service == "divided", Address: address, Control: control, Slots: 6, BeatInterval: 100 * time.Millisecond,
+	})
 	settings, err := platform.ParseSettings(fmt.Sprintf(`
 nodeName = %q
 ip = %q
@@ -161,7 +58,7 @@
 control = %q
 [platform]
 address = %q
-`, name, reserver.Host(), zone, port, port, backend.address(), service, front, reserver.Address(), control, store))
+`, name, reserver.Host(), zone, port, port, address, service, front, reserver.Address(), control, store))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -175,15 +72,9 @@
 			t.Error(err)
 		}
 	}()
-	go func() {
-		for ctx.Err() == nil {
-			if err := backend.beat(control); err != nil && ctx.Err() == nil {
-				time.Sleep(10 * time.Millisecond)
-				continue
-			}
-			time.Sleep(100 * time.Millisecond)
-		}
-	}()
+	if err := backend.Start(ctx); err != nil {
+		t.Fatal(err)
+	}
 	t.Cleanup(func() { cancel(); <-started.ended })
 	return started
 }
@@ -226,10 +117,20 @@
 	t.Fatalf("%s: not within %v", what, term)
 }
 
+func put(t *testing.T, store *simulator.Store, key, value string) {
+	t.Helper()
+	if err := store.Put(key, value); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // startFleet starts daemons of both services in both regions.
-func startFleet(t *testing.T) (*platformStore, map[string]*testDaemon) {
-	store, address := newPlatformStore(t)
-	store.put(t, "op/config", fmt.Sprintf(wholeConfig, 1))
+func startFleet(t *testing.T) (*simulator.Store, map[string]*testDaemon) {
+	store := simulator.NewStore()
+	server := httptest.NewServer(store)
+	t.Cleanup(server.Close)
+	put(t, store, "op/config", fmt.Sprintf(wholeConfig, 1))
+	address := server.Listener.Addr().String()
 	fleet := map[string]*testDaemon{}
 	for _, name := range []string{"plain-1", "plain-2", "divided-1", "divided-2"} {
 		service, number, _ := strings.Cut(name, "-")
@@ -269,7 +170,7 @@
 		}
 	})
 	t.Run("new configuration", func(t *testing.T) {
-		store.put(t, "op/config", strings.ReplaceAll(fmt.Sprintf(wholeConfig, 5), "/read/", "/reading/"))
+		put(t, store, "op/config", strings.ReplaceAll(fmt.Sprintf(wholeConfig, 5), "/read/", "/reading/"))
 		until(t, "the new route is served everywhere and the old one is not", 2*time.Second, func() bool {
 			for _, daemon := range fleet {
 				added, _, _ := request(daemon.front, "GET", "/reading/x", "c1", -1, nil)
@@ -282,7 +183,7 @@
 		})
 	})
 	t.Run("evacuation moves keys", func(t *testing.T) {
-		store.put(t, "op/evacuate/z1", "{}")
+		put(t, store, "op/evacuate/z1", "{}")
 		until(t, "zone z2 serves all keys", 5*time.Second, func() bool {
 			for key := 0; key < 65536; key += 2048 {
 				status, _, header := request(front, "GET", "/keyed/x", fmt.Sprint("e", key), key, nil)
@@ -292,11 +193,11 @@
 			}
 			return true
 		})
-		store.remove("op/evacuate/z1")
+		store.Remove("op/evacuate/z1")
 	})
 	t.Run("store is down", func(t *testing.T) {
-		store.setDown(true)
-		defer store.setDown(false)
+		store.SetFault(simulator.StoreRefuses)
+		defer store.SetFault(simulator.StoreWorks)
 		for began := time.Now(); time.Since(began) < 3*time.Second; time.Sleep(50 * time.Millisecond) {
 			if status, text, _ := request(front, "GET", "/keyed/x", "d1", 77, nil); status != 200 {
 				t.Fatalf("after %v: %d %s", time.Since(began), status, text)
@@ -318,7 +219,7 @@
 	_, fleet := startFleet(t)
 	stopped := fleet["divided-1"]
 	for _, daemon := range fleet {
-		daemon.backend.delay = 200 * time.Millisecond
+		daemon.backend.SetWork(200 * time.Millisecond)
 	}
 	var clients sync.WaitGroup
 	time.AfterFunc(300*time.Millisecond, stopped.cancel)
--- a/mesh/acceptor/acceptor.go
+++ b/mesh/acceptor/acceptor.go
@@ -11,6 +11,7 @@
 	"lagoonlanding.example/lagoonlanding"
 	"lagoonlanding.example/lagoonlanding/mesh/gatekeeper"
 	"lagoonlanding.example/lagoonlanding/mesh/grantor"
+	"lagoonlanding.example/lagoonlanding/requests/quarantiner"
 )
 
 // Config holds what an Acceptor is built from.
@@ -27,6 +28,9 @@
 	Holding func() *grantor.Holding
 	// Lost is told of a life of the backend server that has ended.
 	Lost func(id lagoonlanding.BackendID)
+	// Quarantine knows the requests that crash backend servers, and Crashed is told when it has learned of a crash.
+	Quarantine *quarantiner.Quarantine
+	Crashed    func()
 	// Clock tells the time.
 	Clock lagoonlanding.Clock
 	// Log takes one line for each task.
@@ -51,7 +55,7 @@
 	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(task.Deadline().Sub(acceptor.config.Clock.Now())))
 	result, pass := acceptor.admit(ctx, task)
 	if pass != nil {
-		result = acceptor.config.Runner.Run(ctx, pass.ID(), acceptor.config.Address, task)
+		result = acceptor.run(ctx, pass, task)
 	}
 	end := func() {
 		if pass != nil {
@@ -59,7 +63,6 @@
 		}
 		cancel()
 	}
-	acceptor.watch(pass, result)
 	if result.Outcome() != lagoonlanding.OutcomeAnswered {
 		end()
 		acceptor.log(task, result)
@@ -87,6 +90,9 @@
 	if !acceptor.holds(task) {
 		return lagoonlanding.NotRun(lagoonlanding.ReasonMoving, acceptor.config.Clock.Now().Add(movingTerm)), nil
 	}
+	if acceptor.treatment(task) == quarantiner.Stopped {
+		return acceptor.quarantined(), nil
+	}
 	pass, reason, retryAt := acceptor.config.Gate.Enter(ctx, task)
 	if pass == nil {
 		return lagoonlanding.NotRun(reason, retryAt), nil
@@ -106,11 +112,22 @@
 	return acceptor.config.Holding().Has(acceptor.config.Clock.Now(), task.ShardKey())
 }
 
-// watch tells of a backend server that refuses connections: its process has ended.
-func (acceptor *Acceptor) watch(pass *gatekeeper.Pass, result lagoonlanding.Result) {
-	if pass != nil && result.Reason() == lagoonlanding.ReasonNoUpstream {
+// run runs the task, and tells of a backend server that has ended with it.
+func (acceptor *Acceptor) run(ctx context.Context, pass *gatekeeper.Pass, task lagoonlanding.Task) lagoonlanding.Result {
+	run, ok := acceptor.begin(task)
+	if !ok {
+		return acceptor.quarantined()
+	}
+	result := acceptor.config.Runner.Run(ctx, pass.ID(), acceptor.config.Address, task)
+	// A connection that breaks may be all that has ended.
+	crashed := result.Reason() == lagoonlanding.ReasonConnectionLost && ctx.Err() == nil && acceptor.config.Runner.HasEnded(ctx, acceptor.config.Address)
+	if crashed || result.Reason() == lagoonlanding.ReasonNoUpstream {
 		acceptor.config.Lost(pass.ID())
 	}
+	if acceptor.config.Quarantine.Finish(acceptor.config.Clock.Now(), run, crashed) {
+		acceptor.config.Crashed()
+	}
+	return result
 }
 
 func (acceptor *Acceptor) withLoad(result lagoonlanding.Result) lagoonlanding.Result {
--- a/mesh/acceptor/acceptor_test.go
+++ b/mesh/acceptor/acceptor_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strings"
 	"testing"
@@ -13,6 +14,7 @@
 	"lagoonlanding.example/lagoonlanding"
 	"lagoonlanding.example/lagoonlanding/mesh/gatekeeper"
 	"lagoonlanding.example/lagoonlanding/mesh/grantor"
+	"lagoonlanding.example/lagoonlanding/requests/quarantiner"
 	"lagoonlanding.example/lagoonlanding/runtime/timekeeper"
 )
 
@@ -22,8 +24,12 @@
 type fakeRunner struct {
 	result lagoonlanding.Result
 	count  int
+	// ended says that the backend server no longer listens.
+	ended bool
 }
 
+func (runner *fakeRunner) HasEnded(context.Context, string) bool { return runner.ended }
+
 func (runner *fakeRunner) Run(context.Context, lagoonlanding.BackendID, string, lagoonlanding.Task) lagoonlanding.Result {
 	runner.count++
 	return runner.result
@@ -36,6 +42,7 @@
 	gate.Open(id, 2, time.Time{}, 0)
 	return New(Config{
 		Service: "s", Gate: gate, Runner: runner, Holding: func() *grantor.Holding { return holding }, Lost: lost,
+		Quarantine: quarantiner.NewQuarantine(quarantiner.Config{Random: rand.New(rand.NewPCG(rand.Uint64(), 1))}), Crashed: func() {},
 		Clock: timekeeper.Clock{}, Log: logrus.NewEntry(log),
 	}), gate
 }
@@ -98,3 +105,67 @@
 		}
 	}
 }
+
+func answered() lagoonlanding.Result {
+	return lagoonlanding.NewResult(lagoonlanding.ResultConfig{
+		Outcome: lagoonlanding.OutcomeAnswered, Reached: true,
+		Answer: lagoonlanding.NewAnswer(lagoonlanding.AnswerConfig{Status: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(""))}),
+	})
+}
+
+// tell hands what one daemon knows of crashes to another.
+func tell(from, to *Acceptor) {
+	now := time.Now()
+	to.config.Quarantine.Merge(now, lagoonlanding.NewSuspectNotice("s", "r", from.config.Quarantine.Suspects(now, "s")))
+}
+
+func TestRequestThatCrashesServersIsStoppedEverywhere(t *testing.T) {
+	runs, lost := 0, 0
+	var acceptors []*Acceptor
+	for range 6 {
+		runner := &fakeRunner{result: lagoonlanding.MayHaveRun(lagoonlanding.ReasonConnectionLost), ended: true}
+		acceptor, _ := newAcceptor(runner, nil, func(lagoonlanding.BackendID) { lost++ })
+		acceptors = append(acceptors, acceptor)
+	}
+	for index, acceptor := range acceptors {
+		result := acceptor.Handle(t.Context(), task("s", lagoonlanding.NoShardKey))
+		if result.Outcome() == lagoonlanding.OutcomeUnknown {
+			runs++
+		} else if result.Reason() != lagoonlanding.ReasonQuarantined {
+			t.Errorf("try %d ended with %s", index, result.Reason())
+		}
+		for _, other := range acceptors {
+			tell(acceptor, other)
+		}
+	}
+	if runs != quarantiner.MaxCrashes || lost != runs {
+		t.Errorf("%d runs, %d ends were told", runs, lost)
+	}
+}
+
+func TestAnsweredRequestIsNoLongerSuspect(t *testing.T) {
+	runner := &fakeRunner{result: lagoonlanding.MayHaveRun(lagoonlanding.ReasonConnectionLost), ended: true}
+	acceptor, _ := newAcceptor(runner, nil, func(lagoonlanding.BackendID) {})
+	// Another request is in flight at each crash, so either may have caused it.
+	other, _ := acceptor.begin(task("s", 7).With(func(config *lagoonlanding.TaskConfig) { config.Target = "/other" }))
+	for range 6 {
+		acceptor.Handle(t.Context(), task("s", lagoonlanding.NoShardKey))
+		runner.result = answered()
+		result := acceptor.Handle(t.Context(), task("s", lagoonlanding.NoShardKey))
+		if result.Outcome() != lagoonlanding.OutcomeAnswered {
+			t.Fatalf("a request that was answered is refused: %s", result.Reason())
+		}
+		runner.result = lagoonlanding.MayHaveRun(lagoonlanding.ReasonConnectionLost)
+	}
+	acceptor.config.Quarantine.Finish(time.Now(), other, false)
+}
+
+func TestBrokenConnectionAloneIsNoCrash(t *testing.T) {
+	runner := &fakeRunner{result: lagoonlanding.MayHaveRun(lagoonlanding.ReasonConnectionLost)}
+	acceptor, _ := newAcceptor(runner, nil, func(lagoonlanding.BackendID) { t.Error("a backend server that listens counts as ended") })
+	for range 6 {
+		if result := acceptor.Handle(t.Context(), task("s", lagoonlanding.NoShardKey)); result.Reason() != lagoonlanding.ReasonConnectionLost {
+			t.Errorf("got %s", result.Reason())
+		}
+	}
+}
--- a/mesh/caller/pool.go
+++ b/mesh/caller/pool.go
@@ -230,6 +230,16 @@
 	return &connection{Conn: opened, address: address, reader: bufio.NewReaderSize(opened, readBuffer)}, nil
 }
 
+// Refuses reports whether nothing listens at the address; a connection that opens is kept for use.
+func (pool *Pool) Refuses(ctx context.Context, address string) bool {
+	connection, err := pool.dial(ctx, address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	pool.put(connection)
+	return false
+}
+
 func (pool *Pool) put(connection *connection) {
 	connection.expires = time.Now().Add(pool.config.IdleTerm)
 	pool.mutex.Lock()
--- a/mesh/coordinator/coordinator.go
+++ b/mesh/coordinator/coordinator.go
@@ -11,6 +11,7 @@
 	"lagoonlanding.example/lagoonlanding/mesh/allocator"
 	"lagoonlanding.example/lagoonlanding/mesh/grantor"
 	"lagoonlanding.example/lagoonlanding/mesh/registrar"
+	"lagoonlanding.example/lagoonlanding/requests/quarantiner"
 )
 
 // Config holds what a Coordinator is built from.
@@ -23,6 +24,8 @@
 	Grantor *grantor.Grantor
 	// Gate admits tasks to the backend server.
 	Gate lagoonlanding.Gate
+	// Quarantine knows the requests that crash backend servers.
+	Quarantine *quarantiner.Quarantine
 	// Log takes one line for each change of what the daemon believes.
 	Log *logrus.Entry
 }
@@ -48,6 +51,8 @@
 	// published is the registration as it was last written.
 	published lagoonlanding.Backend
 	needs     map[string]time.Time
+	// crashed says that the quarantine has learned of a crash that other daemons do not know.
+	crashed bool
 	// rests are the services whose allotment was found to hold.
 	rests map[string]rest
 	// generation counts the changes from which plans follow.
--- a/mesh/coordinator/store.go
+++ b/mesh/coordinator/store.go
@@ -96,9 +96,15 @@
 		coordinator.applyDaemon(now, name, change)
 		return
 	}
-	if _, ok := strings.CutPrefix(entry.Key(), allotmentPrefix); ok && !change.IsRemoved() {
+	if change.IsRemoved() {
+		return
+	}
+	if strings.HasPrefix(entry.Key(), allotmentPrefix) {
 		coordinator.applyAllotment(entry)
 	}
+	if strings.HasPrefix(entry.Key(), suspectPrefix) && entry.Key() != suspectPrefix+coordinator.config.Self.ID().Daemon() {
+		coordinator.applySuspects(now, entry)
+	}
 }
 
 func (coordinator *Coordinator) applyDaemon(now time.Time, name string, change lagoonlanding.Change) {
--- a/mesh/coordinator/write.go
+++ b/mesh/coordinator/write.go
@@ -24,15 +24,24 @@
 	retryTerm = 250 * time.Millisecond
 )
 
+// kind is what a write is about.
+type kind uint8
+
+// The kinds of writes.
+const (
+	registration kind = iota + 1
+	allotment
+	suspects
+)
+
 // Write is one write to the store that the control state asks for.
 type Write struct {
-	put lagoonlanding.Put
+	kind kind
+	put  lagoonlanding.Put
 	// pointer leads daemons that have just started to this one; it is written with the registration.
 	pointer lagoonlanding.Put
 	// absent are the keys of registrations that must not be there for an allotment to hold.
-	absent []string
-	// service is the divided service of an allotment, empty for the daemon's registration.
-	service  string
+	absent   []string
 	expected uint64
 	backend  lagoonlanding.Backend
 	sent     time.Time
@@ -41,14 +50,19 @@
 // Put returns what is to be written.
 func (write Write) Put() lagoonlanding.Put { return write.put }
 
-// Pointer returns what is written with a registration for daemons that have just started.
-func (write Write) Pointer() lagoonlanding.Put { return write.pointer }
+// Puts returns all that is written together.
+func (write Write) Puts() []lagoonlanding.Put {
+	if write.kind == registration {
+		return []lagoonlanding.Put{write.put, write.pointer}
+	}
+	return []lagoonlanding.Put{write.put}
+}
 
 // Absent returns the keys that must have no entry for a conditional write.
 func (write Write) Absent() []string { return write.absent }
 
 // IsConditional reports whether the write holds only for an expected revision.
-func (write Write) IsConditional() bool { return write.service != "" }
+func (write Write) IsConditional() bool { return write.kind == allotment }
 
 // Expected returns the revision that the entry must have.
 func (write Write) Expected() uint64 { return write.expected }
@@ -66,6 +80,10 @@
 		coordinator.writing = true
 		return write, time.Time{}, true
 	}
+	if write, ok := coordinator.suspectWrite(now); ok {
+		coordinator.writing = true
+		return write, time.Time{}, true
+	}
 	if !coordinator.session.IsRegistered() || coordinator.routing == nil || coordinator.view == 0 {
 		return Write{}, time.Time{}, false
 	}
@@ -104,7 +122,9 @@
 	}
 	lease, self := coordinator.session.Lease(), coordinator.config.Self
 	pointer := lagoonlanding.NewPut(ZonePrefix(self.AvailabilityZone())+self.ID().Daemon(), []byte(self.PeerAddress()), lease)
-	return Write{put: lagoonlanding.NewPut(coordinator.OwnKey(), value, lease), pointer: pointer, backend: backend, sent: now}, true
+	return Write{
+		kind: registration, put: lagoonlanding.NewPut(coordinator.OwnKey(), value, lease), pointer: pointer, backend: backend, sent: now,
+	}, true
 }
 
 // allotmentWrite returns the next allotment of a service if it should differ from the present one.
@@ -175,16 +195,15 @@
 }
 
 func (coordinator *Coordinator) propose(
-	now time.Time, allotment *allocator.Allotment, revision uint64, absent []string,
+	now time.Time, next *allocator.Allotment, revision uint64, absent []string,
 ) (Write, time.Time, bool) {
-	value, err := allocator.Codec{}.Encode(allotment)
+	value, err := allocator.Codec{}.Encode(next)
 	if err != nil {
 		coordinator.config.Log.WithError(err).Error("Allotment cannot be encoded.")
 		return Write{}, time.Time{}, false
 	}
 	return Write{
-		put: lagoonlanding.NewPut(allotmentPrefix+allotment.Service(), value, 0), service: allotment.Service(), expected: revision,
-		absent: absent, sent: now,
+		kind: allotment, put: lagoonlanding.NewPut(allotmentPrefix+next.Service(), value, 0), expected: revision, absent: absent, sent: now,
 	}, time.Time{}, true
 }
 
@@ -213,7 +232,9 @@
 	coordinator.writing = false
 	log := coordinator.config.Log.WithField("key", write.put.Key())
 	switch {
-	case err == nil && !write.IsConditional():
+	case err == nil && write.kind == suspects:
+		log.WithField("revision", revision).Info("Suspects written.")
+	case err == nil && write.kind == registration:
 		coordinator.published, coordinator.sentAt = write.backend, write.sent
 		coordinator.session.Register(revision)
 		coordinator.verifyWritten()
@@ -225,6 +246,7 @@
 	case errors.Is(err, lagoonlanding.ErrLeaseEnded):
 		coordinator.session.End()
 	default:
+		coordinator.crashed = coordinator.crashed || write.kind == suspects
 		coordinator.writeAt = now.Add(retryTerm)
 		log.WithError(err).Warn("Write to the store failed.")
 	}
--- a/mesh/forwarder/forwarder.go
+++ b/mesh/forwarder/forwarder.go
@@ -247,6 +247,9 @@
 	if ctx.Err() != nil || journey.tries >= maxTries {
 		return false
 	}
+	if result.Reason() == lagoonlanding.ReasonQuarantined {
+		return false
+	}
 	if result.Outcome() == lagoonlanding.OutcomeNotRun && !result.IsReached() {
 		// No backend server has seen it, so another try costs none of them anything.
 		return forwarder.isReplayable(journey)
--- a/mesh/syncer/syncer.go
+++ b/mesh/syncer/syncer.go
@@ -122,6 +122,11 @@
 	syncer.do(func(state *coordinator.Coordinator, _ time.Time) { state.Lost(id) })
 }
 
+// Crashed tells the control thread that the quarantine has learned of a crash.
+func (syncer *Syncer) Crashed() {
+	syncer.do(func(state *coordinator.Coordinator, _ time.Time) { state.Crashed() })
+}
+
 // IsReady reports whether the daemon can serve.
 func (syncer *Syncer) IsReady() (ready bool) {
 	syncer.control.Do(func(state *coordinator.Coordinator) { ready = state.IsReady() })
@@ -263,7 +268,7 @@
 	if write.IsConditional() {
 		revision, err = syncer.config.Store.PutIf(call, write.Put(), write.Expected(), write.Absent()...)
 	} else {
-		revision, err = syncer.config.Store.Put(call, write.Put(), write.Pointer())
+		revision, err = syncer.config.Store.Put(call, write.Puts()...)
 	}
 	syncer.do(func(state *coordinator.Coordinator, now time.Time) { state.Wrote(now, write, revision, err) })
 }
--- a/runner.go
+++ b/runner.go
@@ -9,6 +9,8 @@
 type Runner interface {
 	// Run sends the task to the life of the backend server; ctx ends when nobody waits for the answer any more.
 	Run(ctx context.Context, id BackendID, address string, task Task) Result
+	// HasEnded reports whether nothing listens at the backend server's address any more, so that its process has ended.
+	HasEnded(ctx context.Context, address string) bool
 }
 
 // Carrier takes tasks to the daemons beside other backend servers.
