Find anyone with news, and ask the store as soon as no daemon has any

(1) A follower counted as told whenever it turned to a daemon, before that had said anything, so it never found that nobody told news and never asked the store itself. (2) One that the store turned away too asked five daemons only, all of them turned away. Ruled out: the daemons' time to take a configuration in (the others had it at 3.0 s). Change: only an answer counts as told; who hears nothing draws four more daemons each time. Writes that the store does not answer are retried ever later, and at once when it answers a renewal.

--- a/mesh/coordinator/coordinator.go
+++ b/mesh/coordinator/coordinator.go
@@ -59,6 +59,8 @@
 	generation uint64
 	writeAt    time.Time
 	writing    bool
+	// unanswered counts the writes in a row that the store did not answer.
+	unanswered int
 	// sentAt is when the registration that was written last was sent.
 	sentAt  time.Time
 	started time.Time
--- a/mesh/coordinator/write.go
+++ b/mesh/coordinator/write.go
@@ -20,8 +20,10 @@
 	rankTerm = 1200 * time.Millisecond
 	// planners is how many daemons work out allotments: the others would only repeat the work and come too late to write.
 	planners = 6
-	// retryTerm is the pause after a write that failed.
+	// retryTerm is the pause after a write that failed; it doubles while the store does not answer.
 	retryTerm = 250 * time.Millisecond
+	// longestRetryTerm bounds that pause, and so does the first answer of the store to another call.
+	longestRetryTerm = 2 * time.Second
 )
 
 // kind is what a write is about.
@@ -230,6 +232,9 @@
 // Wrote takes in what became of a write.
 func (coordinator *Coordinator) Wrote(now time.Time, write Write, revision uint64, err error) {
 	coordinator.writing = false
+	if err == nil {
+		coordinator.unanswered = 0
+	}
 	log := coordinator.config.Log.WithField("key", write.put.Key())
 	switch {
 	case err == nil && write.kind == suspects:
@@ -247,19 +252,40 @@
 		coordinator.session.End()
 	default:
 		coordinator.crashed = coordinator.crashed || write.kind == suspects
-		coordinator.writeAt = now.Add(retryTerm)
+		coordinator.writeAt = now.Add(coordinator.nextRetry(err))
 		log.WithError(err).Warn("Write to the store failed.")
 	}
 }
 
+// nextRetry returns the pause after a write that failed.
+func (coordinator *Coordinator) nextRetry(err error) time.Duration {
+	if errors.Is(err, lagoonlanding.ErrConflict) {
+		return retryTerm
+	}
+	pause := min(retryTerm<<min(coordinator.unanswered, 4), longestRetryTerm)
+	coordinator.unanswered++
+	return pause
+}
+
+// answered notes that the store answers again, so that writes need not wait any longer.
+func (coordinator *Coordinator) answered() {
+	if coordinator.unanswered > 0 {
+		coordinator.unanswered, coordinator.writeAt = 0, time.Time{}
+	}
+}
+
 // Lease takes in a new lease for the registration.
-func (coordinator *Coordinator) Lease(lease lagoonlanding.LeaseID) { coordinator.session.Begin(lease) }
+func (coordinator *Coordinator) Lease(lease lagoonlanding.LeaseID) {
+	coordinator.session.Begin(lease)
+	coordinator.answered()
+}
 
 // Kept takes in what became of a renewal that was sent at the time.
 func (coordinator *Coordinator) Kept(sent time.Time, err error) {
 	switch {
 	case err == nil:
 		coordinator.session.Keep(sent)
+		coordinator.answered()
 	case errors.Is(err, lagoonlanding.ErrLeaseEnded):
 		coordinator.session.End()
 	default:
--- a/mesh/syncer/outage_test.go
+++ b/mesh/syncer/outage_test.go
@@ -121,6 +121,20 @@
 	mutex   sync.Mutex
 	asked   map[string]int
 	touched bool
+	// deaf are daemons that hear nothing though the others do.
+	deaf map[string]bool
+}
+
+func (peers *tellingPeers) setDeaf(address string, isDeaf bool) {
+	peers.mutex.Lock()
+	defer peers.mutex.Unlock()
+	peers.deaf[address] = isDeaf
+}
+
+func (peers *tellingPeers) count(address string) int {
+	peers.mutex.Lock()
+	defer peers.mutex.Unlock()
+	return peers.asked[address]
 }
 
 func (peers *tellingPeers) Feed(address string) lagoonlanding.Feed {
@@ -136,7 +150,7 @@
 	peer.peers.mutex.Lock()
 	defer peer.peers.mutex.Unlock()
 	peer.peers.asked[peer.address]++
-	if !peer.peers.touched {
+	if !peer.peers.touched || peer.peers.deaf[peer.address] {
 		return lagoonlanding.ErrOutOfTouch
 	}
 	return nil
@@ -147,12 +161,15 @@
 }
 
 func (peer *tellingPeer) Watch(ctx context.Context, _ string, _ uint64) (lagoonlanding.ChangeList, error) {
+	if err := peer.tell(); err != nil {
+		return lagoonlanding.ChangeList{}, err
+	}
 	select {
 	case <-ctx.Done():
 		return lagoonlanding.ChangeList{}, ctx.Err()
 	case <-time.After(500 * time.Millisecond):
 	}
-	return lagoonlanding.NewChangeList(nil, 1), peer.tell()
+	return lagoonlanding.NewChangeList(nil, 1), nil
 }
 
 func newFollower(store *countingStore, peers *tellingPeers) *Syncer {
@@ -191,3 +208,52 @@
 		}
 	})
 }
+
+// setTouched says whether the peers hear from the store.
+func (peers *tellingPeers) setTouched(touched bool) {
+	peers.mutex.Lock()
+	defer peers.mutex.Unlock()
+	peers.touched = touched
+}
+
+func TestDaemonAsksTheStoreItselfOnceItsSourcesHearNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, peers := newCountingStore(), &tellingPeers{asked: map[string]int{}, touched: true}
+		run(t, newFollower(store, peers))
+		time.Sleep(5 * time.Second)
+		peers.setTouched(false)
+		// A configuration must be in force within two seconds, and the store answers this daemon.
+		time.Sleep(2 * time.Second)
+		if store.count("list orders/") == 0 {
+			t.Error("the daemon still waits for daemons that hear nothing")
+		}
+	})
+}
+
+func TestDaemonThatTheStoreTurnsAwayFindsAnyoneWithNews(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, peers := newCountingStore(), &tellingPeers{asked: map[string]int{}, touched: true, deaf: map[string]bool{}}
+		syncer := newFollower(store, peers)
+		run(t, syncer)
+		time.Sleep(3 * time.Second)
+		// Of a fleet of twenty only one hears from the store, and it is not among the first of its zone.
+		syncer.do(func(state *coordinator.Coordinator, now time.Time) {
+			var changes []lagoonlanding.Change
+			for number := range 20 {
+				name := fmt.Sprintf("daemon-%02d", number)
+				value := fmt.Sprintf(`{"daemon":%q,"peer-address":"address-of-%s","state":"absent"}`, name, name)
+				changes = append(changes, lagoonlanding.NewChange(lagoonlanding.NewEntry(coordinator.FleetPrefix+"daemons/"+name, []byte(value), uint64(number+10)), false))
+				peers.setDeaf("address-of-"+name, number != 13)
+			}
+			state.Apply(now, lagoonlanding.NewChangeList(changes, 40))
+		})
+		peers.setDeaf("address-of-first", true)
+		store.setDown(true)
+		time.Sleep(2 * time.Second)
+		before := peers.count("address-of-daemon-13")
+		time.Sleep(2 * time.Second)
+		if after := peers.count("address-of-daemon-13"); after-before < 3 {
+			t.Errorf("the only daemon with news was asked %d times in two seconds", after-before)
+		}
+	})
+}
--- a/mesh/syncer/view.go
+++ b/mesh/syncer/view.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 
@@ -20,6 +22,8 @@
 	shortUntouchedTerm = 100 * time.Millisecond
 	// untouchedTerm is that time later on.
 	untouchedTerm = 400 * time.Millisecond
+	// drawnPeers is how many daemons are drawn each time that nobody else tells news.
+	drawnPeers = 4
 	// followTerm is how long a daemon that is not the first of its zone looks for others with news before it asks the store itself.
 	followTerm = 700 * time.Millisecond
 	// returnTerm is that time after the store has come back: renewals, which show it, come once a second.
@@ -46,6 +50,8 @@
 	avoided map[string]time.Time
 	// since is when the view began to hear from its present source.
 	since time.Time
+	// drawn are daemons that are asked after all others, for a daemon that the store turns away together with those.
+	drawn []lagoonlanding.Backend
 	// dry is since when no other daemon tells news, zero while one does.
 	dry time.Time
 	// heard is when a source last told what there is.
@@ -90,18 +96,25 @@
 	}
 }
 
-// dryUp notes that nobody can tell any news.
+// dryUp notes that nobody can tell any news, and draws others to ask besides the usual ones.
 func (view *view) dryUp() {
 	if view.dry.IsZero() {
 		view.dry = view.syncer.config.Clock.Now()
 		view.syncer.config.Log.WithField("dependency", view.name).WithField("revision", view.journal.Reached()).Info("Nobody tells news.")
 	}
+	view.drawn = view.drawn[:0]
+	peers := view.syncer.config.Coordinator.Snapshot().Peers()
+	for _, index := range rand.Perm(len(peers))[:min(len(peers), drawnPeers)] {
+		if peers[index].ID().Daemon() != view.syncer.config.Daemon {
+			view.drawn = append(view.drawn, peers[index])
+		}
+	}
 }
 
 // source returns the first of the daemon's sources that has not failed lately; it is false if there is none.
 func (view *view) source() (source, bool) {
 	now := view.syncer.config.Clock.Now()
-	for index, backend := range view.syncer.relays() {
+	for index, backend := range slices.Concat(view.syncer.relays(), view.drawn) {
 		name := backend.ID().Daemon()
 		if name == view.syncer.config.Daemon {
 			if view.mayAskStore(now, index == 0) {
@@ -139,12 +152,12 @@
 	view.since = view.syncer.config.Clock.Now()
 	err := view.begin(ctx, source)
 	for err == nil {
-		view.succeed(source)
 		view.journal.Connect(source.direct)
 		view.syncer.setDirect(view.name, source.direct)
 		if err = view.watch(ctx, source); err != nil {
 			break
 		}
+		view.succeed(source)
 		view.connect(true)
 		if view.hasBetter(ctx, source) {
 			return nil
@@ -174,11 +187,12 @@
 	if preferred.direct {
 		return true
 	}
-	err := view.watch(ctx, preferred)
-	if err != nil {
-		view.avoid(preferred, err)
+	if err := view.watch(ctx, preferred); err != nil {
+		view.avoided[preferred.name] = view.syncer.config.Clock.Now().Add(avoidTerm)
+		view.syncer.config.Log.WithField("source", preferred.name).WithError(err).Debug("Preferred source still tells no news.")
+		return false
 	}
-	return err == nil
+	return true
 }
 
 // succeed notes that the source has told what there is.
@@ -215,7 +229,11 @@
 	if view.journal.Reached() > 0 && !source.direct {
 		return nil
 	}
-	return view.list(ctx, source)
+	err := view.list(ctx, source)
+	if err == nil {
+		view.succeed(source)
+	}
+	return err
 }
 
 // gather lets changes that come together come by one watch.
