Let a leaving server take tasks for half of the bound only

Ruled out: a restart of the daemon, which would have forgotten when the leave began (none in the log). Change: half of the bound, 1.5 s there, so that as much is left for the way.

--- a/lagoonmesh/terms.go
+++ b/lagoonmesh/terms.go
@@ -39,8 +39,9 @@
 	retryPart = 0.6
 	// defaultRetryShare is the further tries that each request earns where the platform names no bound.
 	defaultRetryShare = 0.1
-	// drainMargin is how long before the platform's bound a backend server that leaves gets its last task; the way to it takes milliseconds.
-	drainMargin = 400 * time.Millisecond
+	// drainPart is the part of the platform's bound, as a divisor, in which a backend server that leaves still gets tasks: on a busy
+	// instance a task took half a second from its admission to the backend server.
+	drainPart = 2
 	// defaultGrace is the time to end after SIGTERM where the platform names none.
 	defaultGrace = 6 * time.Second
 )
