--- a/trials/soak/main.go
+++ b/trials/soak/main.go
@@ -1,4 +1,3 @@
-// Command soak plays a long randomised run of a fleet in one process and checks what must always hold.
 package main
 
 import (
