--- a/trials/demo/main.go
+++ b/trials/demo/main.go
@@ -46,7 +46,7 @@
 	flags := flag.NewFlagSet("demo", flag.ContinueOnError)
 	flags.StringVar(&options.deployment, "deployment", "karotsaki", "karotsaki or ezo")
 	flags.StringVar(&options.binaries, "binaries", "bin", "folder of the programs")
-	flags.StringVar(&options.sets, "sets", "demo/testdata", "folder of the published sets")
+	flags.StringVar(&options.sets, "sets", "trials/demo/testdata", "folder of the published sets")
 	flags.IntVar(&options.port, "port", 21000, "first of the ports on loopback")
 	flags.BoolVar(&options.keep, "keep", false, "stay up and print what to try, until an interrupt")
 	flags.BoolVar(&options.faults, "faults", false, "run the faults in place of the demonstration")
--- a/trials/soak/main.go
+++ b/trials/soak/main.go
@@ -19,7 +19,7 @@
 	shrink := flag.Int("shrink", 60, "number of tries to find a shorter run after a violation")
 	mutants := flag.Int("mutants", 0, "number of seeds to try against each mutant; zero for a plain run")
 	only := flag.String("mutant", "", "the only mutant to try")
-	root := flag.String("root", "..", "folder of the router's module, for mutants")
+	root := flag.String("root", "../..", "folder of the router's module, for mutants")
 	flag.Parse()
 	if *mutants > 0 {
 		os.Exit(tryMutants(mutator.Config{Root: *root, Seeds: *mutants, Steps: *steps, Only: *only}))
