Show that a series of faults leaves nothing behind in the platform's ownership

The test plays rounds of one to three overlapping faults (cuts, removed entries, kills, frozen daemons, crashes, outages, kills of all) and asks after each that all stripes have a holder within 15 s, the bound of the platform's rules.

--- a/mesh/coordinator/ownership_test.go
+++ b/mesh/coordinator/ownership_test.go
@@ -365,9 +365,13 @@
 
 // trouble begins a fault now and then; faults overlap.
 func (sim *sim) trouble() {
-	if sim.random.Float64() > 0.02 {
-		return
+	if sim.random.Float64() <= 0.02 {
+		sim.disturb()
 	}
+}
+
+// disturb begins one fault.
+func (sim *sim) disturb() {
 	daemon := sim.daemons[sim.random.IntN(len(sim.daemons))]
 	for_ := time.Duration(500+sim.random.IntN(12000)) * time.Millisecond
 	switch sim.random.IntN(7) {
@@ -406,17 +410,71 @@
 func (sim *sim) play() {
 	end := sim.now.Add(simDuration)
 	for sim.now.Before(end) {
-		sim.now = sim.now.Add(simStep)
-		if !sim.store.down {
-			sim.store.lapse(sim.now)
-		}
 		if sim.now.Sub(time.Unix(1000, 0)) > 6*time.Second {
 			sim.trouble()
 		}
-		for _, daemon := range sim.daemons {
-			sim.step(daemon)
+		sim.advance()
+	}
+}
+
+// advance plays one step.
+func (sim *sim) advance() {
+	sim.now = sim.now.Add(simStep)
+	if !sim.store.down {
+		sim.store.lapse(sim.now)
+	}
+	for _, daemon := range sim.daemons {
+		sim.step(daemon)
+	}
+	sim.check()
+}
+
+// held returns how many stripes have a holder.
+func (sim *sim) held() int {
+	held := 0
+	for _, daemon := range sim.daemons {
+		held += len(daemon.server.holds)
+	}
+	return held
+}
+
+// isDisturbed reports whether a fault still lasts.
+func (sim *sim) isDisturbed() bool {
+	for _, daemon := range sim.daemons {
+		if sim.now.Before(daemon.cutUntil) || sim.now.Before(daemon.deadUntil) || sim.now.Before(daemon.asleepUntil) {
+			return true
 		}
-		sim.check()
+	}
+	return false
+}
+
+// recoverTerm bounds the time after a fault until all keys are served, as the platform's rules do.
+const recoverTerm = 15 * time.Second
+
+func TestSeriesOfFaultsLeavesNothingBehind(t *testing.T) {
+	for seed := range uint64(6) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			sim := newSim(t, seed+1000)
+			for range 200 {
+				sim.advance()
+			}
+			for round := range 10 {
+				for range 1 + sim.random.IntN(3) {
+					sim.disturb()
+				}
+				for lasts := sim.now.Add(8 * time.Second); sim.now.Before(lasts) || sim.isDisturbed(); {
+					sim.advance()
+				}
+				sim.store.down = false
+				healed := sim.now
+				for sim.held() < 256 {
+					if sim.advance(); sim.now.Sub(healed) > recoverTerm {
+						t.Fatalf("round %d: %d of 256 stripes are held %v after the last fault", round, sim.held(), recoverTerm)
+					}
+				}
+			}
+		})
 	}
 }
 
@@ -436,18 +494,9 @@
 func TestAllKeysAreHeldOnACalmDay(t *testing.T) {
 	sim := newSim(t, 1)
 	for range 200 {
-		sim.now = sim.now.Add(simStep)
-		sim.store.lapse(sim.now)
-		for _, daemon := range sim.daemons {
-			sim.step(daemon)
-		}
-		sim.check()
-	}
-	held := 0
-	for _, daemon := range sim.daemons {
-		held += len(daemon.server.holds)
+		sim.advance()
 	}
-	if held != 256 {
+	if held := sim.held(); held != 256 {
 		t.Errorf("%d of 256 stripes are held", held)
 	}
 }
