--- a/adapters/messenger/pool.go
+++ b/adapters/messenger/pool.go
@@ -112,9 +112,10 @@
 	}
 	opened := make(chan result, 1)
 	go func() {
-		defer slot.release()
 		link, err := pool.connect(where)
 		slot.note(link, err)
+		// Whoever hears of the outcome may rely on the turn being free.
+		slot.release()
 		opened <- result{link: link, err: err}
 	}()
 	select {
