Tell a client that left, or a deadline, from a connection that broke between daemons

The carrier told them all as broken connections, so logs blamed links, and the chooser avoided daemons for a second for clients that left. Ruled out: connections cut by stopping daemons (the stop waits for what runs; the errors are 'use of closed network connection' on the asking side). Change: one function tells why a way ended, for backend servers and daemons alike; a daemon silent until the deadline is avoided as before, one whose client left is not. The new test of the carrier failed before.

--- a/mesh/caller/pool.go
+++ b/mesh/caller/pool.go
@@ -105,6 +105,17 @@
 	return response, nil
 }
 
+// EndOf returns why a request that was sent got no whole answer: its own time or its client ended it, or else the connection.
+func EndOf(ctx context.Context) lagoonlanding.Reason {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return lagoonlanding.ReasonDeadline
+	case ctx.Err() != nil:
+		return lagoonlanding.ReasonCancelled
+	}
+	return lagoonlanding.ReasonConnectionLost
+}
+
 func (pool *Pool) exchange(ctx context.Context, connection *connection, request *http.Request) (*http.Response, error) {
 	connection.written = 0
 	stop := context.AfterFunc(ctx, func() { connection.Close() })
--- a/mesh/carrier/carrier.go
+++ b/mesh/carrier/carrier.go
@@ -45,8 +45,10 @@
 		return lagoonlanding.NotRun(lagoonlanding.ReasonUnreachable, carrier.config.Clock.Now())
 	}
 	if err != nil {
-		carrier.config.Log.WithField("request", task.ID()).WithField("daemon", backend.ID().Daemon()).WithError(err).Info("Connection to a daemon broke.")
-		return lagoonlanding.MayHaveRun(lagoonlanding.ReasonConnectionLost)
+		reason := caller.EndOf(ctx)
+		carrier.config.Log.WithField("request", task.ID()).WithField("daemon", backend.ID().Daemon()).WithField("reason", reason).WithError(err).
+			Info("Daemon gave no answer.")
+		return lagoonlanding.MayHaveRun(reason)
 	}
 	config, err := read[lagoonlanding.ResultConfig, resultTerms](response.Header, headerResult, carrier.config.Clock.Now())
 	if err != nil {
@@ -60,7 +62,7 @@
 	}
 	body, _, err := caller.Hold(response.Body, heldBody)
 	if err != nil {
-		return lagoonlanding.MayHaveRun(lagoonlanding.ReasonConnectionLost)
+		return lagoonlanding.MayHaveRun(caller.EndOf(ctx))
 	}
 	config.Answer = lagoonlanding.NewAnswer(lagoonlanding.AnswerConfig{
 		Status: response.StatusCode, Header: caller.EndToEnd(response.Header), Body: body, BodyLength: response.ContentLength,
--- /dev/null
+++ b/mesh/carrier/carrier_test.go
@@ -0,0 +1,53 @@
+package carrier
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"lagoonlanding.example/lagoonlanding"
+	"lagoonlanding.example/lagoonlanding/mesh/caller"
+	"lagoonlanding.example/lagoonlanding/runtime/timekeeper"
+)
+
+// silentDaemon takes tasks and says nothing until their senders have gone.
+type silentDaemon struct{}
+
+func (silentDaemon) Handle(ctx context.Context, _ lagoonlanding.Task) lagoonlanding.Result {
+	<-ctx.Done()
+	return lagoonlanding.MayHaveRun(lagoonlanding.ReasonCancelled)
+}
+
+func TestTaskThatItsClientGivesUpDoesNotBlameTheDaemon(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	server := httptest.NewServer(NewServer(ServerConfig{Handler: silentDaemon{}, Clock: timekeeper.BootClock{}, Log: logrus.NewEntry(log)}))
+	defer server.Close()
+	carrier := New(Config{
+		Pool:  caller.NewPool(caller.Config{DialTerm: time.Second, IdleTerm: time.Second, SilenceTerm: time.Second, MaxIdle: 2}),
+		Clock: timekeeper.BootClock{}, Log: logrus.NewEntry(log),
+	})
+	backend := lagoonlanding.NewBackend(lagoonlanding.BackendConfig{
+		ID: lagoonlanding.NewBackendID("d", "b", 1), PeerAddress: strings.TrimPrefix(server.URL, "http://"),
+	})
+	now := timekeeper.BootClock{}.Now()
+	task := lagoonlanding.NewTask(lagoonlanding.TaskConfig{
+		ID: "r", Service: "s", Method: "GET", Host: "h", Target: "/", Header: http.Header{}, Deadline: now.Add(time.Minute), Objective: now.Add(time.Minute),
+	})
+	leaving, leave := context.WithCancel(t.Context())
+	time.AfterFunc(50*time.Millisecond, leave)
+	if got := carrier.Carry(leaving, backend, task); got.Reason() != lagoonlanding.ReasonCancelled || got.Outcome() != lagoonlanding.OutcomeUnknown {
+		t.Errorf("got %v after the client has left", got.Reason())
+	}
+	late, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	if got := carrier.Carry(late, backend, task); got.Reason() != lagoonlanding.ReasonDeadline {
+		t.Errorf("got %v after the deadline", got.Reason())
+	}
+}
--- a/mesh/chooser/chooser.go
+++ b/mesh/chooser/chooser.go
@@ -178,6 +178,11 @@
 	switch result.Reason() {
 	case lagoonlanding.ReasonUnreachable, lagoonlanding.ReasonConnectionLost, lagoonlanding.ReasonNoUpstream, lagoonlanding.ReasonShuttingDown:
 		known.avoid = now.Add(chooser.config.AvoidTerm)
+	case lagoonlanding.ReasonDeadline:
+		// A daemon that has not said a word until the deadline may hang, unlike one that tells of its backend server's deadline.
+		if result.Load().Slots() == 0 {
+			known.avoid = now.Add(chooser.config.AvoidTerm)
+		}
 	case lagoonlanding.ReasonNone:
 		known.avoid = time.Time{}
 	}
--- a/mesh/chooser/chooser_test.go
+++ b/mesh/chooser/chooser_test.go
@@ -105,3 +105,17 @@
 		t.Error("a server whose queue was full was chosen because that was a while ago")
 	}
 }
+
+func TestClientsThatLeaveDoNotMakeAServerAvoided(t *testing.T) {
+	for reason, want := range map[lagoonlanding.Reason]int{
+		lagoonlanding.ReasonCancelled: 0, lagoonlanding.ReasonDeadline: 1, lagoonlanding.ReasonConnectionLost: 1,
+	} {
+		chooser := newChooser()
+		all := candidates([2]string{"home", "near"}, [2]string{"home", "next"})
+		chooser.Sent("d0")
+		chooser.Done(start, "d0", lagoonlanding.MayHaveRun(reason))
+		if got := chooser.Choose(start.Add(100*time.Millisecond), all); got != want {
+			t.Errorf("%v: server %d is chosen", reason, got)
+		}
+	}
+}
