Take tasks in the first part of a stop, and wait for an owner whose daemon is started anew

A daemon closed its gate for undivided services at the signal, though it runs on for at least 2.2 s so that clients leave it; with a stop each second three of twelve backend servers were idle. Keyed requests to a daemon between its end and its start were refused at once, to come back after 50 ms, and were refused again. Ruled out: cut requests (none; the stop waits for what runs), the start itself (0.53 s is the platform's pause). Change: the gate closes 1.2 s after the signal. A refused connection is told as no-upstream, for which keyed requests already wait up to half of their objective, and the refusal names the time of a start. Tests of both failed before (the gate's shown by a run without the change; the carrier's was written with it).

--- a/mesh/carrier/carrier.go
+++ b/mesh/carrier/carrier.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"syscall"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -13,6 +15,9 @@
 // heldBody is how much of an answer is read before it is passed on, in bytes, so that one that breaks off may be asked for again.
 const heldBody = 64 << 10
 
+// restartTerm is when a daemon whose machine refuses connections may be up again: its process is started anew within half a second.
+const restartTerm = 500 * time.Millisecond
+
 // Config holds what a Carrier is built from.
 type Config struct {
 	// Pool keeps the connections to other daemons.
@@ -41,6 +46,9 @@
 		return lagoonlanding.NotRun(lagoonlanding.ReasonMalformed, task.Deadline())
 	}
 	response, err := carrier.config.Pool.Exchange(ctx, backend.PeerAddress(), request)
+	if errors.Is(err, lagoonlanding.ErrNotSent) && errors.Is(err, syscall.ECONNREFUSED) {
+		return lagoonlanding.NotRun(lagoonlanding.ReasonNoUpstream, carrier.config.Clock.Now().Add(restartTerm))
+	}
 	if errors.Is(err, lagoonlanding.ErrNotSent) {
 		return lagoonlanding.NotRun(lagoonlanding.ReasonUnreachable, carrier.config.Clock.Now())
 	}
--- a/mesh/carrier/carrier_test.go
+++ b/mesh/carrier/carrier_test.go
@@ -51,3 +51,25 @@
 		t.Errorf("got %v after the deadline", got.Reason())
 	}
 }
+
+func TestDaemonThatIsStartedAnewIsNamedAsSuch(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	listener := httptest.NewServer(nil)
+	address := strings.TrimPrefix(listener.URL, "http://")
+	listener.Close()
+	carrier := New(Config{
+		Pool:  caller.NewPool(caller.Config{DialTerm: time.Second, IdleTerm: time.Second, SilenceTerm: time.Second, MaxIdle: 2}),
+		Clock: timekeeper.BootClock{}, Log: logrus.NewEntry(log),
+	})
+	now := timekeeper.BootClock{}.Now()
+	got := carrier.Carry(t.Context(), lagoonlanding.NewBackend(lagoonlanding.BackendConfig{PeerAddress: address}), lagoonlanding.NewTask(lagoonlanding.TaskConfig{
+		ID: "r", Service: "s", Method: "GET", Host: "h", Target: "/", Header: http.Header{}, Deadline: now.Add(time.Minute),
+	}))
+	if got.Outcome() != lagoonlanding.OutcomeNotRun || got.Reason() != lagoonlanding.ReasonNoUpstream {
+		t.Errorf("got %v, %v", got.Outcome(), got.Reason())
+	}
+	if wait := got.RetryAt().Sub(now); wait < 400*time.Millisecond || wait > 700*time.Millisecond {
+		t.Errorf("the task is to come back after %v", wait)
+	}
+}
--- a/mesh/coordinator/coordinator.go
+++ b/mesh/coordinator/coordinator.go
@@ -49,6 +49,8 @@
 	// view is the store's revision up to which the fleet's entries are known.
 	view     uint64
 	stopping bool
+	// partsAt is when a daemon that stops takes no more tasks for a backend server that others can stand in for.
+	partsAt  time.Time
 	departed map[string]bool
 	// left is the life that was last known to leave, and leavesAt when it gets nothing more.
 	left     lagoonlanding.BackendID
@@ -157,14 +159,17 @@
 	switch {
 	case !ok:
 		gate.Close(lagoonlanding.ReasonNoUpstream)
-	case coordinator.isParting(), coordinator.isLeaving(latest) && !coordinator.isDivided(latest.Service()):
+	case coordinator.isLeaving(latest) && !coordinator.isDivided(latest.Service()):
 		gate.Close(lagoonlanding.ReasonShuttingDown)
 	case coordinator.evacuated[coordinator.config.Self.AvailabilityZone()]:
 		gate.Close(lagoonlanding.ReasonNotReady)
 	default:
 		gate.Open(coordinator.config.Grantor.ID(), latest.Slots(), latest.WarmAt(), coordinator.coldRate(latest.Service()))
-		if coordinator.isLeaving(latest) {
+		switch {
+		case coordinator.isLeaving(latest):
 			gate.Leave(coordinator.leavesAt, lagoonlanding.ReasonShuttingDown)
+		case coordinator.stopping && !coordinator.isDivided(latest.Service()):
+			gate.Leave(coordinator.partsAt, lagoonlanding.ReasonShuttingDown)
 		}
 	}
 }
@@ -240,17 +245,12 @@
 	return coordinator.routing != nil && coordinator.view > 0 && !coordinator.stopping
 }
 
-// Stop notes that the daemon is about to end; tasks of divided services are still taken, since no other backend server holds their keys.
-func (coordinator *Coordinator) Stop() {
-	coordinator.stopping = true
-	coordinator.steer()
-}
+// partTerm is how long a daemon that stops still takes tasks that others could: clients leave it within two seconds, and what it has
+// taken should have ended by then.
+const partTerm = 1200 * time.Millisecond
 
-// isParting reports whether other daemons should send their tasks elsewhere because this one is about to end.
-func (coordinator *Coordinator) isParting() bool {
-	if !coordinator.stopping || coordinator.routing == nil {
-		return false
-	}
-	terms, ok := coordinator.routing.Service(coordinator.config.Self.Service())
-	return ok && !terms.IsDivided()
+// Stop notes that the daemon is about to end; tasks of divided services are taken until then, since no other backend server holds their keys.
+func (coordinator *Coordinator) Stop(now time.Time) {
+	coordinator.stopping, coordinator.partsAt = true, now.Add(partTerm)
+	coordinator.steer()
 }
--- a/mesh/coordinator/drain_test.go
+++ b/mesh/coordinator/drain_test.go
@@ -24,20 +24,26 @@
 func (gate *recordingGate) Leave(at time.Time, _ lagoonlanding.Reason) { gate.leaves = at }
 func (gate *recordingGate) Close(lagoonlanding.Reason)                 { gate.open = false }
 
+// newDraining returns the control state of daemon d beside a backend server of service s.
+func newDraining(start time.Time, gate lagoonlanding.Gate, isDivided bool) *Coordinator {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	coordinator := New(start, Config{
+		Self:  lagoonlanding.NewBackend(lagoonlanding.BackendConfig{ID: lagoonlanding.NewBackendID("d", "", 0), Service: "s"}),
+		Fleet: registrar.NewFleet(registrar.Config{}), Grantor: grantor.New(grantor.Config{Daemon: "d"}), Gate: gate,
+		DrainTerm: 2 * time.Second, Log: logrus.NewEntry(log),
+	})
+	coordinator.Direct(lagoonlanding.NewRoutingDirective(lagoonlanding.NewRouting(lagoonlanding.RoutingConfig{
+		Version: 1, Services: []lagoonlanding.ServiceTerms{lagoonlanding.NewServiceTerms(lagoonlanding.ServiceTermsConfig{Name: "s", Divided: isDivided})},
+	})))
+	return coordinator
+}
+
 func TestLeavingServerOfADividedServiceServesItsKeysUntilTheBound(t *testing.T) {
 	start := time.Unix(1000, 0)
 	for _, isDivided := range []bool{true, false} {
 		gate := &recordingGate{}
-		log := logrus.New()
-		log.SetOutput(io.Discard)
-		coordinator := New(start, Config{
-			Self:  lagoonlanding.NewBackend(lagoonlanding.BackendConfig{ID: lagoonlanding.NewBackendID("d", "", 0), Service: "s"}),
-			Fleet: registrar.NewFleet(registrar.Config{}), Grantor: grantor.New(grantor.Config{Daemon: "d"}), Gate: gate,
-			DrainTerm: 2 * time.Second, Log: logrus.NewEntry(log),
-		})
-		coordinator.Direct(lagoonlanding.NewRoutingDirective(lagoonlanding.NewRouting(lagoonlanding.RoutingConfig{
-			Version: 1, Services: []lagoonlanding.ServiceTerms{lagoonlanding.NewServiceTerms(lagoonlanding.ServiceTermsConfig{Name: "s", Divided: isDivided})},
-		})))
+		coordinator := newDraining(start, gate, isDivided)
 		announce := func(at time.Time, sequence int64, state lagoonlanding.BackendState) {
 			coordinator.Announce(at, lagoonlanding.NewAnnouncement(lagoonlanding.AnnouncementConfig{
 				Name: "server", Service: "s", Born: 1, Sequence: sequence, State: state, Slots: 6,
@@ -54,3 +60,24 @@
 		}
 	}
 }
+
+func TestStoppingDaemonTakesTasksWhileClientsLeaveIt(t *testing.T) {
+	start := time.Unix(1000, 0)
+	for _, isDivided := range []bool{true, false} {
+		gate := &recordingGate{}
+		coordinator := newDraining(start, gate, isDivided)
+		coordinator.Announce(start, lagoonlanding.NewAnnouncement(lagoonlanding.AnnouncementConfig{
+			Name: "server", Service: "s", Born: 1, Sequence: 1, State: lagoonlanding.BackendReady, Slots: 6,
+		}))
+		coordinator.Stop(start.Add(time.Second))
+		if coordinator.IsReady() {
+			t.Errorf("divided %v: a daemon that stops says it is ready", isDivided)
+		}
+		if !gate.open || gate.leaves.IsZero() != isDivided {
+			t.Errorf("divided %v: open %v until %v", isDivided, gate.open, gate.leaves)
+		}
+		if late := start.Add(2500 * time.Millisecond); !isDivided && gate.leaves.After(late) {
+			t.Errorf("tasks are taken until %v after the stop, and may not end in time", gate.leaves.Sub(start.Add(time.Second)))
+		}
+	}
+}
--- a/mesh/syncer/syncer.go
+++ b/mesh/syncer/syncer.go
@@ -143,7 +143,7 @@
 
 // Stop tells the control thread that the daemon is about to end.
 func (syncer *Syncer) Stop() {
-	syncer.control.Do(func(state *coordinator.Coordinator) { state.Stop() })
+	syncer.control.Do(func(state *coordinator.Coordinator) { state.Stop(syncer.config.Clock.Now()) })
 }
 
 // keepRegistration holds a lease and renews it.
