--- a/lagoonmesh/daemon.go
+++ b/lagoonmesh/daemon.go
@@ -87,8 +87,9 @@
 		Gate: gate, DrainTerm: daemon.settings.DrainTerm(0) / drainPart, Quarantine: daemon.quarantine, Log: daemon.part("control"),
 	})
 	daemon.syncer = syncer.New(syncer.Config{
-		Coordinator: daemon.coordinator, Store: platform.NewStore(daemon.pool, daemon.settings.StoreAddress()),
-		Daemon: daemon.settings.Daemon(), AvailabilityZone: daemon.settings.AvailabilityZone(), FirstStart: daemon.settings.IsFirstStart(),
+		Coordinator: daemon.coordinator,
+		Store:       platform.NewStore(platform.StoreConfig{Pool: daemon.pool, Address: daemon.settings.StoreAddress(), WatchTerm: daemon.watchTerm()}),
+		Daemon:      daemon.settings.Daemon(), AvailabilityZone: daemon.settings.AvailabilityZone(), FirstStart: daemon.settings.IsFirstStart(),
 		Peers: carrier.NewFeeds(daemon.pool), Stores: carrier.NewStores(daemon.pool), Fleet: daemon.fleet, Orders: daemon.orders,
 		Directives: platform.DirectiveCodec{}, Clock: daemon.clock, Log: daemon.part("store"),
 	})
@@ -117,6 +118,15 @@
 	})
 }
 
+// watchTerm returns how long a watch of the store waits: one that hears nothing must go on before the store drops its revision.
+func (daemon *daemon) watchTerm() time.Duration {
+	history := daemon.settings.StoreHistory()
+	if history <= 0 {
+		return longestWatch
+	}
+	return min(longestWatch, time.Duration(watchPart*float64(history)))
+}
+
 func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
 // run serves until ctx ends and every request is answered.
--- a/lagoonmesh/terms.go
+++ b/lagoonmesh/terms.go
@@ -13,6 +13,10 @@
 	slowClock = 0.02
 	// silentAfter is when a backend server without announcements counts as lost; announcements may be seconds late.
 	silentAfter = 5 * time.Second
+	// longestWatch is how long a watch of the store waits at most; the store allows 30 s.
+	longestWatch = 29 * time.Second
+	// watchPart is the part of the store's history that a watch waits at most.
+	watchPart = 0.75
 	// dialTerm bounds the opening of a connection; the longest way there and back takes about 20 ms.
 	dialTerm = 700 * time.Millisecond
 	// idleTerm is how long an idle connection is kept; backend servers close theirs after ten seconds.
--- a/mesh/relayer/journal.go
+++ b/mesh/relayer/journal.go
@@ -14,6 +14,8 @@
 const (
 	// maxRemovals bounds the removals that are remembered for those who are behind.
 	maxRemovals = 256
+	// maxGaps bounds the listings over which removals are remembered.
+	maxGaps = 16
 	// longestWait bounds a watch, so that a daemon that has stopped is noticed: a configuration is in force within two seconds.
 	longestWait = 700 * time.Millisecond
 )
@@ -25,14 +27,20 @@
 	mutex    sync.Mutex
 	entries  map[string]lagoonlanding.Entry
 	removals []lagoonlanding.Change
-	// horizon is the revision after which all removals are known.
+	// horizon is the revision after which all removals are known, but for those in the gaps.
 	horizon uint64
+	gaps    []gap
 	reached uint64
 	// direct says that the daemon hears from the store itself.
 	direct  bool
 	changed chan struct{}
 }
 
+// gap lies between two revisions of which the journal knows no removals; those of entries that it knew are counted at its end.
+type gap struct {
+	after, until uint64
+}
+
 // NewJournal returns the journal of the keys under a prefix.
 func NewJournal(prefix string) *Journal {
 	return &Journal{prefix: prefix, entries: map[string]lagoonlanding.Entry{}, changed: make(chan struct{})}
@@ -62,12 +70,50 @@
 			gone = append(gone, lagoonlanding.NewChange(lagoonlanding.NewEntry(key, nil, listing.Revision()), true))
 		}
 	}
-	journal.entries, journal.removals, journal.horizon = listed, nil, listing.Revision()
+	journal.entries = listed
+	journal.bridge(gone, listing.Revision())
 	journal.reached = max(journal.reached, listing.Revision())
 	journal.wake()
 	return gone
 }
 
+// bridge keeps the removals that followers may have missed over a listing, so that those who know what the journal knew need not list.
+func (journal *Journal) bridge(gone []lagoonlanding.Change, revision uint64) {
+	if journal.reached == 0 {
+		journal.horizon = revision
+		return
+	}
+	if revision > journal.reached {
+		journal.gaps = append(journal.gaps, gap{after: journal.reached, until: revision})
+	}
+	if len(journal.gaps) > maxGaps {
+		journal.rise(journal.gaps[0].until)
+	}
+	for _, removal := range gone {
+		journal.remember(removal)
+	}
+}
+
+// remember keeps a removal for those who are behind.
+func (journal *Journal) remember(removal lagoonlanding.Change) {
+	journal.removals = append(journal.removals, removal)
+	if len(journal.removals) > maxRemovals {
+		journal.rise(journal.removals[0].Entry().Revision())
+		journal.removals = journal.removals[1:]
+	}
+}
+
+// rise forgets what only followers from before the revision need.
+func (journal *Journal) rise(revision uint64) {
+	journal.horizon = max(journal.horizon, revision)
+	journal.gaps = slices.DeleteFunc(journal.gaps, func(gap gap) bool { return gap.until <= journal.horizon })
+}
+
+// isKnown reports whether the journal knows all that has changed after the revision.
+func (journal *Journal) isKnown(after uint64) bool {
+	return after >= journal.horizon && !slices.ContainsFunc(journal.gaps, func(gap gap) bool { return gap.after < after && after < gap.until })
+}
+
 // Apply takes in changes.
 func (journal *Journal) Apply(list lagoonlanding.ChangeList) {
 	journal.mutex.Lock()
@@ -91,11 +137,7 @@
 		return
 	}
 	delete(journal.entries, entry.Key())
-	journal.removals = append(journal.removals, change)
-	if len(journal.removals) > maxRemovals {
-		journal.horizon = journal.removals[0].Entry().Revision()
-		journal.removals = journal.removals[1:]
-	}
+	journal.remember(change)
 }
 
 // Connect notes whether the daemon hears from the store itself; others are told nothing while it does not.
@@ -154,7 +196,7 @@
 	if !journal.direct {
 		return lagoonlanding.ChangeList{}, nil, lagoonlanding.ErrOutOfTouch
 	}
-	if after < journal.horizon {
+	if !journal.isKnown(after) {
 		return lagoonlanding.ChangeList{}, nil, lagoonlanding.ErrCompacted
 	}
 	var changes []lagoonlanding.Change
--- a/mesh/relayer/journal_test.go
+++ b/mesh/relayer/journal_test.go
@@ -84,3 +84,36 @@
 		t.Errorf("one that misses removals got %v", err)
 	}
 }
+
+func TestFollowersNeedNotListWhenTheJournalDid(t *testing.T) {
+	journal := newJournal()
+	journal.Apply(lagoonlanding.NewChangeList([]lagoonlanding.Change{write("p/b", 11)}, 14))
+	journal.Replace(lagoonlanding.NewListing([]lagoonlanding.Entry{lagoonlanding.NewEntry("p/b", []byte("w"), 17)}, 20))
+	changes, err := journal.Watch(t.Context(), "p/", 14)
+	if err != nil || len(changes.Changes()) != 2 || changes.Revision() != 20 {
+		t.Fatalf("a follower that knew what the journal knew got %+v, %v", changes, err)
+	}
+	if first, last := changes.Changes()[0], changes.Changes()[1]; first.Entry().Revision() != 17 || !last.IsRemoved() || last.Entry().Key() != "p/a" {
+		t.Errorf("got %+v", changes)
+	}
+	// One that heard more from another daemon may know entries that came and went unseen by this one.
+	if _, err := journal.Watch(t.Context(), "p/", 16); !errors.Is(err, lagoonlanding.ErrCompacted) {
+		t.Errorf("a follower that knew more got %v", err)
+	}
+	if _, err := journal.Watch(t.Context(), "p/", 9); !errors.Is(err, lagoonlanding.ErrCompacted) {
+		t.Errorf("a follower from before the first listing got %v", err)
+	}
+}
+
+func TestGapsAreBounded(t *testing.T) {
+	journal := newJournal()
+	for number := range uint64(maxGaps + 4) {
+		journal.Replace(lagoonlanding.NewListing(nil, 20+10*number))
+	}
+	if _, err := journal.Watch(t.Context(), "p/", 20); !errors.Is(err, lagoonlanding.ErrCompacted) {
+		t.Errorf("one that is behind many listings got %v", err)
+	}
+	if _, err := journal.Watch(t.Context(), "p/", 20+10*(maxGaps+2)); err != nil {
+		t.Errorf("one that is behind one listing got %v", err)
+	}
+}
--- a/mesh/syncer/view.go
+++ b/mesh/syncer/view.go
@@ -125,6 +125,9 @@
 		view.journal.Connect(source.direct)
 		view.syncer.setDirect(view.name, source.direct)
 		if err = view.watch(ctx, source); err != nil {
+			err = view.resume(ctx, source, err)
+		}
+		if err != nil {
 			break
 		}
 		view.succeed(source)
@@ -136,16 +139,25 @@
 			view.gather(ctx)
 		}
 	}
-	if errors.Is(err, lagoonlanding.ErrCompacted) {
-		view.syncer.config.Log.WithField("dependency", view.name).WithField("source", source.name).Info("Changes were dropped. Listing again.")
-		return view.list(ctx, source)
-	}
 	if !source.direct {
 		view.avoid(source, err)
 	}
 	return err
 }
 
+// resume lists again after a watch that failed, so that followers hear on; it returns the error if the source counts as lost.
+func (view *view) resume(ctx context.Context, source source, err error) error {
+	isCompacted := errors.Is(err, lagoonlanding.ErrCompacted)
+	isCut := source.direct && ctx.Err() == nil && !errors.Is(err, context.Canceled) && view.syncer.isInTouch(view.since)
+	if !isCompacted && !isCut {
+		return err
+	}
+	view.syncer.config.Log.WithField("dependency", view.name).WithField("source", source.name).WithError(err).Info("Changes were missed. Listing again.")
+	limited, cancel := context.WithTimeout(ctx, probeTerm)
+	defer cancel()
+	return view.list(limited, source)
+}
+
 // begin lists the part, unless another daemon can tell what has changed since it was listed.
 //
 // The store may never tell a watch what changed before it, if an earlier watch was cut: it is listed whenever it becomes the source.
--- a/mesh/syncer/view_test.go
+++ b/mesh/syncer/view_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -141,3 +142,40 @@
 	defer until("news is passed on again", time.Second, func(err error) bool { return err != nil })
 	until("news is still passed on though the store answers no call", contactTerm+renewInterval+time.Second, func(err error) bool { return err != nil })
 }
+
+// forgetfulStore drops its history each 300 ms.
+type forgetfulStore struct{ *fakeStore }
+
+func (store forgetfulStore) Watch(ctx context.Context, _ string, _ uint64) (lagoonlanding.ChangeList, error) {
+	select {
+	case <-ctx.Done():
+		return lagoonlanding.ChangeList{}, ctx.Err()
+	case <-time.After(300 * time.Millisecond):
+		return lagoonlanding.ChangeList{}, lagoonlanding.ErrCompacted
+	}
+}
+
+func (store forgetfulStore) Keep(context.Context, lagoonlanding.LeaseID) error { return nil }
+
+func (store forgetfulStore) Grant(context.Context, time.Duration) (lagoonlanding.LeaseID, error) {
+	return 1, nil
+}
+
+func TestFollowersHearOnWhenTheStoreDropsItsHistory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		syncer := newSyncer(forgetfulStore{newFakeStore(false)})
+		run(t, syncer)
+		time.Sleep(2 * time.Second)
+		reached := syncer.config.Orders.Reached()
+		for range 20 {
+			changes, err := syncer.config.Orders.Watch(t.Context(), "orders/", reached)
+			if err != nil {
+				t.Fatalf("a follower at revision %d got %v", reached, err)
+			}
+			reached = changes.Revision()
+		}
+		if reached < 10 {
+			t.Errorf("only revision %d was told", reached)
+		}
+	})
+}
