--- a/requests/retrier/budget.go
+++ b/requests/retrier/budget.go
@@ -30,6 +30,14 @@
 	budget.earned = min(budget.earned+budget.config.Share, budget.config.Burst)
 }
 
+// Resize changes how many further tries may be saved up; what is saved beyond that is lost.
+func (budget *Budget) Resize(burst float64) {
+	budget.mutex.Lock()
+	defer budget.mutex.Unlock()
+	budget.config.Burst = burst
+	budget.earned = min(budget.earned, burst)
+}
+
 // Spend takes a further try from the budget, if it bears one.
 func (budget *Budget) Spend() bool {
 	budget.mutex.Lock()
