--- a/mesh/coordinator/snapshot.go
+++ b/mesh/coordinator/snapshot.go
@@ -83,6 +83,3 @@
 	_, ok := snapshot.daemons[daemon]
 	return ok
 }
-
-// IsEvacuated reports whether the backend servers of the zone get nothing.
-func (snapshot *Snapshot) IsEvacuated(zone string) bool { return snapshot.config.Evacuated[zone] }
--- a/mesh/coordinator/store.go
+++ b/mesh/coordinator/store.go
@@ -62,16 +62,6 @@
 	coordinator.publish()
 }
 
-// Verify takes in the revision of the daemon's own entry, zero for none, as the store told when it was asked at the given time.
-//
-// It counts only if the allotments are known as of the registration or later: an entry that stands unchanged was never absent, so nobody
-// else took the keys since.
-func (coordinator *Coordinator) Verify(asked time.Time, revision uint64) {
-	if revision == 0 || coordinator.view >= coordinator.session.Revision() {
-		coordinator.session.Verify(asked, revision)
-	}
-}
-
 // Connect notes whether the view of the store's entries goes on; absences of daemons count from when it does.
 func (coordinator *Coordinator) Connect(now time.Time, isConnected bool) {
 	switch {
@@ -82,14 +72,6 @@
 	}
 }
 
-// verifyWritten counts the registration as proven once the view reaches it: every earlier change is known then.
-func (coordinator *Coordinator) verifyWritten() {
-	if coordinator.session.IsRegistered() && !coordinator.session.IsVerified() && coordinator.sentAt.After(coordinator.session.Proven()) &&
-		coordinator.view >= coordinator.session.Revision() {
-		coordinator.session.Verify(coordinator.sentAt, coordinator.session.Revision())
-	}
-}
-
 func (coordinator *Coordinator) apply(now time.Time, change lagoonlanding.Change) {
 	entry := change.Entry()
 	if name, ok := strings.CutPrefix(entry.Key(), daemonPrefix); ok {
--- a/ownership/controller/cluster_test.go
+++ b/ownership/controller/cluster_test.go
@@ -185,7 +185,7 @@
 	for _, notice := range outbox.Notices() {
 		busy = true
 		if peer, err := cluster.peer(node, notice.To()); err == nil {
-			peer.OnNotice(now, notice.Notice())
+			peer.OnNotice(now, notice.Request())
 		}
 	}
 	for _, drain := range outbox.Drains() {
--- a/ownership/controller/effect.go
+++ b/ownership/controller/effect.go
@@ -34,7 +34,7 @@
 	}
 	for _, notice := range outbox.Notices() {
 		runner.start(func() {
-			_, _ = timed(ctx, notice.To(), notice.Notice(),
+			_, _ = timed(ctx, notice.To(), notice.Request(),
 				func(ctx context.Context, to lagoonlanding.Instance, notice lagoonlanding.RecordNotice) (struct{}, error) {
 					return struct{}{}, peers.Notify(ctx, to, notice)
 				})
--- a/ownership/controller/lease.go
+++ b/ownership/controller/lease.go
@@ -21,7 +21,9 @@
 			controller.renewOwn(now, group, request.To(witness.ID()))
 			continue
 		}
-		controller.outbox.renewals = append(controller.outbox.renewals, Renewal{to: witness, request: request.To(witness.ID()), asked: now})
+		controller.outbox.renewals = append(controller.outbox.renewals, Renewal{
+			Call: Call[lagoonlanding.RenewRequest]{to: witness, request: request.To(witness.ID())}, asked: now,
+		})
 	}
 }
 
@@ -96,7 +98,7 @@
 }
 
 func (controller *Controller) notify(to lagoonlanding.Instance, record lagoonlanding.Record) {
-	controller.outbox.notices = append(controller.outbox.notices, Notice{to: to, notice: lagoonlanding.NewRecordNotice(record)})
+	controller.outbox.notices = append(controller.outbox.notices, Notice{to: to, request: lagoonlanding.NewRecordNotice(record)})
 }
 
 // fetchIfNewer asks a witness that knows more than this instance for the news.
--- a/ownership/controller/outbox.go
+++ b/ownership/controller/outbox.go
@@ -6,69 +6,38 @@
 	"lagoonlanding.example/lagoonlanding"
 )
 
-// Renewal is a renewal to send to a witness.
-type Renewal struct {
-	to      lagoonlanding.Instance
-	request lagoonlanding.RenewRequest
-	asked   time.Time
-}
-
-// To returns the witness.
-func (renewal Renewal) To() lagoonlanding.Instance { return renewal.to }
-
-// Request returns the message.
-func (renewal Renewal) Request() lagoonlanding.RenewRequest { return renewal.request }
-
-// Asked returns when the renewal was decided, from which on its promise counts.
-func (renewal Renewal) Asked() time.Time { return renewal.asked }
-
-// Clearance is a clearance request to send to a witness.
-type Clearance struct {
-	to      lagoonlanding.Instance
-	request lagoonlanding.ClearanceRequest
-}
-
-// To returns the witness.
-func (clearance Clearance) To() lagoonlanding.Instance { return clearance.to }
-
-// Request returns the message.
-func (clearance Clearance) Request() lagoonlanding.ClearanceRequest { return clearance.request }
-
-// Join is a join request to send to a witness.
-type Join struct {
-	to      lagoonlanding.Instance
-	request lagoonlanding.JoinRequest
-}
-
-// To returns the witness.
-func (join Join) To() lagoonlanding.Instance { return join.to }
-
-// Request returns the message.
-func (join Join) Request() lagoonlanding.JoinRequest { return join.request }
-
-// Fetch is a directory request to send to another instance.
-type Fetch struct {
+// Call is a message to send to another instance.
+type Call[Request any] struct {
 	to      lagoonlanding.Instance
-	request lagoonlanding.DirectoryRequest
+	request Request
 }
 
 // To returns the instance.
-func (fetch Fetch) To() lagoonlanding.Instance { return fetch.to }
+func (call Call[Request]) To() lagoonlanding.Instance { return call.to }
 
 // Request returns the message.
-func (fetch Fetch) Request() lagoonlanding.DirectoryRequest { return fetch.request }
+func (call Call[Request]) Request() Request { return call.request }
+
+// The calls that bear no more than their message.
+type (
+	// Clearance asks a witness whether members are cleared.
+	Clearance = Call[lagoonlanding.ClearanceRequest]
+	// Join asks a witness to note an instance that wants to join.
+	Join = Call[lagoonlanding.JoinRequest]
+	// Fetch asks an instance for what has changed in its directory.
+	Fetch = Call[lagoonlanding.DirectoryRequest]
+	// Notice tells an instance of a record.
+	Notice = Call[lagoonlanding.RecordNotice]
+)
 
-// Notice is a record to tell to another instance.
-type Notice struct {
-	to     lagoonlanding.Instance
-	notice lagoonlanding.RecordNotice
+// Renewal is a renewal to send to a witness.
+type Renewal struct {
+	Call[lagoonlanding.RenewRequest]
+	asked time.Time
 }
 
-// To returns the instance.
-func (notice Notice) To() lagoonlanding.Instance { return notice.to }
-
-// Notice returns the message.
-func (notice Notice) Notice() lagoonlanding.RecordNotice { return notice.notice }
+// Asked returns when the renewal was decided, from which on its promise counts.
+func (renewal Renewal) Asked() time.Time { return renewal.asked }
 
 // Swap is a record to write if the store still has the expected revision.
 type Swap struct {
--- a/trials/soak/player/outbox.go
+++ b/trials/soak/player/outbox.go
@@ -94,7 +94,7 @@
 			from: process, to: notice.To(),
 			handle: func(target *Process, now time.Time) struct{} {
 				if target.deaf == 0 {
-					target.controller.OnNotice(now, notice.Notice())
+					target.controller.OnNotice(now, notice.Request())
 				}
 				return struct{}{}
 			},
