--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SKIP := $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$',)
 RACE ?= -race
 
-.PHONY: build demo faults test format lint unit known-red soak faultsoak measure bench mutants slopes
+.PHONY: build demo faults test format lint unit known-red soak faultsoak measure bench mutants slopes scores
 
 build:
 	@mkdir -p bin
@@ -58,6 +58,12 @@
 	@cd trials/measure && go build -o $(CURDIR)/bin/measure .
 	@bin/measure -seed $(SEED) -out out
 
+# scores shows how the worth of a site's standard days has changed, by the bench's journal, and draws it under out/.
+SITE ?= karotsaki-mesh
+scores:
+	@cd trials/measure && go build -o $(CURDIR)/bin/measure .
+	@bin/measure -journal journal -site $(SITE) -out out
+
 # mutants builds the soak with one fault each and fails if no seed finds one of them.
 MUTANT_SEEDS ?= 36
 mutants:
--- a/trials/measure/main.go
+++ b/trials/measure/main.go
@@ -6,6 +6,7 @@
 	"io"
 	"os"
 
+	"lagoonlanding.example/measure/chronicler"
 	"lagoonlanding.example/measure/experimenter"
 )
 
@@ -13,13 +14,33 @@
 	seed := flag.Uint64("seed", 1, "seed of all draws")
 	out := flag.String("out", "out", "folder for the drawings")
 	only := flag.String("only", "", "name of the one experiment to run")
+	journal := flag.String("journal", "", "folder of the bench's journal, to show the scores of a site in place of experiments")
+	site := flag.String("site", "karotsaki-mesh", "site whose scores are shown")
 	flag.Parse()
-	if err := run(os.Stdout, *seed, *out, *only); err != nil {
+	var err error
+	if *journal != "" {
+		err = chronicle(os.Stdout, *journal, *site, *out)
+	} else {
+		err = run(os.Stdout, *seed, *out, *only)
+	}
+	if err != nil {
 		fmt.Fprintln(os.Stderr, "measure:", err)
 		os.Exit(1)
 	}
 }
 
+// chronicle shows how the scores of a site have changed.
+func chronicle(tables io.Writer, journal, site, out string) error {
+	entries, days, err := chronicler.Read(journal, site)
+	if err != nil {
+		return err
+	}
+	if err := chronicler.Table(site, entries, days).Write(tables); err != nil {
+		return err
+	}
+	return chronicler.Drawing(site, entries, days).Save(out)
+}
+
 func run(tables io.Writer, seed uint64, out, only string) error {
 	for _, experiment := range experimenter.All() {
 		if only != "" && only != experiment.Name() {
