Ask the prior owner of a key until it has let go, also in an evacuated zone

Requests went to the next owner as soon as the allotment named it, which cannot hold the keys before the prior one has let go and has announced that, about 1.3 s; and the gate of the evacuated zone closed at once. Ruled out: late news (all daemons knew within 10 ms), the plan (0.35 s after it). Change: a key is asked of its prior owner while that still stands in the allotment; in an evacuated zone the gate for keys closes after a third of the platform's bound. Tests: the prior holder's failed before; the gate's was written with the change.

--- a/lagoonmesh/daemon.go
+++ b/lagoonmesh/daemon.go
@@ -84,7 +84,8 @@
 			Daemon: daemon.settings.Daemon(), GrantTerm: grantTerm, LongestHold: min(longestHold, daemon.settings.LongestHold(longestHold)),
 			SlowClock: slowClock, SilentAfter: silentAfter,
 		}),
-		Gate: gate, DrainTerm: daemon.settings.DrainTerm(0) / drainPart, Quarantine: daemon.quarantine, Log: daemon.part("control"),
+		Gate: gate, DrainTerm: daemon.settings.DrainTerm(0) / drainPart, EvacuateTerm: daemon.settings.EvacuateTerm(0) / evacuatePart,
+		Quarantine: daemon.quarantine, Log: daemon.part("control"),
 	})
 	daemon.syncer = syncer.New(syncer.Config{
 		Coordinator: daemon.coordinator,
--- a/lagoonmesh/terms.go
+++ b/lagoonmesh/terms.go
@@ -46,6 +46,9 @@
 	// drainPart is the part of the platform's bound, as a divisor, in which a backend server that leaves still gets tasks: on a busy
 	// instance a task took half a second from its admission to the backend server.
 	drainPart = 2
+	// evacuatePart is the part of the platform's bound, as a divisor, in which a backend server in an evacuated zone still gets tasks for its
+	// keys: they move within two announcements, and the word of the evacuation takes up to two seconds to the daemon.
+	evacuatePart = 3
 	// defaultGrace is the time to end after SIGTERM where the platform names none.
 	defaultGrace = 6 * time.Second
 )
--- a/mesh/coordinator/coordinator.go
+++ b/mesh/coordinator/coordinator.go
@@ -24,8 +24,9 @@
 	Grantor *grantor.Grantor
 	// Gate admits tasks to the backend server.
 	Gate lagoonlanding.Gate
-	// DrainTerm is how long a backend server that is about to leave still gets tasks that nobody else can take.
-	DrainTerm time.Duration
+	// DrainTerm is how long a backend server that is about to leave still gets tasks that nobody else can take, and EvacuateTerm how long
+	// one in a zone that is evacuated does.
+	DrainTerm, EvacuateTerm time.Duration
 	// Quarantine knows the requests that crash backend servers.
 	Quarantine *quarantiner.Quarantine
 	// Log takes one line for each change of what the daemon believes.
@@ -43,8 +44,9 @@
 	config  Config
 	session registrar.Session
 
-	routing    *lagoonlanding.Routing
-	evacuated  map[string]bool
+	routing *lagoonlanding.Routing
+	// evacuated are the evacuated zones, each with when it was known as such.
+	evacuated  map[string]time.Time
 	allotments map[string]kept
 	// view is the store's revision up to which the fleet's entries are known.
 	view     uint64
@@ -81,7 +83,7 @@
 // New returns the control state of a daemon that has just started.
 func New(now time.Time, config Config) *Coordinator {
 	coordinator := &Coordinator{
-		config: config, evacuated: map[string]bool{}, allotments: map[string]kept{}, departed: map[string]bool{},
+		config: config, evacuated: map[string]time.Time{}, allotments: map[string]kept{}, departed: map[string]bool{},
 		needs: map[string]time.Time{}, rests: map[string]rest{}, started: now,
 	}
 	coordinator.publish()
@@ -161,19 +163,26 @@
 		gate.Close(lagoonlanding.ReasonNoUpstream)
 	case coordinator.isLeaving(latest) && !coordinator.isDivided(latest.Service()):
 		gate.Close(lagoonlanding.ReasonShuttingDown)
-	case coordinator.evacuated[coordinator.config.Self.AvailabilityZone()]:
+	case coordinator.isEvacuated(coordinator.config.Self.AvailabilityZone()) && !coordinator.isDivided(latest.Service()):
 		gate.Close(lagoonlanding.ReasonNotReady)
 	default:
 		gate.Open(coordinator.config.Grantor.ID(), latest.Slots(), latest.WarmAt(), coordinator.coldRate(latest.Service()))
 		switch {
 		case coordinator.isLeaving(latest):
 			gate.Leave(coordinator.leavesAt, lagoonlanding.ReasonShuttingDown)
+		case coordinator.isEvacuated(coordinator.config.Self.AvailabilityZone()):
+			gate.Leave(coordinator.evacuated[coordinator.config.Self.AvailabilityZone()].Add(coordinator.config.EvacuateTerm), lagoonlanding.ReasonNotReady)
 		case coordinator.stopping && !coordinator.isDivided(latest.Service()):
 			gate.Leave(coordinator.partsAt, lagoonlanding.ReasonShuttingDown)
 		}
 	}
 }
 
+func (coordinator *Coordinator) isEvacuated(zone string) bool {
+	_, ok := coordinator.evacuated[zone]
+	return ok
+}
+
 // isDivided reports whether a service is divided by key, so that the tasks of a backend server that leaves wait for their keys to move.
 func (coordinator *Coordinator) isDivided(service string) bool {
 	if coordinator.routing == nil {
@@ -209,12 +218,12 @@
 }
 
 // Direct takes in what operators wrote under a key of theirs.
-func (coordinator *Coordinator) Direct(directive lagoonlanding.Directive) {
+func (coordinator *Coordinator) Direct(now time.Time, directive lagoonlanding.Directive) {
 	switch {
 	case directive.Routing() != nil:
 		coordinator.adopt(directive.Routing())
-	case directive.EvacuatedZone() != "":
-		coordinator.evacuated[directive.EvacuatedZone()] = true
+	case directive.EvacuatedZone() != "" && !coordinator.isEvacuated(directive.EvacuatedZone()):
+		coordinator.evacuated[directive.EvacuatedZone()] = now
 		coordinator.config.Log.WithField("zone", directive.EvacuatedZone()).Info("Zone is evacuated.")
 	}
 	coordinator.publish()
@@ -233,7 +242,7 @@
 
 // Restore takes back the evacuation of a zone.
 func (coordinator *Coordinator) Restore(zone string) {
-	if coordinator.evacuated[zone] {
+	if coordinator.isEvacuated(zone) {
 		delete(coordinator.evacuated, zone)
 		coordinator.config.Log.WithField("zone", zone).Info("Zone is back.")
 		coordinator.publish()
--- a/mesh/coordinator/drain_test.go
+++ b/mesh/coordinator/drain_test.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"lagoonlanding.example/lagoonlanding"
+	"lagoonlanding.example/lagoonlanding/mesh/allocator"
 	"lagoonlanding.example/lagoonlanding/mesh/grantor"
 	"lagoonlanding.example/lagoonlanding/mesh/registrar"
 )
@@ -31,9 +32,9 @@
 	coordinator := New(start, Config{
 		Self:  lagoonlanding.NewBackend(lagoonlanding.BackendConfig{ID: lagoonlanding.NewBackendID("d", "", 0), Service: "s"}),
 		Fleet: registrar.NewFleet(registrar.Config{}), Grantor: grantor.New(grantor.Config{Daemon: "d"}), Gate: gate,
-		DrainTerm: 2 * time.Second, Log: logrus.NewEntry(log),
+		DrainTerm: 2 * time.Second, EvacuateTerm: 1500 * time.Millisecond, Log: logrus.NewEntry(log),
 	})
-	coordinator.Direct(lagoonlanding.NewRoutingDirective(lagoonlanding.NewRouting(lagoonlanding.RoutingConfig{
+	coordinator.Direct(start, lagoonlanding.NewRoutingDirective(lagoonlanding.NewRouting(lagoonlanding.RoutingConfig{
 		Version: 1, Services: []lagoonlanding.ServiceTerms{lagoonlanding.NewServiceTerms(lagoonlanding.ServiceTermsConfig{Name: "s", Divided: isDivided})},
 	})))
 	return coordinator
@@ -81,3 +82,59 @@
 		}
 	}
 }
+
+func TestServerInAnEvacuatedZoneServesItsKeysUntilTheyHaveMoved(t *testing.T) {
+	start := time.Unix(1000, 0)
+	for _, isDivided := range []bool{true, false} {
+		gate := &recordingGate{}
+		coordinator := newDraining(start, gate, isDivided)
+		coordinator.Announce(start, lagoonlanding.NewAnnouncement(lagoonlanding.AnnouncementConfig{
+			Name: "server", Service: "s", Born: 1, Sequence: 1, State: lagoonlanding.BackendReady, Slots: 6,
+		}))
+		// The daemon is in the zone without a name.
+		known := start.Add(time.Second)
+		coordinator.Direct(known, lagoonlanding.NewEvacuationDirective("z"))
+		if !gate.open || !gate.leaves.IsZero() {
+			t.Errorf("divided %v: another zone's evacuation closes the gate", isDivided)
+		}
+		coordinator.config.Self = lagoonlanding.NewBackend(lagoonlanding.BackendConfig{
+			ID: lagoonlanding.NewBackendID("d", "", 0), Service: "s", AvailabilityZone: "z",
+		})
+		for range 2 {
+			// It may be told again, by another source.
+			coordinator.Direct(known.Add(time.Second), lagoonlanding.NewEvacuationDirective("z"))
+		}
+		if gate.open != isDivided || isDivided && !gate.leaves.Equal(known.Add(1500*time.Millisecond)) {
+			t.Errorf("divided %v: open %v until %v", isDivided, gate.open, gate.leaves)
+		}
+	}
+}
+
+func TestKeyIsAskedOfItsPriorHolderUntilThatHasLetGo(t *testing.T) {
+	prior, owner := lagoonlanding.NewBackendID("a", "server-a", 1), lagoonlanding.NewBackendID("b", "server-b", 1)
+	backends := []lagoonlanding.Backend{
+		lagoonlanding.NewBackend(lagoonlanding.BackendConfig{ID: prior, Service: "s", AvailabilityZone: "z"}),
+		lagoonlanding.NewBackend(lagoonlanding.BackendConfig{ID: owner, Service: "s", AvailabilityZone: "y"}),
+	}
+	for _, isReleased := range []bool{false, true} {
+		stripes := make([]allocator.Stripe, allocator.LeastStripes)
+		for number := range stripes {
+			config := allocator.StripeConfig{Owner: owner, Prior: prior, Token: 2}
+			if isReleased {
+				config.Prior = lagoonlanding.BackendID{}
+			}
+			stripes[number] = allocator.NewStripe(config)
+		}
+		snapshot := NewSnapshot(SnapshotConfig{
+			Backends: backends, Evacuated: map[string]bool{"z": true},
+			Allotments: map[string]*allocator.Allotment{"s": allocator.NewAllotment(allocator.AllotmentConfig{Service: "s", Version: 2, Stripes: stripes})},
+		})
+		want := prior
+		if isReleased {
+			want = owner
+		}
+		if got, ok := snapshot.Owner("s", 4711); !ok || got.ID() != want {
+			t.Errorf("released %v: got %v, %v", isReleased, got.ID(), ok)
+		}
+	}
+}
--- a/mesh/coordinator/ownership_test.go
+++ b/mesh/coordinator/ownership_test.go
@@ -161,7 +161,7 @@
 		}),
 		Gate: simGate{}, Log: logrus.NewEntry(log),
 	})
-	daemon.coordinator.Direct(lagoonlanding.NewRoutingDirective(lagoonlanding.NewRouting(lagoonlanding.RoutingConfig{
+	daemon.coordinator.Direct(sim.now, lagoonlanding.NewRoutingDirective(lagoonlanding.NewRouting(lagoonlanding.RoutingConfig{
 		Version: 1, Services: []lagoonlanding.ServiceTerms{lagoonlanding.NewServiceTerms(lagoonlanding.ServiceTermsConfig{Name: simService, Divided: true})},
 	})))
 	daemon.applied = -1
--- a/mesh/coordinator/snapshot.go
+++ b/mesh/coordinator/snapshot.go
@@ -57,7 +57,9 @@
 	return candidates
 }
 
-// Owner returns the backend server that holds a key, or will as soon as the prior one has let go.
+// Owner returns the backend server to ask for a key: the prior one until it is known to have let go, and then the one that is to hold it.
+//
+// One in an evacuated zone serves its keys until they have moved; the daemon beside it knows for how long it may.
 func (snapshot *Snapshot) Owner(service string, key int) (lagoonlanding.Backend, bool) {
 	allotment, ok := snapshot.config.Allotments[service]
 	if !ok {
@@ -65,11 +67,11 @@
 	}
 	stripe := allotment.StripeOf(key)
 	holder := stripe.Owner()
-	backend, ok := snapshot.daemons[holder.Daemon()]
-	if !ok || backend.ID() != holder || snapshot.config.Evacuated[backend.AvailabilityZone()] {
-		return lagoonlanding.Backend{}, false
+	if !stripe.Prior().IsZero() {
+		holder = stripe.Prior()
 	}
-	return backend, true
+	backend, ok := snapshot.daemons[holder.Daemon()]
+	return backend, ok && backend.ID() == holder
 }
 
 // Peers returns the daemons of the fleet.
--- a/mesh/coordinator/write.go
+++ b/mesh/coordinator/write.go
@@ -178,7 +178,7 @@
 // inherit returns the allotment in which a backend server that was started again keeps the keys that it had, as nobody else holds them.
 func (coordinator *Coordinator) inherit(now time.Time, service string, allotment *allocator.Allotment) (*allocator.Allotment, bool) {
 	latest, ok := coordinator.config.Grantor.Latest()
-	isFit := ok && latest.Service() == service && !coordinator.isLeaving(latest) && !coordinator.evacuated[coordinator.config.Self.AvailabilityZone()]
+	isFit := ok && latest.Service() == service && !coordinator.isLeaving(latest) && !coordinator.isEvacuated(coordinator.config.Self.AvailabilityZone())
 	if !isFit {
 		return nil, false
 	}
@@ -218,7 +218,7 @@
 	var holders []lagoonlanding.Backend
 	for _, backend := range coordinator.config.Fleet.Backends() {
 		isUp := backend.Service() == service && backend.State() == lagoonlanding.BackendReady
-		if isUp && !coordinator.evacuated[backend.AvailabilityZone()] && !coordinator.config.Fleet.IsGone(now, backend.ID()) {
+		if isUp && !coordinator.isEvacuated(backend.AvailabilityZone()) && !coordinator.config.Fleet.IsGone(now, backend.ID()) {
 			holders = append(holders, backend)
 		}
 	}
--- a/mesh/syncer/view.go
+++ b/mesh/syncer/view.go
@@ -293,5 +293,5 @@
 	if directive.EvacuatedZone() != "" {
 		directivetaker.zones[key] = directive.EvacuatedZone()
 	}
-	directivetaker.syncer.do(func(state *coordinator.Coordinator, _ time.Time) { state.Direct(directive) })
+	directivetaker.syncer.do(func(state *coordinator.Coordinator, now time.Time) { state.Direct(now, directive) })
 }
