Write on top of what a conflict tells, each daemon at a moment of its own

Ruled out: plans of several daemons (they are ranked; the conflicts are releases and inheritances). Change: the store's answer to a conflict holds the entries that stand there; the daemon takes the allotment from it and writes on top within 0.2 s, at a moment drawn from its name. The stand-in of the store answers so too.

--- a/mesh/coordinator/ownership_test.go
+++ b/mesh/coordinator/ownership_test.go
@@ -284,7 +284,7 @@
 			isExpected = isExpected && !isThere
 		}
 		if !isExpected {
-			daemon.coordinator.Wrote(sim.now, write, 0, lagoonlanding.ErrConflict)
+			daemon.coordinator.Wrote(sim.now, write, 0, lagoonlanding.NewConflictError([]lagoonlanding.Entry{sim.store.entries[put.Key()]}))
 			return
 		}
 		sim.moves++
--- a/mesh/coordinator/write.go
+++ b/mesh/coordinator/write.go
@@ -2,9 +2,12 @@
 
 import (
 	"errors"
+	"fmt"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"lagoonlanding.example/lagoonlanding"
 	"lagoonlanding.example/lagoonlanding/mesh/allocator"
 	"lagoonlanding.example/lagoonlanding/mesh/registrar"
@@ -254,6 +257,9 @@
 		log.WithField("revision", revision).Info("Allotment written.")
 	case errors.Is(err, lagoonlanding.ErrLeaseEnded):
 		coordinator.session.End()
+	case coordinator.learn(write, err):
+		coordinator.writeAt = now.Add(coordinator.spread(write.put.Key()))
+		log.WithField("expected", write.expected).Info("Allotment was written by another daemon. Trying again on top of it.")
 	default:
 		coordinator.crashed = coordinator.crashed || write.kind == suspects
 		coordinator.writeAt = now.Add(coordinator.nextRetry(err))
@@ -261,6 +267,31 @@
 	}
 }
 
+// learn takes in the allotment that stood in the store in place of the one that a write expected; it is false if none was told.
+func (coordinator *Coordinator) learn(write Write, err error) bool {
+	var conflict *lagoonlanding.ConflictError
+	if !errors.As(err, &conflict) {
+		return false
+	}
+	current, ok := conflict.Current(write.put.Key())
+	if !ok || current.Revision() <= write.expected {
+		return false
+	}
+	coordinator.applyAllotment(current)
+	coordinator.publish()
+	return true
+}
+
+// spreadTerm bounds the pause after which a daemon writes on top of another's write: some hundred daemons may let go of keys at once, and a
+// write takes some milliseconds.
+const spreadTerm = 200 * time.Millisecond
+
+// spread returns a part of that pause, another for each daemon and version.
+func (coordinator *Coordinator) spread(key string) time.Duration {
+	drawn := xxhash.Sum64String(fmt.Sprint(coordinator.config.Self.ID().Daemon(), key, coordinator.generation))
+	return time.Duration(drawn % uint64(spreadTerm))
+}
+
 // nextRetry returns the pause after a write that failed.
 func (coordinator *Coordinator) nextRetry(err error) time.Duration {
 	if errors.Is(err, lagoonlanding.ErrConflict) {
--- a/metadata.go
+++ b/metadata.go
@@ -16,6 +16,30 @@
 	ErrOutOfTouch = errors.New("the daemon hears nothing from the store")
 )
 
+// ConflictError is an ErrConflict that tells what stands in the store instead.
+type ConflictError struct {
+	current []Entry
+}
+
+// NewConflictError returns the conflict with the entries that stand in the store.
+func NewConflictError(current []Entry) *ConflictError { return &ConflictError{current: current} }
+
+// Error says that the entry has another revision.
+func (conflicterror *ConflictError) Error() string { return ErrConflict.Error() }
+
+// Unwrap returns ErrConflict.
+func (conflicterror *ConflictError) Unwrap() error { return ErrConflict }
+
+// Current returns the entry that stands under a key; it is false if there is none, or none was told.
+func (conflicterror *ConflictError) Current(key string) (Entry, bool) {
+	for _, entry := range conflicterror.current {
+		if entry.Key() == key && entry.Revision() > 0 {
+			return entry, true
+		}
+	}
+	return Entry{}, false
+}
+
 // LeaseID names a lease of the store; zero stands for none.
 type LeaseID int64
 
