--- a/lagoonmesh/daemon.go
+++ b/lagoonmesh/daemon.go
@@ -77,6 +77,7 @@
 }
 
 func (daemon *daemon) buildControl(gate *gatekeeper.Gate) {
+	peers := carrier.NewPeers(daemon.pool)
 	daemon.coordinator = coordinator.New(daemon.clock.Now(), coordinator.Config{
 		Self:  daemon.self(),
 		Fleet: registrar.NewFleet(registrar.Config{GrantTerm: grantTerm, Margin: grantMargin}),
@@ -91,7 +92,7 @@
 		Coordinator: daemon.coordinator,
 		Store:       platform.NewStore(platform.StoreConfig{Pool: daemon.pool, Address: daemon.settings.StoreAddress(), WatchTerm: daemon.watchTerm()}),
 		Daemon:      daemon.settings.Daemon(), AvailabilityZone: daemon.settings.AvailabilityZone(), FirstStart: daemon.settings.IsFirstStart(),
-		Peers: carrier.NewFeeds(daemon.pool), Stores: carrier.NewStores(daemon.pool), Fleet: daemon.fleet, Orders: daemon.orders,
+		Peers: peers, Stores: peers, Fleet: daemon.fleet, Orders: daemon.orders,
 		Directives: platform.DirectiveCodec{}, Clock: daemon.clock, Log: daemon.part("store"),
 	})
 }
--- a/mesh/carrier/feed.go
+++ b/mesh/carrier/feed.go
@@ -5,7 +5,6 @@
 	"net/http"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/mesh/caller"
 )
 
 // newsPath is the path at which a daemon passes on what it hears from the store.
@@ -32,27 +31,13 @@
 	Revision uint64      `json:"r"`
 }
 
-// Feeds gives the feeds of other daemons.
-type Feeds struct {
-	pool *caller.Pool
-}
-
-var _ lagoonlanding.PeerFeeds = (*Feeds)(nil)
-
-// NewFeeds returns the feeds of daemons that are reached through the pool.
-func NewFeeds(pool *caller.Pool) *Feeds { return &Feeds{pool: pool} }
-
-// Feed returns the feed of the daemon at the address.
-func (feeds *Feeds) Feed(address string) lagoonlanding.Feed {
-	return &feed{pool: feeds.pool, address: address}
-}
-
-// feed asks one daemon.
+// feed asks one daemon for news.
 type feed struct {
-	pool    *caller.Pool
-	address string
+	peer
 }
 
+var _ lagoonlanding.Feed = (*feed)(nil)
+
 // List reads all entries under a prefix.
 func (feed *feed) List(ctx context.Context, prefix string) (lagoonlanding.Listing, error) {
 	answer, err := feed.ask(ctx, newsQuestion{Prefix: prefix, Whole: true})
@@ -74,7 +59,7 @@
 }
 
 func (feed *feed) ask(ctx context.Context, question newsQuestion) (newsAnswer, error) {
-	return ask[newsQuestion, newsAnswer](ctx, feed.pool, feed.address, newsPath, question)
+	return ask[newsQuestion, newsAnswer](ctx, feed.peer, newsPath, question)
 }
 
 // news answers the question of another daemon.
--- a/mesh/carrier/question.go
+++ b/mesh/carrier/question.go
@@ -10,7 +10,6 @@
 	"net/http"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/mesh/caller"
 )
 
 // maxQuestion bounds questions and answers in bytes: the store's values may be a megabyte each.
@@ -32,18 +31,18 @@
 
 const faultUnknown = "unknown"
 
-// ask puts a question to the daemon at the address and returns its answer, or the error that it tells.
-func ask[Q, A any](ctx context.Context, pool *caller.Pool, address, path string, question Q) (A, error) {
+// ask puts a question to a daemon and returns its answer, or the error that it tells.
+func ask[Q, A any](ctx context.Context, peer peer, path string, question Q) (A, error) {
 	var answer A
 	encoded, err := json.Marshal(question)
 	if err != nil {
 		return answer, fmt.Errorf("encode question: %w", err)
 	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(encoded))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+peer.address+path, bytes.NewReader(encoded))
 	if err != nil {
 		return answer, fmt.Errorf("ask daemon: %w", err)
 	}
-	response, err := pool.Exchange(ctx, address, request)
+	response, err := peer.pool.Exchange(ctx, peer.address, request)
 	if errors.Is(err, lagoonlanding.ErrNotSent) {
 		return answer, fmt.Errorf("%w: %w", lagoonlanding.ErrUnavailable, err)
 	}
--- a/mesh/carrier/store.go
+++ b/mesh/carrier/store.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/mesh/caller"
 )
 
 // storePath is the path at which a daemon carries calls of others out at the store.
@@ -52,29 +51,15 @@
 	Lease    lagoonlanding.LeaseID `json:"lease,omitempty"`
 }
 
-// Stores gives the store as other daemons reach it.
-type Stores struct {
-	pool *caller.Pool
-}
-
-var _ lagoonlanding.PeerStores = (*Stores)(nil)
-
-// NewStores returns the stores behind daemons that are reached through the pool.
-func NewStores(pool *caller.Pool) *Stores { return &Stores{pool: pool} }
-
-// Store returns the store behind the daemon at the address.
-func (stores *Stores) Store(address string) lagoonlanding.LeaseStore {
-	return &peerStore{pool: stores.pool, address: address}
-}
-
 // peerStore asks one daemon to carry calls out.
 type peerStore struct {
-	pool    *caller.Pool
-	address string
+	peer
 }
 
+var _ lagoonlanding.LeaseStore = (*peerStore)(nil)
+
 func (peerstore *peerStore) ask(ctx context.Context, question storeQuestion) (storeAnswer, error) {
-	return ask[storeQuestion, storeAnswer](ctx, peerstore.pool, peerstore.address, storePath, question)
+	return ask[storeQuestion, storeAnswer](ctx, peerstore.peer, storePath, question)
 }
 
 // Get reads one entry.
--- a/mesh/carrier/store_test.go
+++ b/mesh/carrier/store_test.go
@@ -59,7 +59,7 @@
 	server := httptest.NewServer(NewServer(ServerConfig{Store: store, Clock: timekeeper.BootClock{}, Log: logrus.NewEntry(log)}))
 	t.Cleanup(server.Close)
 	pool := caller.NewPool(caller.Config{DialTerm: time.Second, IdleTerm: time.Second, SilenceTerm: time.Second, MaxIdle: 2})
-	return NewStores(pool).Store(strings.TrimPrefix(server.URL, "http://"))
+	return NewPeers(pool).Store(strings.TrimPrefix(server.URL, "http://"))
 }
 
 func TestCallsReachTheStoreBehindADaemon(t *testing.T) {
@@ -105,7 +105,7 @@
 
 func TestDaemonOutOfReachIsNoAnswerOfTheStore(t *testing.T) {
 	pool := caller.NewPool(caller.Config{DialTerm: time.Second, IdleTerm: time.Second, SilenceTerm: time.Second, MaxIdle: 2})
-	if err := NewStores(pool).Store("127.0.0.1:1").Keep(t.Context(), 1); !errors.Is(err, lagoonlanding.ErrUnavailable) {
+	if err := NewPeers(pool).Store("127.0.0.1:1").Keep(t.Context(), 1); !errors.Is(err, lagoonlanding.ErrUnavailable) {
 		t.Errorf("got %v", err)
 	}
 }
