Log and count connections that go silent, and the source of changes

The logs showed that a call had failed, but not whether its connection had gone silent or the peer had, nor from where a daemon received its changes. A connection that delivered nothing to a request is now counted (lagoonmesh_connections_silent) and logged with the time that was waited, and a daemon logs when it follows another source. Control calls have a pool of their own, since only there a deadline without a response means silence.

No decision changed.

--- a/lagoonmesh/daemon.go
+++ b/lagoonmesh/daemon.go
@@ -36,7 +36,10 @@
 	settingsPath string
 	log          *logrus.Logger
 	clock        timekeeper.BootClock
-	pool         *connector.Pool
+	// control holds the connections to the store and those to other daemons for control calls.
+	control *connector.Pool
+	// pool holds the connections to the backend server, and to daemons without compact heads.
+	pool *connector.Pool
 	// framed holds the connections with compact heads to other daemons.
 	framed      *connector.Pool
 	coordinator *coordinator.Coordinator
@@ -54,11 +57,16 @@
 	daemon := &daemon{settings: settings, settingsPath: settingsPath, log: log}
 	daemon.fleet, daemon.directives = relayer.NewJournal(coordinator.FleetPrefix), relayer.NewJournal(platform.DirectivePrefix)
 	poolConfig := connector.Config{DialTimeout: dialTimeout, IdleTimeout: idleTimeout, SilenceTimeout: silenceTimeout, MaxIdle: maxIdleConnections}
-	poolConfig.OnEnd = func(address string, sent, received int) { daemon.countBytes(kindControl, address, sent, received) }
-	daemon.pool = connector.NewPool(poolConfig)
-	poolConfig.Framed = true
 	poolConfig.OnEnd = func(address string, sent, received int) { daemon.countBytes(kindTask, address, sent, received) }
-	daemon.framed = connector.NewPool(poolConfig)
+	poolConfig.OnSilence = daemon.recordSilence
+	daemon.pool = connector.NewPool(poolConfig)
+	framedConfig := poolConfig
+	framedConfig.Framed = true
+	daemon.framed = connector.NewPool(framedConfig)
+	controlConfig := poolConfig
+	controlConfig.RespondsPromptly = true
+	controlConfig.OnEnd = func(address string, sent, received int) { daemon.countBytes(kindControl, address, sent, received) }
+	daemon.control = connector.NewPool(controlConfig)
 	gate := gatekeeper.NewGate(gatekeeper.Config{Clock: daemon.clock, MaxWaiting: maxWaitingTasks})
 	daemon.recorder = recorder.New(recorder.Config{
 		Load: gate.Load, DroppedLines: droppedLines,
@@ -70,6 +78,12 @@
 	return daemon
 }
 
+// recordSilence records a connection that delivered nothing to a request that was sent at the given time.
+func (daemon *daemon) recordSilence(address string, sent time.Time) {
+	daemon.recorder.Silent()
+	daemon.logFor("connections").WithField("address", address).WithField("waited", time.Since(sent).String()).Info("Connection went silent.")
+}
+
 // logFor returns the log of one component of the daemon.
 func (daemon *daemon) logFor(name string) *logrus.Entry {
 	return daemon.log.WithField("part", name)
@@ -88,7 +102,7 @@
 		AvailabilityZone: daemon.settings.AvailabilityZone(), Region: daemon.settings.Region(), ZoneCost: zoneCost, RegionCost: regionCost,
 		QueueHalfLife: queueHalfLife, RunTimeHalfLife: runTimeHalfLife, AvoidTerm: avoidTerm, Random: newRandom(),
 	})
-	peers := transmitter.NewPeers(daemon.pool)
+	peers := transmitter.NewPeers(daemon.control)
 	daemon.coordinator = coordinator.New(daemon.clock.Now(), coordinator.Config{
 		Self:  daemon.self(),
 		Fleet: registrar.NewFleet(registrar.Config{VerificationTerm: verificationTerm, Margin: expiryMargin}),
@@ -101,7 +115,7 @@
 	})
 	daemon.syncer = syncer.New(syncer.Config{
 		Coordinator: daemon.coordinator,
-		Store:       platform.NewStore(platform.StoreConfig{Pool: daemon.pool, Address: daemon.settings.StoreAddress(), WatchTerm: daemon.watchTerm()}),
+		Store:       platform.NewStore(platform.StoreConfig{Pool: daemon.control, Address: daemon.settings.StoreAddress(), WatchTerm: daemon.watchTerm()}),
 		Daemon:      daemon.settings.Daemon(), AvailabilityZone: daemon.settings.AvailabilityZone(), FirstStart: daemon.settings.IsFirstStart(),
 		Peers: peers, Stores: peers, FleetJournal: daemon.fleet, DirectiveJournal: daemon.directives,
 		Directives: platform.DirectiveCodec{}, Clock: daemon.clock, Log: daemon.logFor("store"),
@@ -189,6 +203,7 @@
 		case <-ctx.Done():
 			return
 		case <-time.After(sweepInterval):
+			daemon.control.Sweep(time.Now())
 			daemon.pool.Sweep(time.Now())
 			daemon.framed.Sweep(time.Now())
 			daemon.chooser.Forget(daemon.coordinator.Snapshot().Has)
--- a/mesh/connector/connection.go
+++ b/mesh/connector/connection.go
@@ -37,6 +37,8 @@
 	net.Conn
 	address string
 	reader  *bufio.Reader
+	// requestedAt is when the last request was sent.
+	requestedAt time.Time
 	// expiresAt is when an idle connection is to be closed.
 	expiresAt time.Time
 	reused    bool
@@ -86,6 +88,7 @@
 
 // begin prepares the connection for a request.
 func (connection *connection) begin() {
+	connection.requestedAt, connection.received = time.Now(), 0
 	connection.writing.Lock()
 	defer connection.writing.Unlock()
 	connection.written = 0
--- a/mesh/connector/pool.go
+++ b/mesh/connector/pool.go
@@ -29,6 +29,11 @@
 	SilenceTimeout time.Duration
 	// MaxIdle limits the idle connections per address.
 	MaxIdle int
+	// RespondsPromptly means that peers respond well before the deadline of a request, so that a deadline without a response shows a silent
+	// connection.
+	RespondsPromptly bool
+	// OnSilence is called when a connection delivered nothing to a request that was sent at the given time; nil if that is not recorded.
+	OnSilence func(address string, sent time.Time)
 	// OnEnd is called with the bytes of each exchange once it has ended; nil if they are not counted.
 	OnEnd func(address string, sent, received int)
 	// Framed means that heads are sent and received in the compact form, which only daemons understand.
@@ -118,6 +123,9 @@
 	}
 	response, err := connection.readResponse(request)
 	if err != nil {
+		if pool.isSilent(ctx, connection, err) {
+			pool.recordSilence(connection)
+		}
 		stop()
 		connection.Close()
 		pool.count(connection)
@@ -136,6 +144,22 @@
 	return response, nil
 }
 
+// isSilent reports whether an exchange failed although its connection was neither closed nor reset: the peer acknowledged nothing, or did not
+// respond at all.
+func (pool *Pool) isSilent(ctx context.Context, connection *connection, err error) bool {
+	if connection.received > 0 {
+		return false
+	}
+	return errors.Is(err, syscall.ETIMEDOUT) || pool.config.RespondsPromptly && errors.Is(ctx.Err(), context.DeadlineExceeded)
+}
+
+// recordSilence reports a silent connection.
+func (pool *Pool) recordSilence(connection *connection) {
+	if pool.config.OnSilence != nil {
+		pool.config.OnSilence(connection.address, connection.requestedAt)
+	}
+}
+
 // count reports the bytes of an exchange that has ended.
 func (pool *Pool) count(connection *connection) {
 	if pool.config.OnEnd != nil {
--- a/mesh/recorder/recorder.go
+++ b/mesh/recorder/recorder.go
@@ -86,6 +86,9 @@
 	recorder.scope.Histogram("response_held_seconds", latencyBuckets).RecordDuration(took)
 }
 
+// Silent counts a connection that went silent without being closed or reset.
+func (recorder *Recorder) Silent() { recorder.scope.Counter("connections_silent").Inc(1) }
+
 // Panicked counts a request whose handler panicked.
 func (recorder *Recorder) Panicked() { recorder.scope.Counter("requests_panicked").Inc(1) }
 
--- a/mesh/syncer/view.go
+++ b/mesh/syncer/view.go
@@ -52,6 +52,8 @@
 	setConnected func(isConnected bool)
 	// avoidedUntil maps the names of failed sources to the time until which they are skipped.
 	avoidedUntil map[string]time.Time
+	// sourceName is the name of the source that the view follows.
+	sourceName string
 	// sourceSince is when the view began to follow its current source.
 	sourceSince time.Time
 	// extraPeers are random daemons that are tried after all others, in case the store answers neither this daemon nor those.
@@ -125,6 +127,7 @@
 func (view *view) followSource(ctx context.Context, source source) error {
 	view.sourceSince = view.syncer.config.Clock.Now()
 	err := view.begin(ctx, source)
+	view.logSource(source, err)
 	for err == nil {
 		view.journal.SetConnected(source.isStore)
 		view.syncer.setDirect(view.name, source.isStore)
@@ -149,6 +152,16 @@
 	return err
 }
 
+// logSource logs that the view follows another source than before.
+func (view *view) logSource(source source, err error) {
+	if err != nil || view.sourceName == source.name {
+		return
+	}
+	view.sourceName = source.name
+	view.syncer.config.Log.WithField("dependency", view.name).WithField("source", source.name).WithField("revision", view.journal.Revision()).
+		Info("Following another source.")
+}
+
 // resume lists again after a failed watch, so that this daemon can go on relaying; it returns the error if the source counts as failed.
 func (view *view) resume(ctx context.Context, source source, err error) error {
 	isCompacted := errors.Is(err, lagoonlanding.ErrCompacted)
