Discard idle connections that may have gone silent with another one

Callers were served by an outdated configuration (CONFIG): after the connections of a daemon had gone silent without a reset, every call took the next idle connection from the pool, which was as silent as the last one, and each cost a full timeout.

A connection that delivers nothing until the deadline of a control call, or whose bytes TCP gives up, shows that it went silent; the pool now closes the idle connections to its address that were last used before. On connections with tasks a deadline proves nothing, since a task may take that long, so only TCP's verdict counts there.

--- a/mesh/connector/connection.go
+++ b/mesh/connector/connection.go
@@ -39,6 +39,8 @@
 	reader  *bufio.Reader
 	// requestedAt is when the last request was sent.
 	requestedAt time.Time
+	// releasedAt is when the connection became idle.
+	releasedAt time.Time
 	// expiresAt is when an idle connection is to be closed.
 	expiresAt time.Time
 	reused    bool
--- a/mesh/connector/pool.go
+++ b/mesh/connector/pool.go
@@ -124,7 +124,7 @@
 	response, err := connection.readResponse(request)
 	if err != nil {
 		if pool.isSilent(ctx, connection, err) {
-			pool.recordSilence(connection)
+			pool.discardSilent(connection)
 		}
 		stop()
 		connection.Close()
@@ -153,11 +153,15 @@
 	return errors.Is(err, syscall.ETIMEDOUT) || pool.config.RespondsPromptly && errors.Is(ctx.Err(), context.DeadlineExceeded)
 }
 
-// recordSilence reports a silent connection.
-func (pool *Pool) recordSilence(connection *connection) {
+// discardSilent reports a silent connection and closes the idle ones to its address that were last used before its request was sent: they
+// may have gone silent with it, and each would cost another timeout.
+func (pool *Pool) discardSilent(silent *connection) {
 	if pool.config.OnSilence != nil {
-		pool.config.OnSilence(connection.address, connection.requestedAt)
+		pool.config.OnSilence(silent.address, silent.requestedAt)
 	}
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	pool.keepIdle(silent.address, func(connection *connection) bool { return connection.releasedAt.After(silent.requestedAt) })
 }
 
 // count reports the bytes of an exchange that has ended.
@@ -238,7 +242,8 @@
 }
 
 func (pool *Pool) release(connection *connection) {
-	connection.expiresAt = time.Now().Add(pool.config.IdleTimeout)
+	connection.releasedAt = time.Now()
+	connection.expiresAt = connection.releasedAt.Add(pool.config.IdleTimeout)
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	idle := pool.idle[connection.address]
@@ -253,18 +258,23 @@
 func (pool *Pool) Sweep(now time.Time) {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
-	for address, idle := range pool.idle {
-		var remaining []*connection
-		for _, connection := range idle {
-			if now.After(connection.expiresAt) {
-				connection.Close()
-			} else {
-				remaining = append(remaining, connection)
-			}
-		}
-		pool.idle[address] = remaining
-		if len(remaining) == 0 {
-			delete(pool.idle, address)
+	for address := range pool.idle {
+		pool.keepIdle(address, func(connection *connection) bool { return !now.After(connection.expiresAt) })
+	}
+}
+
+// keepIdle closes the idle connections to an address that the predicate rejects; the caller holds the mutex.
+func (pool *Pool) keepIdle(address string, isKept func(connection *connection) bool) {
+	var remaining []*connection
+	for _, connection := range pool.idle[address] {
+		if isKept(connection) {
+			remaining = append(remaining, connection)
+		} else {
+			connection.Close()
 		}
 	}
+	pool.idle[address] = remaining
+	if len(remaining) == 0 {
+		delete(pool.idle, address)
+	}
 }
