Detect a silent watch of the store within two seconds

Callers were served by an outdated configuration (CONFIG): a watch of the store counts as alive while renewals are answered, but these go over another connection. When only the watch had gone silent, TCP ended it after four seconds, and all followers of the daemon waited with it.

Connections to the store and for control calls now have a silence timeout of one second, so that the keep-alive ends a silent watch after two. Connections with tasks keep three seconds: closing one of them early costs a task, closing a control connection only a new one.

The kernel drops the packets of the test's connections, so it is the real keep-alive that detects them.

--- a/lagoonmesh/daemon_test.go
+++ b/lagoonmesh/daemon_test.go
@@ -130,8 +130,12 @@
 	store := simulator.NewStore()
 	server := httptest.NewServer(store)
 	t.Cleanup(server.Close)
+	return store, startFleetAt(t, store, server.Listener.Addr().String())
+}
+
+// startFleetAt starts daemons of both services in both regions with the store at the address.
+func startFleetAt(t *testing.T, store *simulator.Store, address string) map[string]*testDaemon {
 	put(t, store, "op/config", fmt.Sprintf(testConfig, 1))
-	address := server.Listener.Addr().String()
 	fleet := map[string]*testDaemon{}
 	for _, name := range []string{"plain-1", "plain-2", "divided-1", "divided-2"} {
 		service, number, _ := strings.Cut(name, "-")
@@ -146,7 +150,7 @@
 		status, _, _ := request(fleet["plain-1"].clientAddress, "GET", "/read/x", "warm", -1, nil)
 		return status == 200
 	})
-	return store, fleet
+	return fleet
 }
 
 func TestEndToEnd(t *testing.T) {
--- a/lagoonmesh/limits.go
+++ b/lagoonmesh/limits.go
@@ -23,6 +23,9 @@
 	idleTimeout = 8 * time.Second
 	// silenceTimeout is how long sent bytes may stay unacknowledged.
 	silenceTimeout = 3 * time.Second
+	// controlSilenceTimeout is that time on connections to the store and for control calls: a watch that has gone silent must be replaced, and
+	// what it missed passed on, within the three seconds in which a daemon is not expected to be up to date.
+	controlSilenceTimeout = time.Second
 	// maxIdleConnections limits the idle connections per address.
 	maxIdleConnections = 16
 	// sweepInterval is the interval at which expired idle connections are closed.
