Probe a relay over a new connection before it is given up

Callers were served by an outdated configuration (CONFIG): a follower whose connection to the relay of its zone had gone silent took the relay for dead, skipped it for three seconds and tried the other daemons one by one, each for a second.

A daemon that has relayed changes and then does not respond is now probed before it is avoided: a call that it answers at once, bounded to 300 ms, over a new connection since the silent one is gone. A source that is tried next is probed as well instead of watched for a second, and so is a preferred source, during which the current one goes unwatched.

--- a/lagoonmesh/servers.go
+++ b/lagoonmesh/servers.go
@@ -33,7 +33,7 @@
 	clients := platform.NewClientServer(daemon.forwarder, routing, daemon.clock, daemon.logFor("clients"))
 	peers := transmitter.NewServer(transmitter.ServerConfig{
 		Handler: daemon.acceptor, Clock: daemon.clock, Log: daemon.logFor("peers"), Store: daemon.syncer.ProxyStore(),
-		Feeds: map[string]lagoonlanding.Feed{daemon.fleet.Prefix(): daemon.fleet, daemon.directives.Prefix(): daemon.directives},
+		Feeds: map[string]lagoonlanding.PeerFeed{daemon.fleet.Prefix(): daemon.fleet, daemon.directives.Prefix(): daemon.directives},
 	})
 	announcements := platform.NewAnnouncementServer(daemon.syncer, daemon.clock, daemon.logFor("announcements"))
 	for _, traffic := range []struct {
--- a/mesh/relayer/journal.go
+++ b/mesh/relayer/journal.go
@@ -21,6 +21,8 @@
 	maxWatchDuration = 700 * time.Millisecond
 )
 
+var _ lagoonlanding.PeerFeed = (*Journal)(nil)
+
 // Journal holds the entries under one key prefix of the store, as this daemon received them; it is safe for concurrent use.
 type Journal struct {
 	prefix string
@@ -160,6 +162,16 @@
 	journal.changed = make(chan struct{})
 }
 
+// Probe fails with ErrStoreDisconnected while the daemon does not receive changes from the store itself.
+func (journal *Journal) Probe(_ context.Context, _ string) error {
+	journal.mutex.Lock()
+	defer journal.mutex.Unlock()
+	if !journal.connected {
+		return lagoonlanding.ErrStoreDisconnected
+	}
+	return nil
+}
+
 // List returns all entries; it fails with ErrStoreDisconnected while the daemon does not receive changes from the store itself.
 func (journal *Journal) List(_ context.Context, _ string) (lagoonlanding.Listing, error) {
 	journal.mutex.Lock()
--- a/mesh/syncer/outage_test.go
+++ b/mesh/syncer/outage_test.go
@@ -146,7 +146,7 @@
 	return peers.calls[address]
 }
 
-func (peers *relayPeers) Feed(address string) lagoonlanding.Feed {
+func (peers *relayPeers) Feed(address string) lagoonlanding.PeerFeed {
 	return &relayPeer{peers: peers, address: address}
 }
 
@@ -166,6 +166,8 @@
 	return nil
 }
 
+func (peer *relayPeer) Probe(context.Context, string) error { return peer.call() }
+
 func (peer *relayPeer) List(context.Context, string) (lagoonlanding.Listing, error) {
 	return lagoonlanding.NewListing(nil, 1), peer.call()
 }
--- a/mesh/syncer/source.go
+++ b/mesh/syncer/source.go
@@ -48,16 +48,16 @@
 
 // hasPreferredSource reports whether a source that is preferred over the current one relays changes again.
 //
-// It tries the preferred source once before the current one is given up, since returning to a watch of the store requires a new listing.
+// It probes the preferred source before the current one is given up, since returning to a watch of the store requires a new listing.
 func (view *view) hasPreferredSource(ctx context.Context, current source) bool {
 	preferred, ok := view.source()
 	if !ok || preferred.name == current.name {
 		return false
 	}
-	if preferred.isStore {
+	if preferred.isStore() {
 		return true
 	}
-	if err := view.watch(ctx, preferred); err != nil {
+	if err := view.probe(ctx, preferred); err != nil {
 		view.avoidedUntil[preferred.name] = view.syncer.config.Clock.Now().Add(failedPeerRetryDelay)
 		view.syncer.config.Log.WithField("source", preferred.name).WithError(err).Debug("Preferred source still does not answer.")
 		return false
@@ -69,7 +69,7 @@
 func (view *view) recordSuccess(source source) {
 	view.syncer.logDependency(view.name, nil)
 	view.lastAnswered = view.syncer.config.Clock.Now()
-	if source.isStore {
+	if source.isStore() {
 		view.failures = 0
 	} else {
 		view.noPeerSince = time.Time{}
--- a/mesh/syncer/view.go
+++ b/mesh/syncer/view.go
@@ -15,6 +15,8 @@
 const (
 	// peerWatchTimeout bounds a watch at another daemon, which answers after 700 ms at the latest.
 	peerWatchTimeout = time.Second
+	// peerProbeTimeout bounds the question whether another daemon relays changes, which it answers at once.
+	peerProbeTimeout = 300 * time.Millisecond
 	// failedPeerRetryDelay is how long a daemon that did not answer is skipped.
 	failedPeerRetryDelay = 3 * time.Second
 	// firstDisconnectedRetryDelay is how long a daemon that is disconnected from the store is skipped at first: another one may be about to
@@ -73,10 +75,13 @@
 type source struct {
 	name string
 	feed lagoonlanding.Feed
-	// isStore means that the source is the store itself.
-	isStore bool
+	// peer is the feed of another daemon, nil for the store itself.
+	peer lagoonlanding.PeerFeed
 }
 
+// isStore reports whether the source is the store itself.
+func (source source) isStore() bool { return source.peer == nil }
+
 // follow keeps a view up to date: it lists the entries once and then watches them, and lists again after missed changes.
 func (syncer *Syncer) follow(ctx context.Context, view *view) {
 	backoff := newBackoff()
@@ -97,7 +102,7 @@
 		if view.lastAnswered != previouslyAnswered {
 			backoff.reset()
 		}
-		if err != nil && source.isStore {
+		if err != nil && source.isStore() {
 			syncer.logDependency(view.name, err)
 			view.setConnected(false)
 			view.failures, view.failedAt = view.failures+1, syncer.config.Clock.Now()
@@ -112,41 +117,47 @@
 		name := backend.ID().Daemon()
 		if name == view.syncer.config.Daemon {
 			if view.mayAskStore(now, index == 0) {
-				return source{name: "store", feed: view.syncer.config.Store, isStore: true}, true
+				return source{name: "store", feed: view.syncer.config.Store}, true
 			}
 			continue
 		}
 		if now.After(view.avoidedUntil[name]) {
-			return source{name: name, feed: view.syncer.config.Peers.Feed(backend.PeerAddress())}, true
+			peer := view.syncer.config.Peers.Feed(backend.PeerAddress())
+			return source{name: name, feed: peer, peer: peer}, true
 		}
 	}
 	return source{}, false
 }
 
 // followSource follows the source until it fails or a preferred one is available.
+//
+// A daemon that has relayed changes and then does not respond is not avoided before a probe over another connection has failed too: the
+// connection may have gone silent.
 func (view *view) followSource(ctx context.Context, source source) error {
 	view.sourceSince = view.syncer.config.Clock.Now()
+	hasRelayed := false
 	err := view.begin(ctx, source)
 	view.logSource(source, err)
 	for err == nil {
-		view.journal.SetConnected(source.isStore)
-		view.syncer.setDirect(view.name, source.isStore)
+		view.journal.SetConnected(source.isStore())
+		view.syncer.setDirect(view.name, source.isStore())
 		if err = view.watch(ctx, source); err != nil {
 			err = view.resume(ctx, source, err)
 		}
 		if err != nil {
 			break
 		}
+		hasRelayed = true
 		view.recordSuccess(source)
 		view.setConnected(true)
 		if view.hasPreferredSource(ctx, source) {
 			return nil
 		}
-		if source.isStore {
+		if source.isStore() {
 			view.waitForBatch(ctx)
 		}
 	}
-	if !source.isStore {
+	if !source.isStore() && (!hasRelayed || errors.Is(err, lagoonlanding.ErrStoreDisconnected)) {
 		view.avoid(source, err)
 	}
 	return err
@@ -165,7 +176,7 @@
 // resume lists again after a failed watch, so that this daemon can go on relaying; it returns the error if the source counts as failed.
 func (view *view) resume(ctx context.Context, source source, err error) error {
 	isCompacted := errors.Is(err, lagoonlanding.ErrCompacted)
-	isInterrupted := source.isStore && ctx.Err() == nil && !errors.Is(err, context.Canceled) && view.syncer.isStoreAnswering(view.sourceSince)
+	isInterrupted := source.isStore() && ctx.Err() == nil && !errors.Is(err, context.Canceled) && view.syncer.isStoreAnswering(view.sourceSince)
 	if !isCompacted && !isInterrupted {
 		return err
 	}
@@ -175,13 +186,13 @@
 	return view.list(limited, source)
 }
 
-// begin lists the entries, unless the source is another daemon that can relay the changes since the last listing.
+// begin lists the entries, unless the source is another daemon that can relay the changes since the last listing; that one is only probed.
 //
 // After an interrupted watch the store may never report the changes made before the next watch, so its entries are listed whenever it becomes
 // the source.
 func (view *view) begin(ctx context.Context, source source) error {
-	if view.journal.Revision() > 0 && !source.isStore {
-		return nil
+	if view.journal.Revision() > 0 && !source.isStore() {
+		return view.probe(ctx, source)
 	}
 	err := view.list(ctx, source)
 	if err == nil {
@@ -190,6 +201,13 @@
 	return err
 }
 
+// probe asks another daemon whether it relays changes.
+func (view *view) probe(ctx context.Context, source source) error {
+	limited, cancel := context.WithTimeout(ctx, peerProbeTimeout)
+	defer cancel()
+	return source.peer.Probe(limited, view.journal.Prefix())
+}
+
 // waitForBatch waits before the next watch of the store, so that it returns several changes at once.
 func (view *view) waitForBatch(ctx context.Context) {
 	delay := watchBatchDelay
@@ -202,12 +220,12 @@
 // watch waits for changes from the source and passes them on.
 func (view *view) watch(ctx context.Context, source source) error {
 	timeout := storeWatchTimeout
-	if !source.isStore {
+	if !source.isStore() {
 		timeout = peerWatchTimeout
 	}
 	limited, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	if source.isStore {
+	if source.isStore() {
 		go view.cancelWhenStoreFails(limited, cancel, view.sourceSince)
 	}
 	changes, err := source.feed.Watch(limited, view.journal.Prefix(), view.journal.Revision())
@@ -235,14 +253,14 @@
 	limited, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var requested time.Time
-	if source.isStore {
+	if source.isStore() {
 		requested = view.syncer.config.Clock.Now()
 	}
 	listing, err := source.feed.List(limited, view.journal.Prefix())
 	if err != nil {
 		return err
 	}
-	if source.isStore {
+	if source.isStore() {
 		view.syncer.recordAnswer(requested)
 	}
 	removals := view.journal.Replace(listing)
--- a/mesh/transmitter/feed.go
+++ b/mesh/transmitter/feed.go
@@ -10,11 +10,12 @@
 // feedPath is the URL path at which a daemon relays changes from the store.
 const feedPath = "/lagoonlanding/news"
 
-// feedRequest asks for the changes after a revision, or for all entries.
+// feedRequest asks for the changes after a revision, for all entries, or only whether the daemon relays changes.
 type feedRequest struct {
 	Prefix string `json:"prefix"`
 	After  uint64 `json:"after"`
 	List   bool   `json:"whole"`
+	Probe  bool   `json:"probe,omitempty"`
 }
 
 // feedEntry is a relayed entry or change.
@@ -36,7 +37,13 @@
 	peer
 }
 
-var _ lagoonlanding.Feed = (*feed)(nil)
+var _ lagoonlanding.PeerFeed = (*feed)(nil)
+
+// Probe returns at once whether the daemon relays changes.
+func (feed *feed) Probe(ctx context.Context, prefix string) error {
+	_, err := feed.call(ctx, feedRequest{Prefix: prefix, Probe: true})
+	return err
+}
 
 // List returns all entries under a prefix.
 func (feed *feed) List(ctx context.Context, prefix string) (lagoonlanding.Listing, error) {
@@ -77,7 +84,10 @@
 	server.respond(writer, response, err)
 }
 
-func readFeed(ctx context.Context, feed lagoonlanding.Feed, query feedRequest) (feedResponse, error) {
+func readFeed(ctx context.Context, feed lagoonlanding.PeerFeed, query feedRequest) (feedResponse, error) {
+	if query.Probe {
+		return feedResponse{}, feed.Probe(ctx, query.Prefix)
+	}
 	if query.List {
 		listing, err := feed.List(ctx, query.Prefix)
 		response := feedResponse{Revision: listing.Revision()}
--- a/mesh/transmitter/peers.go
+++ b/mesh/transmitter/peers.go
@@ -25,7 +25,7 @@
 func NewPeers(pool *connector.Pool) *Peers { return &Peers{pool: pool} }
 
 // Feed returns the feed of the daemon at the address.
-func (peers *Peers) Feed(address string) lagoonlanding.Feed {
+func (peers *Peers) Feed(address string) lagoonlanding.PeerFeed {
 	return &feed{peer{pool: peers.pool, address: address}}
 }
 
--- a/mesh/transmitter/server.go
+++ b/mesh/transmitter/server.go
@@ -16,7 +16,7 @@
 	// Handler handles the tasks of other daemons.
 	Handler lagoonlanding.TaskHandler
 	// Feeds are the feeds that the daemon relays, by key prefix.
-	Feeds map[string]lagoonlanding.Feed
+	Feeds map[string]lagoonlanding.PeerFeed
 	// Store executes the calls of daemons that are disconnected from the store.
 	Store lagoonlanding.LeaseStore
 	// Clock returns the current time.
--- a/metadata.go
+++ b/metadata.go
@@ -104,10 +104,17 @@
 	Watch(ctx context.Context, prefix string, after uint64) (ChangeList, error)
 }
 
-// PeerFeeds provides the feeds of other daemons, which relay changes from the store.
+// PeerFeed is the feed of a daemon that relays changes from the store.
+type PeerFeed interface {
+	Feed
+	// Probe returns at once whether the daemon relays changes: it fails with ErrStoreDisconnected if it does not.
+	Probe(ctx context.Context, prefix string) error
+}
+
+// PeerFeeds provides the feeds of other daemons.
 type PeerFeeds interface {
 	// Feed returns the feed of the daemon at a peer address.
-	Feed(address string) Feed
+	Feed(address string) PeerFeed
 }
 
 // LeaseStore is the part of a MetadataStore that one daemon can call on behalf of another: calls that do not block on changes.
