Stagger the takeover of a zone's watch by the daemons next by name

When the relay of a zone freezes, each other daemon of the zone looked for another relay for the same 0.7 s, and tried them again after delays that doubled.

The next daemons by name now ask the store after a third, two thirds and all of the grace period, so one takes over while the others still wait, and relays are tried again every 100 ms within it.

The number of calls in an outage is unchanged: the tests that bound it pass as they are.

--- a/mesh/syncer/outage_test.go
+++ b/mesh/syncer/outage_test.go
@@ -19,6 +19,8 @@
 	mutex sync.Mutex
 	down  chan struct{}
 	calls map[string]int
+	// version is the version of the configuration, zero for none.
+	version uint64
 	// peers are the zone entries that ListStale returns.
 	peers []lagoonlanding.Entry
 }
@@ -61,6 +63,9 @@
 }
 
 func (store *countingStore) List(_ context.Context, prefix string) (lagoonlanding.Listing, error) {
+	if store.version > 0 {
+		return lagoonlanding.NewListing(entriesOf(prefix, store.version), store.version), store.call("list " + prefix)
+	}
 	return lagoonlanding.NewListing(nil, 1), store.call("list " + prefix)
 }
 
--- a/mesh/syncer/silence_test.go
+++ b/mesh/syncer/silence_test.go
@@ -15,6 +15,9 @@
 // applyTime is how long after its acknowledgement a configuration may take to be in force everywhere.
 const applyTime = 2 * time.Second
 
+// secondTakeoverTime leaves the followers of the second daemon of a zone some of the apply time to find it.
+const secondTakeoverTime = 1800 * time.Millisecond
+
 // relayFleet simulates daemons that relay configurations, and that can freeze or whose connections can go silent.
 type relayFleet struct {
 	mutex   sync.Mutex
@@ -158,3 +161,37 @@
 		}
 	})
 }
+
+func TestFrozenRelayIsReplacedWithinTheApplyTime(t *testing.T) {
+	// The relay freezes at different times after the last watch began.
+	for phase := time.Duration(0); phase < 700*time.Millisecond; phase += 100 * time.Millisecond {
+		t.Run(fmt.Sprint("second of the zone after ", phase), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fleet, store := newRelayFleet(), newCountingStore()
+				store.version = 3
+				syncer := startFollower(t, fleet, store, "a")
+				time.Sleep(phase)
+				fleet.update(func() { fleet.frozen["address-of-a"], fleet.version = true, 3 })
+				time.Sleep(secondTakeoverTime)
+				if version := versionOf(syncer); version != 3 {
+					t.Errorf("version %d is in force %v after the relay froze", version, secondTakeoverTime)
+				}
+			})
+		})
+		t.Run(fmt.Sprint("follower of the second after ", phase), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fleet, store := newRelayFleet(), newCountingStore()
+				store.version = 3
+				fleet.disconnected["address-of-b"] = true
+				syncer := startFollower(t, fleet, store, "a", "b")
+				time.Sleep(phase)
+				fleet.update(func() { fleet.frozen["address-of-a"], fleet.version = true, 3 })
+				time.AfterFunc(secondTakeoverTime, func() { fleet.update(func() { fleet.disconnected["address-of-b"] = false }) })
+				time.Sleep(applyTime)
+				if version := versionOf(syncer); version != 3 {
+					t.Errorf("version %d is in force two seconds after the relay froze", version)
+				}
+			})
+		})
+	}
+}
--- a/mesh/syncer/source.go
+++ b/mesh/syncer/source.go
@@ -24,13 +24,23 @@
 	view.extraPeers, view.untried = view.untried[:count], view.untried[count:]
 }
 
-// mayAskStore reports whether the daemon may read changes from the store itself; isFirst means that other daemons of its zone rely on that.
+// retryDelay returns the time until the sources are tried again: another daemon of the zone may be about to take over at first.
+func (view *view) retryDelay(backoff *backoff) time.Duration {
+	if view.syncer.config.Clock.Now().Before(view.noPeerSince.Add(peerGracePeriod)) {
+		return firstDisconnectedRetryDelay
+	}
+	return backoff.next()
+}
+
+// mayAskStore reports whether the daemon may read changes from the store itself; position is the number of daemons of its zone that should do
+// so first, and the others of the zone rely on the one at position zero.
 //
 // Failed calls put load on the store too, so after the second failure in a row it is asked again only once it answers renewals, or after
-// outageRetryDelay. Daemons that are not the first of their zone wait a little for the first one to relay changes.
-func (view *view) mayAskStore(now time.Time, isFirst bool) bool {
+// outageRetryDelay. Daemons that are not the first of their zone wait a little for the ones before them to relay changes.
+func (view *view) mayAskStore(now time.Time, position int) bool {
 	lastAnswered, recovered := view.syncer.answerTimes()
-	grace := peerGracePeriod
+	isFirst := position == 0
+	grace := min(time.Duration(position)*takeoverInterval, peerGracePeriod)
 	if view.journal.Revision() == 0 {
 		grace = startGracePeriod
 	}
--- a/mesh/syncer/view.go
+++ b/mesh/syncer/view.go
@@ -26,9 +26,11 @@
 	disconnectedRetryDelay = 400 * time.Millisecond
 	// extraPeerCount is how many additional daemons are tried at a time while no other daemon relays changes.
 	extraPeerCount = 8
-	// peerGracePeriod is how long a daemon that is not the first of its zone looks for another daemon that relays changes before it asks the
-	// store itself.
+	// peerGracePeriod is how long a daemon that is not among the first of its zone looks for another daemon that relays changes before it asks
+	// the store itself.
 	peerGracePeriod = 700 * time.Millisecond
+	// takeoverInterval is the time by which each of the first daemons of a zone asks the store later than the one before it by name.
+	takeoverInterval = peerGracePeriod / 3
 	// startGracePeriod is that time while the daemon has no data yet and so cannot serve.
 	startGracePeriod = 150 * time.Millisecond
 	// recoveryGracePeriod is that time after the store has recovered, which renewals detect once a second.
@@ -90,7 +92,7 @@
 		if !ok {
 			view.pickExtraPeers()
 			syncer.refreshSeeds(ctx)
-			syncer.sleep(ctx, backoff.next())
+			syncer.sleep(ctx, view.retryDelay(backoff))
 			continue
 		}
 		previouslyAnswered := view.lastAnswered
@@ -116,7 +118,7 @@
 	for index, backend := range slices.Concat(view.syncer.relays(), view.extraPeers) {
 		name := backend.ID().Daemon()
 		if name == view.syncer.config.Daemon {
-			if view.mayAskStore(now, index == 0) {
+			if view.mayAskStore(now, index) {
 				return source{name: "store", feed: view.syncer.config.Store}, true
 			}
 			continue
