Give up a silent control connection after one unanswered keep-alive probe

A real kernel gives up after two seconds already, because of the user timeout.

A lost probe costs a control connection, not a task; on connections with tasks two probes remain.

--- a/lagoonmesh/daemon.go
+++ b/lagoonmesh/daemon.go
@@ -64,7 +64,7 @@
 	framedConfig.Framed = true
 	daemon.framed = connector.NewPool(framedConfig)
 	controlConfig := poolConfig
-	controlConfig.SilenceTimeout, controlConfig.RespondsPromptly = controlSilenceTimeout, true
+	controlConfig.SilenceTimeout, controlConfig.SilenceProbes, controlConfig.RespondsPromptly = controlSilenceTimeout, controlSilenceProbes, true
 	controlConfig.OnEnd = func(address string, sent, received int) { daemon.countBytes(kindControl, address, sent, received) }
 	daemon.control = connector.NewPool(controlConfig)
 	gate := gatekeeper.NewGate(gatekeeper.Config{Clock: daemon.clock, MaxWaiting: maxWaitingTasks})
--- a/lagoonmesh/limits.go
+++ b/lagoonmesh/limits.go
@@ -26,6 +26,8 @@
 	// controlSilenceTimeout is that time on connections to the store and for control calls: a watch that has gone silent must be replaced, and
 	// what it missed passed on, within the three seconds in which a daemon is not expected to be up to date.
 	controlSilenceTimeout = time.Second
+	// controlSilenceProbes is the number of keep-alive probes on these connections: a lost probe costs no more than a new connection.
+	controlSilenceProbes = 1
 	// maxIdleConnections limits the idle connections per address.
 	maxIdleConnections = 16
 	// sweepInterval is the interval at which expired idle connections are closed.
--- a/mesh/connector/pool.go
+++ b/mesh/connector/pool.go
@@ -27,6 +27,9 @@
 	IdleTimeout time.Duration
 	// SilenceTimeout is how long sent bytes may stay unacknowledged, and how long an idle peer may be silent, before a connection counts as broken.
 	SilenceTimeout time.Duration
+	// SilenceProbes is the number of keep-alive probes, a second apart, that a silent peer is sent before the connection counts as broken; zero
+	// selects the default.
+	SilenceProbes int
 	// MaxIdle limits the idle connections per address.
 	MaxIdle int
 	// RespondsPromptly means that peers respond well before the deadline of a request, so that a deadline without a response shows a silent
@@ -49,11 +52,17 @@
 	idle  map[string][]*connection
 }
 
+// defaultSilenceProbes tolerates the loss of one probe.
+const defaultSilenceProbes = 2
+
 // NewPool returns an empty pool.
 func NewPool(config Config) *Pool {
+	if config.SilenceProbes == 0 {
+		config.SilenceProbes = defaultSilenceProbes
+	}
 	pool := &Pool{config: config, idle: map[string][]*connection{}}
 	pool.dialer = net.Dialer{
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: config.SilenceTimeout, Interval: time.Second, Count: 2},
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: config.SilenceTimeout, Interval: time.Second, Count: config.SilenceProbes},
 		Control:         func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw, config.SilenceTimeout) },
 	}
 	return pool
