Decode, log and count the limit that a backend server names

The logs and metrics said nothing about limits, so that of the three hypotheses none could be told apart. The daemon beside a backend server now decodes the limit in its responses, logs each change, and shows it as lagoonmesh_backend_limit. No decision changed.

--- /dev/null
+++ b/advice.go
@@ -0,0 +1,22 @@
+package lagoonlanding
+
+// AdviceConfig holds the fields of an Advice.
+type AdviceConfig struct {
+	// Limit is the number of tasks per second that the backend server accepts from all daemons together, zero for no limit.
+	Limit float64
+}
+
+// Advice is what a backend server says about itself in a response; the zero value means that there was no response.
+type Advice struct {
+	config  AdviceConfig
+	isGiven bool
+}
+
+// NewAdvice returns the advice of a response with the given configuration.
+func NewAdvice(config AdviceConfig) Advice { return Advice{config: config, isGiven: true} }
+
+// IsGiven reports whether the backend server has responded.
+func (advice Advice) IsGiven() bool { return advice.isGiven }
+
+// Limit returns the number of tasks per second that the backend server accepts from all daemons together, zero for no limit.
+func (advice Advice) Limit() float64 { return advice.config.Limit }
--- a/mesh/acceptor/acceptor.go
+++ b/mesh/acceptor/acceptor.go
@@ -120,6 +120,7 @@
 		return acceptor.quarantinedResult()
 	}
 	result := acceptor.config.Runner.Run(ctx, pass.ID(), acceptor.config.Address, task)
+	acceptor.heed(pass, result.Advice())
 	// A lost connection alone does not mean that the process has ended.
 	crashed := result.Reason() == lagoonlanding.ReasonConnectionLost && ctx.Err() == nil && acceptor.config.Runner.HasEnded(ctx, acceptor.config.Address)
 	if crashed || result.Reason() == lagoonlanding.ReasonNoUpstream {
@@ -131,6 +132,18 @@
 	return result
 }
 
+// heed passes on what the backend server says about itself, and logs when its limit changes.
+func (acceptor *Acceptor) heed(pass *gatekeeper.Pass, advice lagoonlanding.Advice) {
+	if !advice.IsGiven() {
+		return
+	}
+	if previous := pass.Advise(advice); previous != advice.Limit() {
+		acceptor.config.Log.WithFields(logrus.Fields{
+			"backend-server": pass.ID().String(), "limit": advice.Limit(), "previous-limit": previous,
+		}).Info("Backend server changed the limit of tasks per second that it accepts.")
+	}
+}
+
 func (acceptor *Acceptor) withLoad(result lagoonlanding.Result) lagoonlanding.Result {
 	load := acceptor.config.Gate.Load()
 	return result.With(func(config *lagoonlanding.ResultConfig) { config.Load = load })
--- a/mesh/gatekeeper/gate.go
+++ b/mesh/gatekeeper/gate.go
@@ -38,12 +38,14 @@
 	mutex sync.Mutex
 	id    lagoonlanding.BackendID
 	// closeReason is why the gate was closed, or ReasonNone; a scheduled close does not set it.
-	closeReason  lagoonlanding.Reason
-	closing      scheduledClose
-	slots        int
-	running      int
-	waiting      []*waiter
-	rateLimiter  rateLimiter
+	closeReason lagoonlanding.Reason
+	closing     scheduledClose
+	slots       int
+	running     int
+	waiting     []*waiter
+	rateLimiter rateLimiter
+	// limit is the limit in tasks per second that the backend server has named, zero for none.
+	limit        float64
 	meanRunTimes meanRunTimes
 	priorities   priorities
 	keyCounts    keyCounts
@@ -93,13 +95,18 @@
 	pass.gate.finish(pass, completed)
 }
 
+// Advise records what the backend server said in response to the task; it returns the limit of tasks per second before, zero for none.
+func (pass *Pass) Advise(advice lagoonlanding.Advice) (previousLimit float64) {
+	return pass.gate.advise(pass, advice)
+}
+
 // Open admits tasks to a process of the backend server with the given slots; until warmAt it limits them to coldRate per second.
 func (gate *Gate) Open(id lagoonlanding.BackendID, slots int, warmAt time.Time, coldRate float64) {
 	gate.mutex.Lock()
 	defer gate.mutex.Unlock()
 	if gate.id != id {
 		// The tasks of the previous process ended with it.
-		gate.id, gate.running, gate.keyCounts, gate.demand = id, 0, newKeyCounts(), demand{}
+		gate.id, gate.running, gate.keyCounts, gate.demand, gate.limit = id, 0, newKeyCounts(), demand{}, 0
 	}
 	gate.closeReason, gate.closing, gate.slots = lagoonlanding.ReasonNone, scheduledClose{}, max(slots, 1)
 	gate.rateLimiter.configure(gate.config.Clock.Now(), warmAt, coldRate)
@@ -139,7 +146,7 @@
 	defer gate.mutex.Unlock()
 	return lagoonlanding.NewLoad(lagoonlanding.LoadConfig{
 		Waiting: len(gate.waiting), Running: gate.running, Slots: gate.slots, MeanRunTime: gate.meanRunTimes.overall(),
-		Open: gate.closeReason == lagoonlanding.ReasonNone,
+		Limit: gate.limit, Open: gate.closeReason == lagoonlanding.ReasonNone,
 	})
 }
 
@@ -221,6 +228,16 @@
 	gate.release(pass.id, pass.key)
 }
 
+func (gate *Gate) advise(pass *Pass, advice lagoonlanding.Advice) (previousLimit float64) {
+	gate.mutex.Lock()
+	defer gate.mutex.Unlock()
+	previousLimit = gate.limit
+	if gate.id == pass.id && advice.IsGiven() {
+		gate.limit = advice.Limit()
+	}
+	return previousLimit
+}
+
 func (gate *Gate) release(id lagoonlanding.BackendID, key int) {
 	if gate.id == id && gate.running > 0 {
 		gate.running--
--- a/mesh/recorder/recorder.go
+++ b/mesh/recorder/recorder.go
@@ -63,6 +63,7 @@
 		recorder.scope.Gauge("backend_running").Update(float64(load.Running()))
 		recorder.scope.Gauge("backend_waiting").Update(float64(load.Waiting()))
 		recorder.scope.Gauge("backend_slots").Update(float64(load.Slots()))
+		recorder.scope.Gauge("backend_limit").Update(load.Limit())
 		recorder.scope.Gauge("log_lines_dropped").Update(float64(recorder.config.DroppedLines()))
 		recorder.handler.ServeHTTP(writer, request)
 	})
--- a/result.go
+++ b/result.go
@@ -56,6 +56,8 @@
 	Answer Answer
 	// Load is the backend server's load as reported by its daemon.
 	Load Load
+	// Advice is what the backend server says about itself; only its own daemon receives it.
+	Advice Advice
 	// Delivered means that a backend server received the task, even if it did not run it.
 	Delivered bool
 }
@@ -93,6 +95,9 @@
 // Load returns the backend server's load as reported by its daemon.
 func (result Result) Load() Load { return result.config.Load }
 
+// Advice returns what the backend server says about itself.
+func (result Result) Advice() Advice { return result.config.Advice }
+
 // IsDelivered reports whether a backend server received the task.
 func (result Result) IsDelivered() bool { return result.config.Delivered }
 
@@ -110,6 +115,8 @@
 	Slots int
 	// MeanRunTime is the average run time of a task.
 	MeanRunTime time.Duration
+	// Limit is the number of tasks per second that the backend server accepts, zero for no limit.
+	Limit float64
 	// Open means that the backend server accepts tasks.
 	Open bool
 }
@@ -134,5 +141,8 @@
 // MeanRunTime returns the average run time of a task.
 func (load Load) MeanRunTime() time.Duration { return load.config.MeanRunTime }
 
+// Limit returns the number of tasks per second that the backend server accepts, zero for no limit.
+func (load Load) Limit() float64 { return load.config.Limit }
+
 // IsOpen reports whether the backend server accepts tasks.
 func (load Load) IsOpen() bool { return load.config.Open }
