Keep the limit of requests that a backend server names

Backend servers in need got up to twice the requests that they had named as their limit (LIMIT): nothing read the limit.

The limit is enforced by the gate beside the backend server, through which the requests of all daemons pass, so it holds for a fleet of any size and for daemons that have not been told. Two requests may start at once, others wait or are offered elsewhere; the reported slots shrink to what the limit keeps busy, so that daemons prefer others. A response without a limit ends it only if its task started later, since responses overtake each other. Tasks that wait when a limit is named look for the time at which it lets them start. Until the backend server has responded once, three tasks run, since a restarted daemon does not know what its predecessor was told.

--- a/lagoonmesh/daemon.go
+++ b/lagoonmesh/daemon.go
@@ -67,7 +67,7 @@
 	controlConfig.SilenceTimeout, controlConfig.SilenceProbes, controlConfig.RespondsPromptly = controlSilenceTimeout, controlSilenceProbes, true
 	controlConfig.OnEnd = func(address string, sent, received int) { daemon.countBytes(kindControl, address, sent, received) }
 	daemon.control = connector.NewPool(controlConfig)
-	gate := gatekeeper.NewGate(gatekeeper.Config{Clock: daemon.clock, MaxWaiting: maxWaitingTasks})
+	gate := gatekeeper.NewGate(gatekeeper.Config{Clock: daemon.clock, MaxWaiting: maxWaitingTasks, MaxFirst: maxFirstTasks})
 	daemon.recorder = recorder.New(recorder.Config{
 		Load: gate.Load, DroppedLines: droppedLines,
 		OnError: func(err error) { daemon.logFor("metrics").WithError(err).Warn("Cannot register metric.") },
--- a/lagoonmesh/limits.go
+++ b/lagoonmesh/limits.go
@@ -34,6 +34,9 @@
 	sweepInterval = 2 * time.Second
 	// maxWaitingTasks limits the tasks that wait for a slot.
 	maxWaitingTasks = 64
+	// maxFirstTasks limits the tasks that run before the backend server has responded for the first time: they may exceed a limit that it named
+	// to an earlier process of the daemon, by less than the five tasks that the platform allows.
+	maxFirstTasks = 3
 	// zoneCost is the additional response time that is accepted to avoid another zone.
 	zoneCost = 20 * time.Millisecond
 	// regionCost is the additional response time that is accepted to avoid another region, whose link is billed by volume.
--- a/mesh/acceptor/acceptor.go
+++ b/mesh/acceptor/acceptor.go
@@ -137,9 +137,9 @@
 	if !advice.IsGiven() {
 		return
 	}
-	if previous := pass.Advise(advice); previous != advice.Limit() {
+	if previous, current := pass.Advise(advice); previous != current {
 		acceptor.config.Log.WithFields(logrus.Fields{
-			"backend-server": pass.ID().String(), "limit": advice.Limit(), "previous-limit": previous,
+			"backend-server": pass.ID().String(), "limit": current, "previous-limit": previous,
 		}).Info("Backend server changed the limit of tasks per second that it accepts.")
 	}
 }
--- a/mesh/forwarder/delivery.go
+++ b/mesh/forwarder/delivery.go
@@ -9,7 +9,7 @@
 // recordRefusal counts a refusal by a busy backend server; one outside the daemon's region ends the tries there. It keeps the earliest time at which a retry may succeed.
 func (delivery *delivery) recordRefusal(backend lagoonlanding.Backend, region string) {
 	switch delivery.result.Reason() {
-	case lagoonlanding.ReasonQueueFull, lagoonlanding.ReasonUpstreamCold:
+	case lagoonlanding.ReasonQueueFull, lagoonlanding.ReasonUpstreamCold, lagoonlanding.ReasonUpstreamLimited:
 	default:
 		return
 	}
--- a/mesh/gatekeeper/demand.go
+++ b/mesh/gatekeeper/demand.go
@@ -63,5 +63,5 @@
 func (gate *Gate) Demand(now time.Time) lagoonlanding.Demand {
 	gate.mutex.Lock()
 	defer gate.mutex.Unlock()
-	return lagoonlanding.NewDemand(gate.demand.value(now, gate.slots), gate.meanRunTimes.overall())
+	return lagoonlanding.NewDemand(gate.demand.value(now, gate.usableSlots()), gate.meanRunTimes.overall())
 }
--- a/mesh/gatekeeper/gate.go
+++ b/mesh/gatekeeper/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -29,6 +30,9 @@
 	Clock lagoonlanding.Clock
 	// MaxWaiting limits the tasks that wait for a slot.
 	MaxWaiting int
+	// MaxFirst limits the tasks that run before the backend server has responded for the first time: it may have named a limit to a daemon
+	// that has been restarted since. Zero means no limit.
+	MaxFirst int
 }
 
 // Gate limits the concurrent tasks of one backend server; its count is exact because every task passes through it. It is safe for concurrent use.
@@ -44,8 +48,11 @@
 	running     int
 	waiting     []*waiter
 	rateLimiter rateLimiter
-	// limit is the limit in tasks per second that the backend server has named, zero for none.
-	limit        float64
+	limit       taskLimit
+	// hasResponded means that the backend server has responded to a task.
+	hasResponded bool
+	// limitChanged is closed when the limit changes.
+	limitChanged chan struct{}
 	meanRunTimes meanRunTimes
 	priorities   priorities
 	keyCounts    keyCounts
@@ -75,7 +82,10 @@
 
 // NewGate returns a closed gate.
 func NewGate(config Config) *Gate {
-	return &Gate{config: config, closeReason: lagoonlanding.ReasonNoUpstream, meanRunTimes: newMeanRunTimes(), priorities: priorities{}, keyCounts: newKeyCounts()}
+	return &Gate{
+		config: config, closeReason: lagoonlanding.ReasonNoUpstream, meanRunTimes: newMeanRunTimes(), priorities: priorities{},
+		keyCounts: newKeyCounts(), limitChanged: make(chan struct{}),
+	}
 }
 
 // Pass permits one task to run; Finish must be called once.
@@ -95,8 +105,8 @@
 	pass.gate.finish(pass, completed)
 }
 
-// Advise records what the backend server said in response to the task; it returns the limit of tasks per second before, zero for none.
-func (pass *Pass) Advise(advice lagoonlanding.Advice) (previousLimit float64) {
+// Advise records what the backend server said in response to the task; it returns the limits in tasks per second before and now, zero for none.
+func (pass *Pass) Advise(advice lagoonlanding.Advice) (previous, current float64) {
 	return pass.gate.advise(pass, advice)
 }
 
@@ -106,7 +116,7 @@
 	defer gate.mutex.Unlock()
 	if gate.id != id {
 		// The tasks of the previous process ended with it.
-		gate.id, gate.running, gate.keyCounts, gate.demand, gate.limit = id, 0, newKeyCounts(), demand{}, 0
+		gate.id, gate.running, gate.keyCounts, gate.demand, gate.limit, gate.hasResponded = id, 0, newKeyCounts(), demand{}, taskLimit{}, false
 	}
 	gate.closeReason, gate.closing, gate.slots = lagoonlanding.ReasonNone, scheduledClose{}, max(slots, 1)
 	gate.rateLimiter.configure(gate.config.Clock.Now(), warmAt, coldRate)
@@ -145,8 +155,8 @@
 	gate.mutex.Lock()
 	defer gate.mutex.Unlock()
 	return lagoonlanding.NewLoad(lagoonlanding.LoadConfig{
-		Waiting: len(gate.waiting), Running: gate.running, Slots: gate.slots, MeanRunTime: gate.meanRunTimes.overall(),
-		Limit: gate.limit, Open: gate.closeReason == lagoonlanding.ReasonNone,
+		Waiting: len(gate.waiting), Running: gate.running, Slots: gate.usableSlots(), MeanRunTime: gate.meanRunTimes.overall(),
+		Limit: gate.limit.rate, Open: gate.closeReason == lagoonlanding.ReasonNone,
 	})
 }
 
@@ -158,6 +168,7 @@
 	}
 	tooLate := gate.config.Clock.Until(waiter.startBy)
 	for {
+		rateLimited, limitChanged := gate.rateLimits()
 		select {
 		case reason := <-waiter.decision:
 			return gate.passFor(task, reason)
@@ -165,21 +176,27 @@
 			return gate.abandon(waiter, lagoonlanding.ReasonDeadline)
 		case <-tooLate:
 			return gate.abandon(waiter, lagoonlanding.ReasonQueueFull)
-		case <-gate.rateLimited():
+		case <-rateLimited:
 			gate.admitNow()
+		case <-limitChanged:
 		}
 	}
 }
 
-// rateLimited returns a channel that fires when the rate limit of a cold backend server lets the next task pass, or nil if no limit applies.
-func (gate *Gate) rateLimited() <-chan time.Time {
+// rateLimits returns a channel that fires when the rate limits let the next task pass, nil if none applies, and one that is closed when the
+// limit of the backend server changes.
+func (gate *Gate) rateLimits() (<-chan time.Time, <-chan struct{}) {
 	gate.mutex.Lock()
 	defer gate.mutex.Unlock()
-	next := gate.rateLimiter.next(gate.config.Clock.Now())
+	now := gate.config.Clock.Now()
+	next := gate.rateLimiter.next(now)
+	if limited := gate.limit.next(now); limited.After(next) {
+		next = limited
+	}
 	if next.IsZero() {
-		return nil
+		return nil, gate.limitChanged
 	}
-	return gate.config.Clock.Until(next)
+	return gate.config.Clock.Until(next), gate.limitChanged
 }
 
 func (gate *Gate) admitNow() {
@@ -228,14 +245,45 @@
 	gate.release(pass.id, pass.key)
 }
 
-func (gate *Gate) advise(pass *Pass, advice lagoonlanding.Advice) (previousLimit float64) {
+func (gate *Gate) advise(pass *Pass, advice lagoonlanding.Advice) (previous, current float64) {
 	gate.mutex.Lock()
 	defer gate.mutex.Unlock()
-	previousLimit = gate.limit
-	if gate.id == pass.id && advice.IsGiven() {
-		gate.limit = advice.Limit()
+	previous = gate.limit.rate
+	if gate.id != pass.id || !advice.IsGiven() {
+		return previous, previous
+	}
+	gate.hasResponded = true
+	if gate.limit.heed(gate.config.Clock.Now(), pass.started, advice) {
+		close(gate.limitChanged)
+		gate.limitChanged = make(chan struct{})
+	}
+	gate.admit()
+	return previous, gate.limit.rate
+}
+
+// hasFreeSlot reports whether another task may run concurrently.
+func (gate *Gate) hasFreeSlot() bool {
+	if !gate.hasResponded && gate.config.MaxFirst > 0 && gate.running >= gate.config.MaxFirst {
+		return false
+	}
+	return gate.running < gate.slots
+}
+
+// usableSlots returns the number of slots that the tasks within the limit keep busy.
+func (gate *Gate) usableSlots() int {
+	if gate.limit.rate == 0 {
+		return gate.slots
+	}
+	return min(max(int(math.Round(gate.limit.rate*gate.meanRunTimes.overall().Seconds())), 1), gate.slots)
+}
+
+// allow reports whether the rate limits let a task pass now, and counts it if so.
+func (gate *Gate) allow(now time.Time) bool {
+	if !gate.limit.next(now).IsZero() || !gate.rateLimiter.allow(now) {
+		return false
 	}
-	return previousLimit
+	gate.limit.count(now)
+	return true
 }
 
 func (gate *Gate) release(id lagoonlanding.BackendID, key int) {
--- a/mesh/gatekeeper/queue.go
+++ b/mesh/gatekeeper/queue.go
@@ -18,7 +18,7 @@
 	}
 	gate.priorities.observe(now, task.Priority())
 	gate.demand.observe(now, task.ShardKey(), gate.meanRunTimes.ofRoute(task.Route()))
-	if len(gate.waiting) == 0 && gate.running < gate.slots && gate.rateLimiter.allow(now) {
+	if len(gate.waiting) == 0 && gate.hasFreeSlot() && gate.allow(now) {
 		gate.running++
 		gate.keyCounts.increment(task.ShardKey())
 		return nil, gate.pass(task, now), lagoonlanding.ReasonNone, time.Time{}
@@ -57,8 +57,11 @@
 
 // busyReason returns the reason for refusing a task while the gate is open.
 func (gate *Gate) busyReason(now time.Time) lagoonlanding.Reason {
-	if gate.rateLimiter.isCold(now) {
+	switch {
+	case gate.rateLimiter.isCold(now):
 		return lagoonlanding.ReasonUpstreamCold
+	case gate.limit.rate > 0:
+		return lagoonlanding.ReasonUpstreamLimited
 	}
 	return lagoonlanding.ReasonQueueFull
 }
@@ -91,11 +94,11 @@
 		}
 	}
 	wait := work / time.Duration(max(gate.slots, 1))
-	if gate.running >= gate.slots {
+	if !gate.hasFreeSlot() {
 		// Assumes that the ends of the running tasks are spread evenly, so the first of them ends after this fraction of the mean.
 		wait += gate.meanRunTimes.overall() / time.Duration(gate.running+1)
 	}
-	return gate.rateLimiter.startTime(now, ahead, now.Add(wait))
+	return gate.limit.startTime(ahead, gate.rateLimiter.startTime(now, ahead, now.Add(wait)))
 }
 
 // compare orders waiting tasks by priority, and within a priority round-robin over the shard keys: a busy key does not delay the others.
@@ -106,8 +109,8 @@
 // admit admits waiting tasks while there are free slots; the mutex must be locked.
 func (gate *Gate) admit() {
 	now := gate.config.Clock.Now()
-	for len(gate.waiting) > 0 && gate.refusal(now) == lagoonlanding.ReasonNone && gate.running < gate.slots {
-		if !gate.rateLimiter.allow(now) {
+	for len(gate.waiting) > 0 && gate.refusal(now) == lagoonlanding.ReasonNone && gate.hasFreeSlot() {
+		if !gate.allow(now) {
 			return
 		}
 		waiter := gate.waiting[0]
--- a/reply.go
+++ b/reply.go
@@ -62,6 +62,7 @@
 	ReasonUpstreamRefused  Reason = "upstream-refused"
 	ReasonUpstreamFailed   Reason = "upstream-failed"
 	ReasonUpstreamCold     Reason = "upstream-cold"
+	ReasonUpstreamLimited  Reason = "upstream-limited"
 	ReasonNoUpstream       Reason = "no-upstream"
 	ReasonConnectionLost   Reason = "connection-lost"
 	ReasonMismatchedAnswer Reason = "mismatched-answer"
