Space the retries of tasks that a limit refused by that limit

A task with a shard key that is refused is told when to return, after those refused before it; these times were spaced by the run time alone, so that under a limit clients returned too early and were refused once more.

TestRefusedTasksReturnWithinTheLimit failed before.

--- a/mesh/gatekeeper/queue.go
+++ b/mesh/gatekeeper/queue.go
@@ -48,7 +48,7 @@
 	if gate.reservedUntil.Before(startsAt) {
 		gate.reservedUntil = startsAt
 	}
-	reserved := gate.reservedUntil.Add(gate.meanRunTimes.ofRoute(task.Route()) / time.Duration(max(gate.slots, 1)))
+	reserved := gate.reservedUntil.Add(max(gate.meanRunTimes.ofRoute(task.Route())/time.Duration(max(gate.slots, 1)), gate.limit.spacing()))
 	if reserved.Before(task.Deadline()) {
 		gate.reservedUntil = reserved
 	}
--- a/mesh/gatekeeper/tasklimit_test.go
+++ b/mesh/gatekeeper/tasklimit_test.go
@@ -154,3 +154,27 @@
 		}
 	})
 }
+
+func TestRefusedTasksReturnWithinTheLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		gate := newGate(6)
+		pass, _ := enter(t, gate, task(1, time.Minute, time.Minute))
+		pass.Advise(lagoonlanding.NewAdvice(lagoonlanding.AdviceConfig{Limit: 2}))
+		pass.Finish(true)
+		var retries []time.Time
+		for range 10 {
+			keyed := task(1, 100*time.Millisecond, 30*time.Second).With(func(config *lagoonlanding.TaskConfig) { config.ShardKey = 7 })
+			if _, reason, retryAt := gate.Enter(t.Context(), keyed); reason == lagoonlanding.ReasonUpstreamLimited {
+				retries = append(retries, retryAt)
+			}
+		}
+		if len(retries) < 5 {
+			t.Fatalf("only %d of 10 tasks were refused for the limit", len(retries))
+		}
+		for index := range retries[1:] {
+			if gap := retries[index+1].Sub(retries[index]); gap < 500*time.Millisecond {
+				t.Errorf("two tasks return within %v at a limit of two a second", gap)
+			}
+		}
+	})
+}
