Keep the last limit while a backend server names one that cannot be read

A response with an unreadable limit counted as no response at all, so that a backend server that names only such limits would run three tasks at a time for good. It now counts as a response, and the last limit stays in force.

TestLimitEndsWithAResponseToALaterTaskOnly covers it.

--- a/advice.go
+++ b/advice.go
@@ -4,6 +4,8 @@
 type AdviceConfig struct {
 	// Limit is the number of tasks per second that the backend server accepts from all daemons together, zero for no limit.
 	Limit float64
+	// LimitUnknown means that the backend server names a limit that cannot be read.
+	LimitUnknown bool
 }
 
 // Advice is what a backend server says about itself in a response; the zero value means that there was no response.
@@ -18,5 +20,8 @@
 // IsGiven reports whether the backend server has responded.
 func (advice Advice) IsGiven() bool { return advice.isGiven }
 
+// IsLimitUnknown reports whether the backend server names a limit that cannot be read, so that the last one stays in force.
+func (advice Advice) IsLimitUnknown() bool { return advice.config.LimitUnknown }
+
 // Limit returns the number of tasks per second that the backend server accepts from all daemons together, zero for no limit.
 func (advice Advice) Limit() float64 { return advice.config.Limit }
--- a/mesh/gatekeeper/tasklimit.go
+++ b/mesh/gatekeeper/tasklimit.go
@@ -27,6 +27,7 @@
 func (tasklimit *taskLimit) heed(now, started time.Time, advice lagoonlanding.Advice) bool {
 	previous := tasklimit.rate
 	switch {
+	case advice.IsLimitUnknown():
 	case advice.Limit() > 0:
 		tasklimit.rate, tasklimit.namedAt = advice.Limit(), now
 	case started.After(tasklimit.namedAt):
--- a/mesh/gatekeeper/tasklimit_test.go
+++ b/mesh/gatekeeper/tasklimit_test.go
@@ -147,6 +147,12 @@
 			t.Errorf("a response that was overtaken changed the limit to %v", got)
 		}
 		time.Sleep(time.Second)
+		unreadable, _ := enter(t, gate, task(1, time.Minute, time.Minute))
+		unreadable.Advise(lagoonlanding.NewAdvice(lagoonlanding.AdviceConfig{LimitUnknown: true}))
+		if got := gate.Load().Limit(); got != 2 {
+			t.Errorf("an unreadable limit changed the limit to %v", got)
+		}
+		time.Sleep(time.Second)
 		late, _ := enter(t, gate, task(1, time.Minute, time.Minute))
 		late.Advise(lagoonlanding.NewAdvice(lagoonlanding.AdviceConfig{}))
 		if got := gate.Load().Limit(); got != 0 {
