Stop sending tasks to a backend server that says in its responses that it leaves

A backend server that leaves says so in all its responses (Server-Leaving), which may be earlier than its next announcement, or all that arrives. Only announcements counted, so that requests went on for as long as it announced itself as ready (DRAIN).

The daemon beside it now treats it as draining from the first such response on: tasks that others can run are refused at once, those for its keys once the drain term has passed. As all tasks pass that gate, the daemons that passed such a response on need not remember it.

--- a/advice.go
+++ b/advice.go
@@ -6,6 +6,8 @@
 	Limit float64
 	// LimitUnknown means that the backend server names a limit that cannot be read.
 	LimitUnknown bool
+	// Leaving means that the backend server is about to stop.
+	Leaving bool
 }
 
 // Advice is what a backend server says about itself in a response; the zero value means that there was no response.
@@ -23,5 +25,8 @@
 // IsLimitUnknown reports whether the backend server names a limit that cannot be read, so that the last one stays in force.
 func (advice Advice) IsLimitUnknown() bool { return advice.config.LimitUnknown }
 
+// IsLeaving reports whether the backend server is about to stop.
+func (advice Advice) IsLeaving() bool { return advice.config.Leaving }
+
 // Limit returns the number of tasks per second that the backend server accepts from all daemons together, zero for no limit.
 func (advice Advice) Limit() float64 { return advice.config.Limit }
--- a/lagoonmesh/daemon.go
+++ b/lagoonmesh/daemon.go
@@ -126,7 +126,7 @@
 	daemon.acceptor = acceptor.New(acceptor.Config{
 		Service: daemon.settings.Service(), Address: daemon.settings.BackendAddress(), Gate: gate,
 		Runner:    platform.NewUpstream(daemon.pool, daemon.clock, daemon.logFor("upstream")),
-		Ownership: daemon.coordinator.Ownership, OnProcessEnded: daemon.syncer.ProcessEnded,
+		Ownership: daemon.coordinator.Ownership, OnProcessEnded: daemon.syncer.ProcessEnded, OnLeaving: daemon.syncer.BackendLeaving,
 		Quarantine: daemon.quarantine, OnCrashRecorded: daemon.syncer.CrashRecorded,
 		Clock: daemon.clock, Log: daemon.logFor("backend"),
 	})
--- a/mesh/acceptor/acceptor.go
+++ b/mesh/acceptor/acceptor.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -28,6 +29,8 @@
 	Ownership func() *assigner.Ownership
 	// OnProcessEnded is called when a process of the backend server has ended.
 	OnProcessEnded func(id lagoonlanding.BackendID)
+	// OnLeaving is called when a process of the backend server says that it is about to stop.
+	OnLeaving func(id lagoonlanding.BackendID)
 	// Quarantine tracks the requests that crash backend servers.
 	Quarantine *quarantiner.Quarantine
 	// OnCrashRecorded is called when the quarantine has recorded a crash.
@@ -44,6 +47,8 @@
 // Acceptor handles the tasks for the backend server.
 type Acceptor struct {
 	config Config
+	// leaving is the last process of the backend server that said that it is about to stop.
+	leaving atomic.Pointer[lagoonlanding.BackendID]
 }
 
 var _ lagoonlanding.TaskHandler = (*Acceptor)(nil)
@@ -137,6 +142,11 @@
 	if !advice.IsGiven() {
 		return
 	}
+	if id := pass.ID(); advice.IsLeaving() {
+		if known := acceptor.leaving.Swap(&id); known == nil || *known != id {
+			acceptor.config.OnLeaving(id)
+		}
+	}
 	if previous, current := pass.Advise(advice); previous != current {
 		acceptor.config.Log.WithFields(logrus.Fields{
 			"backend-server": pass.ID().String(), "limit": current, "previous-limit": previous,
--- a/mesh/acceptor/acceptor_test.go
+++ b/mesh/acceptor/acceptor_test.go
@@ -41,7 +41,7 @@
 	gate := gatekeeper.NewGate(gatekeeper.Config{Clock: timekeeper.Clock{}, MaxWaiting: 4})
 	gate.Open(id, 2, time.Time{}, 0)
 	return New(Config{
-		Service: "s", Gate: gate, Runner: runner, Ownership: func() *assigner.Ownership { return ownership }, OnProcessEnded: ended,
+		Service: "s", Gate: gate, Runner: runner, Ownership: func() *assigner.Ownership { return ownership }, OnProcessEnded: ended, OnLeaving: func(lagoonlanding.BackendID) {},
 		Quarantine: quarantiner.NewQuarantine(quarantiner.Config{Random: rand.New(rand.NewPCG(rand.Uint64(), 1))}), OnCrashRecorded: func() {},
 		Clock: timekeeper.Clock{}, Log: logrus.NewEntry(log),
 	}), gate
--- a/mesh/coordinator/coordinator.go
+++ b/mesh/coordinator/coordinator.go
@@ -59,6 +59,8 @@
 	stopDeadline time.Time
 	// deregistered holds the name of the backend server that announced its shutdown.
 	deregistered map[string]bool
+	// leavingID is the process of the backend server that said in a response that it is about to stop.
+	leavingID lagoonlanding.BackendID
 	// drainingID is the process that was last known to drain, and drainDeadline when it stops receiving tasks.
 	drainingID    lagoonlanding.BackendID
 	drainDeadline time.Time
@@ -224,7 +226,8 @@
 }
 
 func (coordinator *Coordinator) isDraining(latest lagoonlanding.Announcement) bool {
-	return latest.State() != lagoonlanding.BackendReady || coordinator.deregistered[latest.Name()]
+	isLeaving := !coordinator.leavingID.IsZero() && coordinator.leavingID == coordinator.config.Assigner.ID()
+	return isLeaving || latest.State() != lagoonlanding.BackendReady || coordinator.deregistered[latest.Name()]
 }
 
 // ApplyDirective applies an entry that an operator wrote: a configuration or the evacuation of a zone.
--- a/mesh/coordinator/upstream.go
+++ b/mesh/coordinator/upstream.go
@@ -63,6 +63,17 @@
 	return true
 }
 
+// BackendLeaving records that a process of the backend server said in a response that it is about to stop; its announcements may say so later.
+func (coordinator *Coordinator) BackendLeaving(now time.Time, id lagoonlanding.BackendID) {
+	if id != coordinator.config.Assigner.ID() || id == coordinator.leavingID {
+		return
+	}
+	coordinator.leavingID = id
+	coordinator.startDraining(now, id)
+	coordinator.config.Log.WithField("backend-server", id.String()).Info("Backend server says that it is leaving.")
+	coordinator.updateGate()
+}
+
 // ProcessEnded records that a process of the backend server has ended.
 func (coordinator *Coordinator) ProcessEnded(id lagoonlanding.BackendID) {
 	if coordinator.config.Assigner.End(id) {
--- a/mesh/syncer/syncer.go
+++ b/mesh/syncer/syncer.go
@@ -131,6 +131,11 @@
 	syncer.do(func(state *coordinator.Coordinator, _ time.Time) { state.ProcessEnded(id) })
 }
 
+// BackendLeaving tells the control thread that a process of the backend server is about to stop.
+func (syncer *Syncer) BackendLeaving(id lagoonlanding.BackendID) {
+	syncer.do(func(state *coordinator.Coordinator, now time.Time) { state.BackendLeaving(now, id) })
+}
+
 // CrashRecorded tells the control thread that the quarantine has a new crash to report to the other daemons.
 func (syncer *Syncer) CrashRecorded() {
 	syncer.do(func(state *coordinator.Coordinator, _ time.Time) { state.CrashRecorded() })
