--- a/backend.go
+++ b/backend.go
@@ -47,6 +47,9 @@
 	BackendDraining BackendState = "draining"
 )
 
+// MaxSlots is the greatest number of slots that a backend server may announce.
+const MaxSlots = 1 << 16
+
 // BackendConfig holds the fields of a Backend.
 type BackendConfig struct {
 	// ID identifies the backend server's process; only the daemon's name is set while none is registered.
--- a/mesh/coordinator/ownership_test.go
+++ b/mesh/coordinator/ownership_test.go
@@ -158,7 +158,7 @@
 	log.SetOutput(io.Discard)
 	daemon.coordinator = New(sim.now, Config{
 		Self: lagoonlanding.NewBackend(lagoonlanding.BackendConfig{
-			ID: lagoonlanding.NewBackendID(daemon.name, "", 0), PeerAddress: daemon.name, Service: simService,
+			ID: lagoonlanding.NewBackendID(daemon.name, "", 0), PeerAddress: daemon.name + ":1", Service: simService,
 		}),
 		Fleet: registrar.NewFleet(registrar.Config{VerificationTerm: 7 * time.Second, Margin: 700 * time.Millisecond}),
 		Assigner: assigner.New(assigner.Config{
--- a/mesh/registrar/codec.go
+++ b/mesh/registrar/codec.go
@@ -3,6 +3,9 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net"
+	"strconv"
+	"strings"
 
 	"lagoonlanding.example/lagoonlanding"
 )
@@ -39,6 +42,24 @@
 	return encoded, nil
 }
 
+// validate checks the fields against the entry's key and their ranges: another writer may have written the entry.
+func (encodedregistration encodedRegistration) validate(key string) error {
+	if encodedregistration.Daemon == "" || !strings.HasSuffix(key, "/"+encodedregistration.Daemon) {
+		return fmt.Errorf("entry of daemon %q", encodedregistration.Daemon)
+	}
+	_, port, err := net.SplitHostPort(encodedregistration.Address)
+	if err != nil {
+		return err
+	}
+	if number, err := strconv.ParseUint(port, 10, 16); err != nil || number == 0 {
+		return fmt.Errorf("port %q is not a number from 1 to 65535", port)
+	}
+	if encodedregistration.Slots < 0 || encodedregistration.Slots > lagoonlanding.MaxSlots {
+		return fmt.Errorf("%d slots", encodedregistration.Slots)
+	}
+	return nil
+}
+
 // Decode returns the registration stored in an entry.
 func (codec Codec) Decode(entry lagoonlanding.Entry) (lagoonlanding.Backend, error) {
 	var decoded encodedRegistration
@@ -51,8 +72,8 @@
 	default:
 		return lagoonlanding.Backend{}, fmt.Errorf("decode registration %s: unknown state %q", entry.Key(), decoded.State)
 	}
-	if decoded.Daemon == "" || decoded.Address == "" {
-		return lagoonlanding.Backend{}, fmt.Errorf("decode registration %s: missing daemon or address", entry.Key())
+	if err := decoded.validate(entry.Key()); err != nil {
+		return lagoonlanding.Backend{}, fmt.Errorf("decode registration %s: %w", entry.Key(), err)
 	}
 	return lagoonlanding.NewBackend(lagoonlanding.BackendConfig{
 		ID:          lagoonlanding.NewBackendID(decoded.Daemon, decoded.Name, decoded.StartedMilli),
--- a/mesh/registrar/registrar_test.go
+++ b/mesh/registrar/registrar_test.go
@@ -98,12 +98,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	got, err := Codec{}.Decode(lagoonlanding.NewEntry("k", encoded, 1))
+	got, err := Codec{}.Decode(lagoonlanding.NewEntry("daemons/d", encoded, 1))
 	if diff := cmp.Diff(want, got, cmp.AllowUnexported(lagoonlanding.Backend{}, lagoonlanding.BackendID{})); err != nil || diff != "" {
 		t.Error(err, diff)
 	}
 	for _, bad := range []string{"", "{}", `{"daemon":"d","peer-address":"a","state":"odd"}`, `{"daemon":7}`} {
-		if _, err := (Codec{}).Decode(lagoonlanding.NewEntry("k", []byte(bad), 1)); err == nil {
+		if _, err := (Codec{}).Decode(lagoonlanding.NewEntry("daemons/d", []byte(bad), 1)); err == nil {
 			t.Errorf("%q was decoded", bad)
 		}
 	}
@@ -112,9 +112,12 @@
 func FuzzRegistration(f *testing.F) {
 	f.Add([]byte(`{"daemon":"d","peer-address":"10.0.0.1:1","state":"ready","compact-heads":true}`))
 	f.Fuzz(func(t *testing.T, value []byte) {
-		backend, err := Codec{}.Decode(lagoonlanding.NewEntry("k", value, 1))
+		backend, err := Codec{}.Decode(lagoonlanding.NewEntry("daemons/d", value, 1))
 		if err == nil && (backend.ID().Daemon() == "" || backend.PeerAddress() == "") {
 			t.Error("accepted a registration without a name or an address")
 		}
+		if err == nil && (backend.Slots() < 0 || backend.Slots() > lagoonlanding.MaxSlots) {
+			t.Errorf("accepted %d slots", backend.Slots())
+		}
 	})
 }
--- a/mesh/syncer/outage_test.go
+++ b/mesh/syncer/outage_test.go
@@ -259,18 +259,18 @@
 			var changes []lagoonlanding.Change
 			for number := range 20 {
 				name := fmt.Sprintf("daemon-%02d", number)
-				value := fmt.Sprintf(`{"daemon":%q,"peer-address":"address-of-%s","state":"absent"}`, name, name)
+				value := fmt.Sprintf(`{"daemon":%q,"peer-address":"address-of-%s:1","state":"absent"}`, name, name)
 				changes = append(changes, lagoonlanding.NewChange(lagoonlanding.NewEntry(coordinator.FleetPrefix+"daemons/"+name, []byte(value), uint64(number+10)), false))
-				peers.setDisconnected("address-of-"+name, number != 13)
+				peers.setDisconnected("address-of-"+name+":1", number != 13)
 			}
 			state.Apply(now, lagoonlanding.NewChangeList(changes, 40))
 		})
 		peers.setDisconnected("address-of-first", true)
 		store.setDown(true)
 		time.Sleep(2 * time.Second)
-		before := peers.count("address-of-daemon-13")
+		before := peers.count("address-of-daemon-13:1")
 		time.Sleep(2 * time.Second)
-		if after := peers.count("address-of-daemon-13"); after-before < 3 {
+		if after := peers.count("address-of-daemon-13:1"); after-before < 3 {
 			t.Errorf("the only connected daemon was called %d times in two seconds", after-before)
 		}
 	})
--- a/mesh/syncer/proxy_test.go
+++ b/mesh/syncer/proxy_test.go
@@ -29,7 +29,7 @@
 // newSyncerWithProxy returns a syncer that knows three other daemons, of which one can make calls for it.
 func newSyncerWithProxy(store *countingStore) (*Syncer, *proxyPeers) {
 	syncer := newSyncer(store)
-	peers := &proxyPeers{store: newCountingStore(), proxyAddress: "address-of-two"}
+	peers := &proxyPeers{store: newCountingStore(), proxyAddress: "address-of-two:1"}
 	syncer.config.Stores, syncer.config.Peers = peers, &relayPeers{calls: map[string]int{}, connected: true}
 	syncer.config.Coordinator.Apply(time.Time{}, registrations("one", "two", "three"))
 	return syncer, peers
@@ -39,7 +39,7 @@
 func registrations(names ...string) lagoonlanding.ChangeList {
 	var changes []lagoonlanding.Change
 	for number, name := range names {
-		value := fmt.Sprintf(`{"daemon":%q,"peer-address":"address-of-%s","state":"absent"}`, name, name)
+		value := fmt.Sprintf(`{"daemon":%q,"peer-address":"address-of-%s:1","state":"absent"}`, name, name)
 		changes = append(changes, lagoonlanding.NewChange(lagoonlanding.NewEntry(coordinator.FleetPrefix+"daemons/"+name, []byte(value), uint64(number+1)), false))
 	}
 	return lagoonlanding.NewChangeList(changes, uint64(len(names)))
--- a/mesh/syncer/silence_test.go
+++ b/mesh/syncer/silence_test.go
@@ -115,12 +115,12 @@
 	return []lagoonlanding.Entry{lagoonlanding.NewEntry(prefix+"one", []byte{byte(version)}, version)}
 }
 
-// register makes the daemons known to the syncer; their addresses are "address-of-" and the name.
+// register makes the daemons known to the syncer; their addresses are "address-of-", the name and a port.
 func register(syncer *Syncer, names ...string) {
 	syncer.do(func(state *coordinator.Coordinator, now time.Time) {
 		var changes []lagoonlanding.Change
 		for number, name := range names {
-			value := fmt.Sprintf(`{"daemon":%q,"peer-address":"address-of-%s","state":"absent"}`, name, name)
+			value := fmt.Sprintf(`{"daemon":%q,"peer-address":"address-of-%s:1","state":"absent"}`, name, name)
 			changes = append(changes, lagoonlanding.NewChange(lagoonlanding.NewEntry(coordinator.FleetPrefix+"daemons/"+name, []byte(value), uint64(number+10)), false))
 		}
 		state.Apply(now, lagoonlanding.NewChangeList(changes, 40))
@@ -131,7 +131,7 @@
 func startFollower(t *testing.T, fleet *relayFleet, store *countingStore, names ...string) *Syncer {
 	syncer := newSyncer(store)
 	syncer.config.Peers = fleet
-	store.peers = []lagoonlanding.Entry{lagoonlanding.NewEntry(coordinator.ZonePrefix("")+names[0], []byte("address-of-"+names[0]), 1)}
+	store.peers = []lagoonlanding.Entry{lagoonlanding.NewEntry(coordinator.ZonePrefix("")+names[0], []byte("address-of-"+names[0]+":1"), 1)}
 	run(t, syncer)
 	time.Sleep(3 * time.Second)
 	register(syncer, names...)
@@ -152,9 +152,9 @@
 func TestSilentConnectionIsNotTakenForASilentRelay(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		fleet := newRelayFleet()
-		fleet.disconnected["address-of-b"] = true
+		fleet.disconnected["address-of-b:1"] = true
 		syncer := startFollower(t, fleet, newCountingStore(), "a", "b")
-		fleet.update(func() { fleet.epochs["address-of-a"]++; fleet.version = 3 })
+		fleet.update(func() { fleet.epochs["address-of-a:1"]++; fleet.version = 3 })
 		time.Sleep(applyTime)
 		if version := versionOf(syncer); version != 3 {
 			t.Errorf("version %d is in force two seconds after the connection to the relay went silent", version)
@@ -171,7 +171,7 @@
 				store.version = 3
 				syncer := startFollower(t, fleet, store, "a")
 				time.Sleep(phase)
-				fleet.update(func() { fleet.frozen["address-of-a"], fleet.version = true, 3 })
+				fleet.update(func() { fleet.frozen["address-of-a:1"], fleet.version = true, 3 })
 				time.Sleep(secondTakeoverTime)
 				if version := versionOf(syncer); version != 3 {
 					t.Errorf("version %d is in force %v after the relay froze", version, secondTakeoverTime)
@@ -182,11 +182,11 @@
 			synctest.Test(t, func(t *testing.T) {
 				fleet, store := newRelayFleet(), newCountingStore()
 				store.version = 3
-				fleet.disconnected["address-of-b"] = true
+				fleet.disconnected["address-of-b:1"] = true
 				syncer := startFollower(t, fleet, store, "a", "b")
 				time.Sleep(phase)
-				fleet.update(func() { fleet.frozen["address-of-a"], fleet.version = true, 3 })
-				time.AfterFunc(secondTakeoverTime, func() { fleet.update(func() { fleet.disconnected["address-of-b"] = false }) })
+				fleet.update(func() { fleet.frozen["address-of-a:1"], fleet.version = true, 3 })
+				time.AfterFunc(secondTakeoverTime, func() { fleet.update(func() { fleet.disconnected["address-of-b:1"] = false }) })
 				time.Sleep(applyTime)
 				if version := versionOf(syncer); version != 3 {
 					t.Errorf("version %d is in force two seconds after the relay froze", version)
