--- a/mesh/forwarder/forwarder.go
+++ b/mesh/forwarder/forwarder.go
@@ -66,7 +66,10 @@
 	task  lagoonlanding.Task
 	route lagoonlanding.PathRoute
 	tried map[string]bool
-	tries int
+	// received are the backend servers that received the request: none receives it twice, since a copy of the first response would be taken for
+	// the second.
+	received map[lagoonlanding.BackendID]bool
+	tries    int
 	// attempts counts the tries that reached a backend server, which may have run the request.
 	attempts int
 	// lastBackend is the backend server of the most recent try.
@@ -125,7 +128,7 @@
 	}
 	forwarder.config.Budgets.Earn(task.Service())
 	wait := time.Duration(float64(task.Objective().Sub(task.Received())) * ownerWaitShare)
-	return &delivery{task: task, route: route, tried: map[string]bool{}, refusals: map[string]int{}, waitUntil: now.Add(wait)}, lagoonlanding.Result{}
+	return &delivery{task: task, route: route, tried: map[string]bool{}, received: map[lagoonlanding.BackendID]bool{}, refusals: map[string]int{}, waitUntil: now.Add(wait)}, lagoonlanding.Result{}
 }
 
 // drawService picks a service of the route at random by weight.
@@ -158,6 +161,7 @@
 	delivery.result = forwarder.send(ctx, backend, delivery.task)
 	if delivery.result.IsDelivered() {
 		delivery.attempts++
+		delivery.received[backend.ID()] = true
 	}
 	delivery.recordRefusal(backend, forwarder.config.Region)
 	return forwarder.shouldRetry(ctx, delivery)
--- a/mesh/forwarder/forwarder_test.go
+++ b/mesh/forwarder/forwarder_test.go
@@ -226,6 +226,29 @@
 	}
 }
 
+// TestRequestReachesABackendServerOnceOnly covers one that would repeat its refusal of the request while it runs it.
+func TestRequestReachesABackendServerOnceOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var fixture *fixture
+		owner, other := lagoonlanding.NewBackendID("owner", "server-owner", 1), lagoonlanding.NewBackendID("other", "server-other", 1)
+		fixture = newFixture(divided, func(daemon string, _ lagoonlanding.Task) lagoonlanding.Result {
+			if daemon == "other" {
+				fixture.assignShards(owner)
+				return lagoonlanding.NotRun(lagoonlanding.ReasonMoving, time.Now())
+			}
+			fixture.assignShards(other)
+			return lagoonlanding.NotRun(lagoonlanding.ReasonUpstreamRefused, time.Now()).
+				With(func(config *lagoonlanding.ResultConfig) { config.Delivered = true })
+		})
+		fixture.snapshot.Backends = append(fixture.snapshot.Backends, backend("other", "a1", "a", "divided"))
+		fixture.assignShards(owner)
+		fixture.send(func(task *lagoonlanding.TaskConfig) { task.ShardKey = 7 })
+		if !slices.Equal(fixture.sender.sentTo, []string{"owner", "other"}) {
+			t.Errorf("the request was sent to %v", fixture.sender.sentTo)
+		}
+	})
+}
+
 func TestRequestWaitsForAMovingKeyForHalfTheObjective(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		fixture := newFixture(divided, func(string, lagoonlanding.Task) lagoonlanding.Result {
