Fault soak: open connections go silent while a configuration is published

The soak had no connections that go silent while new ones work: its cuts hold back new connections too. The relays can now make open connections silent: the kernel drops what arrives, so nothing is acknowledged. The faults come from a random stream of their own, so the other faults of a seed stay as they were. Two changes at the same time could publish one version twice, which is serialized now.

--- a/trials/demo/relayer/network.go
+++ b/trials/demo/relayer/network.go
@@ -2,10 +2,16 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"maps"
 	"net"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // RouteConfig describes a listener whose connections are forwarded to a target.
@@ -34,6 +40,7 @@
 type relayedConnection struct {
 	from, to          func() string
 	inbound, outbound net.Conn
+	isSilent          atomic.Bool
 }
 
 // New returns a network without faults; processIDs returns the process IDs of the daemons by name.
@@ -51,10 +58,7 @@
 // Reset resets the open connections for which the function returns true.
 func (network *Network) Reset(matches func(from, to string) bool) {
 	network.mutex.Lock()
-	var connections []*relayedConnection
-	for connection := range network.connections {
-		connections = append(connections, connection)
-	}
+	connections := slices.Collect(maps.Keys(network.connections))
 	network.mutex.Unlock()
 	for _, connection := range connections {
 		if matches(connection.from(), connection.to()) {
@@ -64,6 +68,43 @@
 	}
 }
 
+// Silence makes the open connections for which the function returns true go silent: nothing is forwarded or acknowledged on them any more, and
+// they are not reset.
+func (network *Network) Silence(matches func(from, to string) bool) error {
+	network.mutex.Lock()
+	connections := slices.Collect(maps.Keys(network.connections))
+	network.mutex.Unlock()
+	var errs []error
+	for _, connection := range connections {
+		if matches(connection.from(), connection.to()) {
+			connection.isSilent.Store(true)
+			errs = append(errs, dropPackets(connection.inbound), dropPackets(connection.outbound))
+		}
+	}
+	return errors.Join(errs...)
+}
+
+// dropPackets makes the kernel drop every packet that arrives for the connection, keep-alive probes included.
+func dropPackets(connection net.Conn) error {
+	tcp, ok := connection.(*net.TCPConn)
+	if !ok {
+		return nil
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return err
+	}
+	filter := []unix.SockFilter{{Code: unix.BPF_RET | unix.BPF_K}}
+	var failure error
+	err = raw.Control(func(descriptor uintptr) {
+		failure = unix.SetsockoptSockFprog(int(descriptor), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: 1, Filter: &filter[0]})
+	})
+	if errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return errors.Join(err, failure)
+}
+
 // abort closes the connection with a TCP reset.
 func abort(connection net.Conn) {
 	if tcp, ok := connection.(*net.TCPConn); ok {
@@ -165,8 +206,8 @@
 	})
 	defer stop()
 	var directions sync.WaitGroup
-	directions.Go(func() { network.copy(ctx, cancel, inbound, outbound, from, to) })
-	directions.Go(func() { network.copy(ctx, cancel, outbound, inbound, to, from) })
+	directions.Go(func() { network.copy(ctx, cancel, connection, inbound, outbound, from, to) })
+	directions.Go(func() { network.copy(ctx, cancel, connection, outbound, inbound, to, from) })
 	directions.Wait()
 }
 
@@ -191,8 +232,10 @@
 
 const bufferBytes = 64 << 10
 
-// copy forwards bytes in one direction and closes the whole connection when the source closes.
-func (network *Network) copy(ctx context.Context, cancel context.CancelFunc, source, target net.Conn, from, to func() string) {
+// copy forwards bytes in one direction and closes the whole connection when the source closes; a silent connection stays open.
+func (network *Network) copy(
+	ctx context.Context, cancel context.CancelFunc, connection *relayedConnection, source, target net.Conn, from, to func() string,
+) {
 	defer cancel()
 	buffer := make([]byte, bufferBytes)
 	for {
@@ -201,6 +244,10 @@
 		if !network.waitWhileCut(ctx, from, to) || !network.waitForDelay(ctx, from, to) {
 			return
 		}
+		if connection.isSilent.Load() {
+			<-ctx.Done()
+			return
+		}
 		if count > 0 {
 			if _, err := target.Write(buffer[:count]); err != nil {
 				return
--- a/trials/demo/relayer/network_test.go
+++ b/trials/demo/relayer/network_test.go
@@ -1,10 +1,12 @@
 package relayer
 
 import (
+	"errors"
 	"io"
 	"net"
 	"os"
 	"testing"
+	"time"
 
 	"lagoonlanding.example/lagoonlanding/runtime/reserver"
 )
@@ -74,3 +76,58 @@
 		t.Error("bytes were forwarded during the cut")
 	}
 }
+
+func TestSilentConnectionDeliversNothingAndNewOnesWork(t *testing.T) {
+	network := New(func() map[string]int { return map[string]int{"a": os.Getpid()} })
+	target, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = target.Close() }()
+	go func() {
+		for {
+			connection, err := target.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(connection, connection) }()
+		}
+	}()
+	listen := reserver.Address()
+	if err := network.Relay(t.Context(), RouteConfig{Listen: listen, Target: target.Addr().String(), To: "b"}); err != nil {
+		t.Fatal(err)
+	}
+	// exchange reports whether the text comes back, and fails if the connection ends.
+	exchange := func(connection net.Conn, text string) bool {
+		if _, err := connection.Write([]byte(text)); err != nil {
+			t.Fatal(err)
+		}
+		_ = connection.SetReadDeadline(time.Now().Add(300 * time.Millisecond))
+		_, err := io.ReadFull(connection, make([]byte, len(text)))
+		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Fatal(err)
+		}
+		return err == nil
+	}
+	dial := func() net.Conn {
+		connection, err := net.Dial("tcp", listen)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = connection.Close() })
+		return connection
+	}
+	first := dial()
+	if !exchange(first, "one") {
+		t.Fatal("nothing came back before the silence")
+	}
+	if err := network.Silence(func(string, string) bool { return true }); err != nil {
+		t.Fatal(err)
+	}
+	if exchange(first, "two") {
+		t.Error("a silent connection delivered bytes")
+	}
+	if !exchange(dial(), "three") {
+		t.Error("a new connection delivers nothing")
+	}
+}
--- a/trials/faultsoak/runner/faults.go
+++ b/trials/faultsoak/runner/faults.go
@@ -273,6 +273,30 @@
 	injector.fleet.network.Reset(func(from, to string) bool { return from == name || to == name })
 }
 
+// silenceStream is the random stream of the silent connections: the other faults of a seed do not depend on them.
+const silenceStream = 2 << 32
+
+// drawSilences returns random daemons whose open connections go silent while a configuration is published.
+func (injector *injector) drawSilences(random *rand.Rand, count int, window time.Duration) []fault {
+	var faults []fault
+	for range count {
+		faults = append(faults, fault{
+			name: "silent connections", at: time.Duration(random.Int64N(int64(window))), run: injector.silenceConnections,
+			targets: []*member{injector.fleet.members[random.IntN(len(injector.fleet.members))]},
+		})
+	}
+	return faults
+}
+
+// silenceConnections makes the open connections of a daemon go silent, and publishes a configuration.
+func (injector *injector) silenceConnections(ctx context.Context, fault fault) {
+	name := fault.targets[0].name
+	if err := injector.fleet.network.Silence(func(from, to string) bool { return from == name || to == name }); err != nil {
+		injector.fleet.checker.Report("NETWORK: %v", err)
+	}
+	injector.publish(ctx, fault)
+}
+
 // evacuate evacuates the availability zone of a daemon for the duration of the fault.
 func (injector *injector) evacuate(ctx context.Context, fault fault) {
 	key := fmt.Sprintf("op/evacuate/z%d", fault.targets[0].zone)
--- a/trials/faultsoak/runner/fleet.go
+++ b/trials/faultsoak/runner/fleet.go
@@ -85,7 +85,9 @@
 	network *relayer.Network
 	starter *starter.Starter
 	members []*member
-	version int
+	// publishing serializes the publication of configurations; version is that of the last one.
+	publishing sync.Mutex
+	version    int
 }
 
 func newFleet(ctx context.Context, config Config) (*fleet, error) {
@@ -114,6 +116,8 @@
 
 // publish writes the next configuration.
 func (fleet *fleet) publish() error {
+	fleet.publishing.Lock()
+	defer fleet.publishing.Unlock()
 	fleet.version++
 	return fleet.store.Put("op/config", fmt.Sprintf(configurationTemplate, fleet.version, fleet.version))
 }
--- a/trials/faultsoak/runner/run.go
+++ b/trials/faultsoak/runner/run.go
@@ -92,6 +92,7 @@
 	injector := newInjector(fleet)
 	faults := injector.drawFaults(random, fleet.config.Faults, faultWindow)
 	faults = append(faults, injector.drawTroubles(rand.New(rand.NewPCG(fleet.config.Seed, troubleStream)), fleet.config.Faults/4, faultWindow)...)
+	faults = append(faults, injector.drawSilences(rand.New(rand.NewPCG(fleet.config.Seed, silenceStream)), fleet.config.Faults/4, faultWindow)...)
 	clientCtx, stop := context.WithCancel(ctx)
 	var clients, running sync.WaitGroup
 	for number := range clientCount {
