--- a/lagoonmesh/silence_test.go
+++ b/lagoonmesh/silence_test.go
@@ -11,17 +11,16 @@
 	"testing"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"lagoonlanding.example/lagoonlanding/platform/simulator"
+	"lagoonlanding.example/lagoonlanding/runtime/silencer"
 )
 
-// silencer accepts connections that can go silent: nothing that is sent on them is acknowledged any more, and they are not reset.
-type silencer struct {
+// silentListener accepts connections that can go silent: nothing that is sent on them is acknowledged any more, and they are not reset.
+type silentListener struct {
 	net.Listener
 
 	mutex    sync.Mutex
-	accepted map[net.Conn]*silenceableConnection
+	accepted []*silenceableConnection
 }
 
 // silenceableConnection is a connection that can go silent.
@@ -35,23 +34,23 @@
 }
 
 // Accept accepts a connection.
-func (silencer *silencer) Accept() (net.Conn, error) {
-	accepted, err := silencer.Listener.Accept()
+func (silentlistener *silentListener) Accept() (net.Conn, error) {
+	accepted, err := silentlistener.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
 	connection := &silenceableConnection{Conn: accepted}
-	silencer.mutex.Lock()
-	defer silencer.mutex.Unlock()
-	silencer.accepted[connection] = connection
+	silentlistener.mutex.Lock()
+	defer silentlistener.mutex.Unlock()
+	silentlistener.accepted = append(silentlistener.accepted, connection)
 	return connection, nil
 }
 
 // silence silences all open connections, or only those with a watch in progress.
-func (silencer *silencer) silence(t *testing.T, onlyWatches bool) {
-	silencer.mutex.Lock()
-	defer silencer.mutex.Unlock()
-	for _, connection := range silencer.accepted {
+func (silentlistener *silentListener) silence(t *testing.T, onlyWatches bool) {
+	silentlistener.mutex.Lock()
+	defer silentlistener.mutex.Unlock()
+	for _, connection := range silentlistener.accepted {
 		if err := connection.silence(onlyWatches); err != nil {
 			t.Fatal(err)
 		}
@@ -65,20 +64,7 @@
 		return nil
 	}
 	silenceableconnection.isSilent = true
-	raw, err := silenceableconnection.Conn.(*net.TCPConn).SyscallConn()
-	if err != nil {
-		return err
-	}
-	// The kernel drops every packet that arrives for the socket, keep-alive probes included.
-	dropAll := []unix.SockFilter{{Code: unix.BPF_RET | unix.BPF_K}}
-	var failure error
-	err = raw.Control(func(descriptor uintptr) {
-		failure = unix.SetsockoptSockFprog(int(descriptor), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: 1, Filter: &dropAll[0]})
-	})
-	if err == unix.EINVAL || failure == unix.EBADF {
-		return nil
-	}
-	return failure
+	return silencer.Silence(silenceableconnection.Conn.(*net.TCPConn))
 }
 
 // Write writes to the connection unless it is silent.
@@ -102,7 +88,7 @@
 type connectionKey struct{}
 
 // startSilenceableFleet starts a fleet whose connections to the store can go silent.
-func startSilenceableFleet(t *testing.T) (*simulator.Store, *silencer, map[string]*testDaemon) {
+func startSilenceableFleet(t *testing.T) (*simulator.Store, *silentListener, map[string]*testDaemon) {
 	store := simulator.NewStore()
 	server := httptest.NewUnstartedServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		if strings.HasPrefix(request.URL.Path, "/kv-watch") {
@@ -112,26 +98,26 @@
 		}
 		store.ServeHTTP(writer, request)
 	}))
-	silencer := &silencer{Listener: server.Listener, accepted: map[net.Conn]*silenceableConnection{}}
-	server.Listener = silencer
+	silentlistener := &silentListener{Listener: server.Listener}
+	server.Listener = silentlistener
 	server.Config.ConnContext = func(ctx context.Context, connection net.Conn) context.Context {
 		return context.WithValue(ctx, connectionKey{}, connection)
 	}
 	server.Start()
 	t.Cleanup(server.CloseClientConnections)
-	return store, silencer, startFleetAt(t, store, silencer.Addr().String())
+	return store, silentlistener, startFleetAt(t, store, silentlistener.Addr().String())
 }
 
 // TestConfigurationIsInForceAfterStoreConnectionsGoSilent allows the contact time after the connections went silent, as the platform does.
 func TestConfigurationIsInForceAfterStoreConnectionsGoSilent(t *testing.T) {
 	for name, onlyWatches := range map[string]bool{"watches only": true, "all connections": false} {
 		t.Run(name, func(t *testing.T) {
-			store, silencer, fleet := startSilenceableFleet(t)
+			store, silentlistener, fleet := startSilenceableFleet(t)
 			put(t, store, "op/config", fmt.Sprintf(testConfig, 2))
 			waitForVersion(t, fleet, 2, 2*time.Second)
 			// The next watches are in progress.
 			time.Sleep(300 * time.Millisecond)
-			silencer.silence(t, onlyWatches)
+			silentlistener.silence(t, onlyWatches)
 			deadline := time.Now().Add(3 * time.Second)
 			time.Sleep(100 * time.Millisecond)
 			put(t, store, "op/config", fmt.Sprintf(testConfig, 3))
--- a/mesh/forwarder/forwarder.go
+++ b/mesh/forwarder/forwarder.go
@@ -128,7 +128,10 @@
 	}
 	forwarder.config.Budgets.Earn(task.Service())
 	wait := time.Duration(float64(task.Objective().Sub(task.Received())) * ownerWaitShare)
-	return &delivery{task: task, route: route, tried: map[string]bool{}, received: map[lagoonlanding.BackendID]bool{}, refusals: map[string]int{}, waitUntil: now.Add(wait)}, lagoonlanding.Result{}
+	return &delivery{
+		task: task, route: route, tried: map[string]bool{}, received: map[lagoonlanding.BackendID]bool{}, refusals: map[string]int{},
+		waitUntil: now.Add(wait),
+	}, lagoonlanding.Result{}
 }
 
 // drawService picks a service of the route at random by weight.
--- /dev/null
+++ b/runtime/silencer/doc.go
@@ -0,0 +1,2 @@
+// Package silencer makes TCP connections go silent, for tests and soaks.
+package silencer
--- a/trials/demo/relayer/network.go
+++ b/trials/demo/relayer/network.go
@@ -11,7 +11,7 @@
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/sys/unix"
+	"lagoonlanding.example/lagoonlanding/runtime/silencer"
 )
 
 // RouteConfig describes a listener whose connections are forwarded to a target.
@@ -78,31 +78,18 @@
 	for _, connection := range connections {
 		if matches(connection.from(), connection.to()) {
 			connection.isSilent.Store(true)
-			errs = append(errs, dropPackets(connection.inbound), dropPackets(connection.outbound))
+			errs = append(errs, silence(connection.inbound), silence(connection.outbound))
 		}
 	}
 	return errors.Join(errs...)
 }
 
-// dropPackets makes the kernel drop every packet that arrives for the connection, keep-alive probes included.
-func dropPackets(connection net.Conn) error {
+func silence(connection net.Conn) error {
 	tcp, ok := connection.(*net.TCPConn)
 	if !ok {
-		return nil
+		return fmt.Errorf("silence a %T: %w", connection, errors.ErrUnsupported)
 	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return err
-	}
-	filter := []unix.SockFilter{{Code: unix.BPF_RET | unix.BPF_K}}
-	var failure error
-	err = raw.Control(func(descriptor uintptr) {
-		failure = unix.SetsockoptSockFprog(int(descriptor), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: 1, Filter: &filter[0]})
-	})
-	if errors.Is(err, net.ErrClosed) {
-		return nil
-	}
-	return errors.Join(err, failure)
+	return silencer.Silence(tcp)
 }
 
 // abort closes the connection with a TCP reset.
