Refuse waiting tasks at once that a limit makes too late

When a backend server names a limit, tasks that already waited stayed until their latest start, though it was known that they would not be served. They are now refused when the limit is named, with the time at which a retry may succeed.

TestWaitingTasksThatALimitMakesTooLateAreRefusedAtOnce failed before: 0 of 6 were refused.

--- a/mesh/gatekeeper/gate.go
+++ b/mesh/gatekeeper/gate.go
@@ -179,6 +179,9 @@
 		case <-rateLimited:
 			gate.admitNow()
 		case <-limitChanged:
+			if gate.isHopeless(waiter) {
+				return gate.abandon(waiter, lagoonlanding.ReasonUpstreamLimited)
+			}
 		}
 	}
 }
@@ -199,6 +202,13 @@
 	return gate.config.Clock.Until(next), gate.limitChanged
 }
 
+// isHopeless reports whether a waiting task would start too late.
+func (gate *Gate) isHopeless(waiter *waiter) bool {
+	gate.mutex.Lock()
+	defer gate.mutex.Unlock()
+	return slices.Contains(gate.waiting, waiter) && gate.estimatedStart(gate.config.Clock.Now(), waiter).After(waiter.startBy)
+}
+
 func (gate *Gate) admitNow() {
 	gate.mutex.Lock()
 	defer gate.mutex.Unlock()
--- a/mesh/gatekeeper/tasklimit_test.go
+++ b/mesh/gatekeeper/tasklimit_test.go
@@ -184,3 +184,27 @@
 		}
 	})
 }
+
+func TestWaitingTasksThatALimitMakesTooLateAreRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		gate := newGate(1)
+		pass, _ := enter(t, gate, task(1, time.Minute, time.Minute))
+		began := time.Now()
+		refused := make(chan time.Duration, 6)
+		for range 6 {
+			go func() {
+				waiting := task(1, 3*time.Second, time.Minute)
+				if _, reason, retryAt := gate.Enter(t.Context(), waiting); reason == lagoonlanding.ReasonUpstreamLimited && retryAt.After(time.Now()) {
+					refused <- time.Since(began)
+				}
+			}()
+		}
+		synctest.Wait()
+		pass.Advise(lagoonlanding.NewAdvice(lagoonlanding.AdviceConfig{Limit: 1}))
+		synctest.Wait()
+		if len(refused) < 2 || len(refused) > 4 {
+			t.Errorf("%d of 6 tasks that need a slot within 2.6 s were refused at once at a limit of one a second", len(refused))
+		}
+		time.Sleep(time.Minute)
+	})
+}
