Keep the keys of a draining backend server that refuses connections

A refused connection no longer counts as the end of a draining process: its keys move once it has released them or its assignment has expired.

TestDrainingServerThatRefusesConnectionsKeepsItsKeys failed before.

--- a/mesh/coordinator/gate_test.go
+++ b/mesh/coordinator/gate_test.go
@@ -172,3 +172,26 @@
 		t.Errorf("version %d is in force", got)
 	}
 }
+
+// TestDrainingServerThatRefusesConnectionsKeepsItsKeys covers one that has closed its listener and still works.
+func TestDrainingServerThatRefusesConnectionsKeepsItsKeys(t *testing.T) {
+	start := time.Unix(1000, 0)
+	for _, state := range []lagoonlanding.BackendState{lagoonlanding.BackendReady, lagoonlanding.BackendDraining} {
+		coordinator := newCoordinator(start, &recordingGate{}, true)
+		announce := func(sequence int64) bool {
+			_, ok := coordinator.Announce(start.Add(time.Duration(sequence)*time.Second), lagoonlanding.NewAnnouncement(lagoonlanding.AnnouncementConfig{
+				Name: "server", Service: "s", StartedMilli: 1, Sequence: sequence, State: state, Slots: 6,
+			}))
+			return ok
+		}
+		announce(1)
+		coordinator.ProcessEnded(coordinator.config.Assigner.ID())
+		isDraining := state == lagoonlanding.BackendDraining
+		if ended := coordinator.config.Assigner.HasEnded(); ended == isDraining {
+			t.Errorf("%s: ended %v", state, ended)
+		}
+		if accepted := announce(2); accepted != isDraining {
+			t.Errorf("%s: next announcement accepted %v", state, accepted)
+		}
+	}
+}
--- a/mesh/coordinator/upstream.go
+++ b/mesh/coordinator/upstream.go
@@ -74,8 +74,13 @@
 	coordinator.updateGate()
 }
 
-// ProcessEnded records that a process of the backend server has ended.
+// ProcessEnded records that a process of the backend server refuses connections and so has ended, unless it is draining: then it may still
+// run the tasks that it has, and owns their keys.
 func (coordinator *Coordinator) ProcessEnded(id lagoonlanding.BackendID) {
+	if latest, ok := coordinator.config.Assigner.Latest(); ok && coordinator.isDraining(latest) {
+		coordinator.config.Log.WithField("backend-server", id.String()).Info("Draining backend server refuses connections.")
+		return
+	}
 	if coordinator.config.Assigner.End(id) {
 		coordinator.config.Log.WithField("backend-server", id.String()).Warn("Backend server process ended.")
 		coordinator.updateGate()
