--- a/mesh/gatekeeper/tasklimit_test.go
+++ b/mesh/gatekeeper/tasklimit_test.go
@@ -69,7 +69,8 @@
 				server.run(t, gate, 100*time.Millisecond)
 				server.starts = nil
 				for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(time.Duration(random.ExpFloat64() * float64(20*time.Millisecond))) {
-					runTime := time.Duration(50+random.IntN(400)) * time.Millisecond
+					// Short enough that the slots never bind, so that only the limit does.
+					runTime := time.Duration(20+random.IntN(100)) * time.Millisecond
 					go server.run(t, gate, runTime)
 				}
 				time.Sleep(3 * time.Second)
