Wake tasks that wait for a slot after others have used up the rate limit

A task that found all slots busy while the rate limit allowed a task waited without a timer. If another task then used up the limit and the slots became free, nothing woke it before the next announcement of the backend server, up to 0.9 s later. The cold rate had the same fault.

A waiting task looks again after the time of one task while a rate limit is in force. TestTaskThatWaitsForASlotIsNotForgottenWhenOthersUseUpTheLimit failed before.

--- a/mesh/gatekeeper/gate.go
+++ b/mesh/gatekeeper/gate.go
@@ -186,18 +186,24 @@
 	}
 }
 
-// rateLimits returns a channel that fires when the rate limits let the next task pass, nil if none applies, and one that is closed when the
+// rateLimits returns a channel that fires when the rate limits may let the next task pass, nil if none applies, and one that is closed when the
 // limit of the backend server changes.
+//
+// While all slots are busy, another task may use up what the limits allow now, so a waiting task looks again after the time of one task.
 func (gate *Gate) rateLimits() (<-chan time.Time, <-chan struct{}) {
 	gate.mutex.Lock()
 	defer gate.mutex.Unlock()
 	now := gate.config.Clock.Now()
+	spacing := max(gate.rateLimiter.spacing(now), gate.limit.spacing())
+	if spacing == 0 {
+		return nil, gate.limitChanged
+	}
 	next := gate.rateLimiter.next(now)
 	if limited := gate.limit.next(now); limited.After(next) {
 		next = limited
 	}
 	if next.IsZero() {
-		return nil, gate.limitChanged
+		next = now.Add(spacing)
 	}
 	return gate.config.Clock.Until(next), gate.limitChanged
 }
--- a/mesh/gatekeeper/ratelimiter.go
+++ b/mesh/gatekeeper/ratelimiter.go
@@ -23,6 +23,14 @@
 
 func (ratelimiter *rateLimiter) isCold(now time.Time) bool { return now.Before(ratelimiter.warmAt) }
 
+// spacing returns the time between two tasks, zero without a limit.
+func (ratelimiter *rateLimiter) spacing(now time.Time) time.Duration {
+	if !ratelimiter.isCold(now) {
+		return 0
+	}
+	return time.Duration(float64(time.Second) / ratelimiter.rate)
+}
+
 // allow reports whether a task may pass now, and counts it if so.
 func (ratelimiter *rateLimiter) allow(now time.Time) bool {
 	if !ratelimiter.isCold(now) {
@@ -31,7 +39,7 @@
 	if now.Before(ratelimiter.nextAt) {
 		return false
 	}
-	ratelimiter.nextAt = now.Add(time.Duration(float64(time.Second) / ratelimiter.rate))
+	ratelimiter.nextAt = now.Add(ratelimiter.spacing(now))
 	return true
 }
 
--- a/mesh/gatekeeper/tasklimit_test.go
+++ b/mesh/gatekeeper/tasklimit_test.go
@@ -209,3 +209,39 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+func TestTaskThatWaitsForASlotIsNotForgottenWhenOthersUseUpTheLimit(t *testing.T) {
+	for _, name := range []string{"limited", "cold"} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				gate := newGate(1)
+				if name == "cold" {
+					gate.Open(id, 1, time.Now().Add(time.Minute), 2)
+				}
+				running, _ := enter(t, gate, task(1, time.Minute, time.Minute))
+				started := make(chan time.Time, 4)
+				for range 4 {
+					go func() {
+						if pass, _ := enter(t, gate, task(1, time.Minute, time.Minute)); pass != nil {
+							started <- time.Now()
+							pass.Finish(true)
+						}
+					}()
+				}
+				synctest.Wait()
+				if name == "limited" {
+					running.Advise(lagoonlanding.NewAdvice(lagoonlanding.AdviceConfig{Limit: 2}))
+				}
+				// The waiting tasks see that the rate allows a task and that all slots are busy.
+				time.Sleep(900 * time.Millisecond)
+				synctest.Wait()
+				running.Finish(true)
+				time.Sleep(3 * time.Second)
+				synctest.Wait()
+				if len(started) != 4 {
+					t.Errorf("%d of 4 waiting tasks started within three seconds at two a second", len(started))
+				}
+			})
+		})
+	}
+}
