Accept only what a stopping daemon can finish

Ruled out: requests later than 2.2 s after SIGTERM, which were refused.

The drain moves from receiver to a package of its own, drainer, which decides: a task that must not run twice is accepted only if its deadline is before the end, others get an earlier deadline; waiting tasks that could not end in time are refused at once; what is left is answered as unknown before the exit. Tasks tell daemons whether they must not run twice, in a flag that earlier releases ignore.

--- a/lagoonmesh/daemon.go
+++ b/lagoonmesh/daemon.go
@@ -18,6 +18,7 @@
 	"lagoonlanding.example/lagoonlanding/mesh/chooser"
 	"lagoonlanding.example/lagoonlanding/mesh/connector"
 	"lagoonlanding.example/lagoonlanding/mesh/coordinator"
+	"lagoonlanding.example/lagoonlanding/mesh/drainer"
 	"lagoonlanding.example/lagoonlanding/mesh/forwarder"
 	"lagoonlanding.example/lagoonlanding/mesh/gatekeeper"
 	"lagoonlanding.example/lagoonlanding/mesh/recorder"
@@ -49,12 +50,14 @@
 	forwarder   *forwarder.Forwarder
 	recorder    *recorder.Recorder
 	quarantine  *quarantiner.Quarantine
+	drain       *drainer.Drain
 	fleet       *relayer.Journal
 	directives  *relayer.Journal
 }
 
 func newDaemon(settings platform.Settings, settingsPath string, log *logrus.Logger, droppedLines func() uint64) *daemon {
 	daemon := &daemon{settings: settings, settingsPath: settingsPath, log: log}
+	daemon.drain = drainer.New(drainer.Config{Clock: daemon.clock})
 	daemon.fleet, daemon.directives = relayer.NewJournal(coordinator.FleetPrefix), relayer.NewJournal(platform.DirectivePrefix)
 	poolConfig := connector.Config{DialTimeout: dialTimeout, IdleTimeout: idleTimeout, SilenceTimeout: silenceTimeout, MaxIdle: maxIdleConnections}
 	poolConfig.OnEnd = func(address string, sent, received int) { daemon.countBytes(kindTask, address, sent, received) }
@@ -128,7 +131,7 @@
 		Runner:    platform.NewUpstream(daemon.pool, daemon.clock, daemon.logFor("upstream")),
 		Ownership: daemon.coordinator.Ownership, OnProcessEnded: daemon.syncer.ProcessEnded, OnLeaving: daemon.syncer.BackendLeaving,
 		Quarantine: daemon.quarantine, OnCrashRecorded: daemon.syncer.CrashRecorded,
-		Clock: daemon.clock, Log: daemon.logFor("backend"),
+		Shutdown: daemon.drain, Clock: daemon.clock, Log: daemon.logFor("backend"),
 	})
 	daemon.forwarder = forwarder.New(forwarder.Config{
 		Daemon: daemon.settings.Daemon(), Service: daemon.settings.Service(), Region: daemon.settings.Region(), Local: daemon.acceptor,
@@ -138,7 +141,7 @@
 			Share: retryBudgetShare * daemon.settings.RetryBudgetRatio(defaultRetryBudgetRatio), Slack: retryBudgetShare * daemon.settings.RetryBudgetSlack(0),
 			Daemons: func() int { return len(daemon.coordinator.Snapshot().Peers()) },
 		}),
-		Snapshot: daemon.coordinator.Snapshot, Meter: daemon.recorder, Clock: daemon.clock, Log: daemon.logFor("requests"), RandomFloat64: rand.Float64,
+		Snapshot: daemon.coordinator.Snapshot, Meter: daemon.recorder, Shutdown: daemon.drain, Clock: daemon.clock, Log: daemon.logFor("requests"), RandomFloat64: rand.Float64,
 	})
 }
 
@@ -168,12 +171,14 @@
 	workers.Go(func() { daemon.sweep(background) })
 	servers.serve()
 	<-ctx.Done()
-	daemon.logFor("daemon").Info("Daemon is shutting down.")
-	daemon.syncer.Stop()
-	servers.drain.Wait(time.Now().Add(daemon.settings.ShutdownTimeout(defaultShutdownTimeout)))
+	timeout := daemon.settings.ShutdownTimeout(defaultShutdownTimeout)
+	answerBy := daemon.drain.Stop(daemon.clock.Now().Add(timeout))
+	daemon.syncer.Stop(answerBy)
+	daemon.logFor("daemon").WithField("timeout", timeout.String()).Info("Daemon is shutting down.")
+	unanswered := daemon.drain.Wait()
 	cancel()
 	workers.Wait()
-	daemon.logFor("daemon").Info("Daemon stopped.")
+	daemon.logFor("daemon").WithField("unanswered", unanswered).Info("Daemon stopped.")
 	return nil
 }
 
--- a/lagoonmesh/daemon_test.go
+++ b/lagoonmesh/daemon_test.go
@@ -26,6 +26,9 @@
  "keyed":{"host":"h","prefix":"/keyed/","routeType":"idempotent","timeoutS":2,"targetLatencyS":1,"priority":2,"service":"divided","attempts":2}},
  "services":{"plain":{"coldPerS":50},"divided":{"coldPerS":50,"sharded":true}},"limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864}}`
 
+// fleetNames are the daemons of a test fleet: their service, and the number of their zone.
+var fleetNames = []string{"plain-1", "plain-2", "divided-1", "divided-2"}
+
 // testDaemon is a daemon with its backend server; both run within the test process.
 type testDaemon struct {
 	*daemon
@@ -35,13 +38,19 @@
 	ended         chan struct{}
 }
 
-func startDaemon(t *testing.T, name, zone, service, store string) *testDaemon {
-	t.Helper()
+// deployment holds the addresses of a daemon and its backend server, and the daemon's settings.
+type deployment struct {
+	backend       *simulator.Server
+	clientAddress string
+	settings      string
+}
+
+func newDeployment(name, zone, service, store string) deployment {
 	clientAddress, control, port, address := reserver.Address(), reserver.Address(), reserver.Port(), reserver.Address()
 	backend := simulator.NewServer(simulator.ServerConfig{
 		Name: "i-" + name, Service: service, Divided: service == "divided", Address: address, AnnouncementAddress: control, Slots: 6, HeartbeatInterval: 100 * time.Millisecond,
 	})
-	settings, err := platform.ParseSettings(fmt.Sprintf(`
+	return deployment{backend: backend, clientAddress: clientAddress, settings: fmt.Sprintf(`
 nodeName = %q
 ip = %q
 zone = %q
@@ -59,21 +68,30 @@
 control = %q
 [platform]
 address = %q
-`, name, reserver.Host(), zone, port, port, address, service, clientAddress, reserver.Address(), control, store))
+`, name, reserver.Host(), zone, port, port, address, service, clientAddress, reserver.Address(), control, store)}
+}
+
+func startDaemon(t *testing.T, name, zone, service, store string) *testDaemon {
+	t.Helper()
+	deployed := newDeployment(name, zone, service, store)
+	settings, err := platform.ParseSettings(deployed.settings)
 	if err != nil {
 		t.Fatal(err)
 	}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	ctx, cancel := context.WithCancel(context.Background())
-	started := &testDaemon{daemon: newDaemon(settings, "", log, func() uint64 { return 0 }), backend: backend, clientAddress: clientAddress, cancel: cancel, ended: make(chan struct{})}
+	started := &testDaemon{
+		daemon: newDaemon(settings, "", log, func() uint64 { return 0 }), backend: deployed.backend, clientAddress: deployed.clientAddress, cancel: cancel,
+		ended: make(chan struct{}),
+	}
 	go func() {
 		defer close(started.ended)
 		if err := started.run(ctx); err != nil {
 			t.Error(err)
 		}
 	}()
-	if err := backend.Start(ctx); err != nil {
+	if err := deployed.backend.Start(ctx); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { cancel(); <-started.ended })
@@ -137,20 +155,26 @@
 func startFleetAt(t *testing.T, store *simulator.Store, address string) map[string]*testDaemon {
 	put(t, store, "op/config", fmt.Sprintf(testConfig, 1))
 	fleet := map[string]*testDaemon{}
-	for _, name := range []string{"plain-1", "plain-2", "divided-1", "divided-2"} {
+	for _, name := range fleetNames {
 		service, number, _ := strings.Cut(name, "-")
 		fleet[name] = startDaemon(t, name, "z"+number, service, address)
 	}
+	waitForService(t, fleet["plain-1"].clientAddress)
+	return fleet
+}
+
+// waitForService waits until the daemon at an address serves both services.
+func waitForService(t *testing.T, clientAddress string) {
+	t.Helper()
 	waitFor(t, "the fleet serves all keys", 15*time.Second, func() bool {
 		for key := 0; key < 65536; key += 1024 {
-			if status, _, _ := request(fleet["plain-1"].clientAddress, "GET", "/keyed/x", fmt.Sprint("warm-", key), key, nil); status != 200 {
+			if status, _, _ := request(clientAddress, "GET", "/keyed/x", fmt.Sprint("warm-", key), key, nil); status != 200 {
 				return false
 			}
 		}
-		status, _, _ := request(fleet["plain-1"].clientAddress, "GET", "/read/x", "warm", -1, nil)
+		status, _, _ := request(clientAddress, "GET", "/read/x", "warm", -1, nil)
 		return status == 200
 	})
-	return fleet
 }
 
 func TestEndToEnd(t *testing.T) {
--- a/lagoonmesh/servers.go
+++ b/lagoonmesh/servers.go
@@ -24,13 +24,14 @@
 // servers are the daemon's servers with their listeners.
 type servers struct {
 	starts []func()
-	drain  *receiver.Drain
 }
 
 func (daemon *daemon) listen() (*servers, error) {
-	started := &servers{drain: receiver.NewDrain()}
+	started := &servers{}
 	routing := func() *lagoonlanding.Routing { return daemon.coordinator.Snapshot().Routing() }
-	clients := platform.NewClientServer(daemon.forwarder, routing, daemon.clock, daemon.logFor("clients"))
+	clients := platform.NewClientServer(platform.ClientServerConfig{
+		Handler: daemon.forwarder, Routing: routing, Shutdown: daemon.drain, Clock: daemon.clock, Log: daemon.logFor("clients"),
+	})
 	peers := transmitter.NewServer(transmitter.ServerConfig{
 		Handler: daemon.acceptor, Clock: daemon.clock, Log: daemon.logFor("peers"), Store: daemon.syncer.ProxyStore(),
 		Feeds: map[string]lagoonlanding.PeerFeed{daemon.fleet.Prefix(): daemon.fleet, daemon.directives.Prefix(): daemon.directives},
@@ -45,7 +46,7 @@
 			Handler: clients, Refuse: clients.Refuse, Overlaps: clients.Overlaps, Log: daemon.logFor("clients"),
 		}},
 	} {
-		traffic.config.Drain, traffic.config.Meter = started.drain, daemon.recorder
+		traffic.config.Drain, traffic.config.Meter = daemon.drain, daemon.recorder
 		traffic.config.HeaderTimeout, traffic.config.IdleTimeout, traffic.config.MaxHeaderBytes = headerTimeout, clientIdleTimeout, maxHeaderBytes
 		if err := started.add(traffic.address, receiver.New(traffic.config).Serve); err != nil {
 			return nil, err
--- a/mesh/acceptor/acceptor.go
+++ b/mesh/acceptor/acceptor.go
@@ -35,6 +35,8 @@
 	Quarantine *quarantiner.Quarantine
 	// OnCrashRecorded is called when the quarantine has recorded a crash.
 	OnCrashRecorded func()
+	// Shutdown tells which tasks are still accepted while the daemon shuts down.
+	Shutdown lagoonlanding.Shutdown
 	// Clock returns the current time.
 	Clock lagoonlanding.Clock
 	// Log receives one line per task that was not answered.
@@ -61,7 +63,12 @@
 	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(task.Deadline().Sub(acceptor.config.Clock.Now())))
 	result, pass := acceptor.admit(ctx, task)
 	if pass != nil {
-		result = acceptor.run(ctx, pass, task)
+		// The shutdown may have begun while the task waited for a slot.
+		if accepted, ok := acceptor.config.Shutdown.Accept(task); ok {
+			result = acceptor.run(ctx, pass, accepted)
+		} else {
+			result = acceptor.shuttingDown()
+		}
 	}
 	end := func() {
 		if pass != nil {
@@ -96,6 +103,9 @@
 	if !acceptor.owns(task) {
 		return lagoonlanding.NotRun(lagoonlanding.ReasonMoving, acceptor.config.Clock.Now().Add(movingRetryDelay)), nil
 	}
+	if _, ok := acceptor.config.Shutdown.Accept(task); !ok {
+		return acceptor.shuttingDown(), nil
+	}
 	if acceptor.treatment(task) == quarantiner.Refused {
 		return acceptor.quarantinedResult(), nil
 	}
@@ -110,6 +120,11 @@
 	return lagoonlanding.Result{}, pass
 }
 
+// shuttingDown returns the refusal of a task whose answer the daemon might not live to pass on.
+func (acceptor *Acceptor) shuttingDown() lagoonlanding.Result {
+	return lagoonlanding.NotRun(lagoonlanding.ReasonShuttingDown, acceptor.config.Shutdown.RetryAt())
+}
+
 // owns reports whether the backend server owns the task's shard key.
 func (acceptor *Acceptor) owns(task lagoonlanding.Task) bool {
 	if task.ShardKey() == lagoonlanding.NoShardKey {
--- a/mesh/acceptor/acceptor_test.go
+++ b/mesh/acceptor/acceptor_test.go
@@ -13,6 +13,7 @@
 
 	"lagoonlanding.example/lagoonlanding"
 	"lagoonlanding.example/lagoonlanding/mesh/assigner"
+	"lagoonlanding.example/lagoonlanding/mesh/drainer"
 	"lagoonlanding.example/lagoonlanding/mesh/gatekeeper"
 	"lagoonlanding.example/lagoonlanding/requests/quarantiner"
 	"lagoonlanding.example/lagoonlanding/runtime/timekeeper"
@@ -43,7 +44,7 @@
 	return New(Config{
 		Service: "s", Gate: gate, Runner: runner, Ownership: func() *assigner.Ownership { return ownership }, OnProcessEnded: ended, OnLeaving: func(lagoonlanding.BackendID) {},
 		Quarantine: quarantiner.NewQuarantine(quarantiner.Config{Random: rand.New(rand.NewPCG(rand.Uint64(), 1))}), OnCrashRecorded: func() {},
-		Clock: timekeeper.Clock{}, Log: logrus.NewEntry(log),
+		Shutdown: drainer.New(drainer.Config{Clock: timekeeper.Clock{}}), Clock: timekeeper.Clock{}, Log: logrus.NewEntry(log),
 	}), gate
 }
 
--- a/mesh/coordinator/coordinator.go
+++ b/mesh/coordinator/coordinator.go
@@ -271,9 +271,10 @@
 // accepted tasks should have ended by then.
 const stopAcceptTerm = 1200 * time.Millisecond
 
-// Stop records that the daemon is shutting down; tasks of sharded services are accepted until the end, since no other backend server
-// owns their keys.
-func (coordinator *Coordinator) Stop(now time.Time) {
+// Stop records that the daemon is shutting down and must have answered all tasks by the given time. Tasks of sharded services are accepted
+// as long as they can end before, since no other backend server owns their keys.
+func (coordinator *Coordinator) Stop(now, answerBy time.Time) {
 	coordinator.stopping, coordinator.stopDeadline = true, now.Add(stopAcceptTerm)
+	coordinator.config.Gate.EndBy(answerBy)
 	coordinator.updateGate()
 }
--- a/mesh/coordinator/gate_test.go
+++ b/mesh/coordinator/gate_test.go
@@ -17,6 +17,7 @@
 type recordingGate struct {
 	open     bool
 	closesAt time.Time
+	endsBy   time.Time
 }
 
 func (gate *recordingGate) Open(lagoonlanding.BackendID, int, time.Time, float64) {
@@ -24,6 +25,7 @@
 }
 func (gate *recordingGate) CloseAt(at time.Time, _ lagoonlanding.Reason) { gate.closesAt = at }
 func (gate *recordingGate) Close(lagoonlanding.Reason)                   { gate.open = false }
+func (gate *recordingGate) EndBy(at time.Time)                           { gate.endsBy = at }
 
 // newCoordinator returns the control state of daemon d with a backend server of service s.
 func newCoordinator(start time.Time, gate lagoonlanding.Gate, isDivided bool) *Coordinator {
@@ -70,10 +72,13 @@
 		coordinator.Announce(start, lagoonlanding.NewAnnouncement(lagoonlanding.AnnouncementConfig{
 			Name: "server", Service: "s", StartedMilli: 1, Sequence: 1, State: lagoonlanding.BackendReady, Slots: 6,
 		}))
-		coordinator.Stop(start.Add(time.Second))
+		coordinator.Stop(start.Add(time.Second), start.Add(6*time.Second))
 		if coordinator.IsReady() {
 			t.Errorf("divided %v: a stopping daemon is ready", isDivided)
 		}
+		if want := start.Add(6 * time.Second); !gate.endsBy.Equal(want) {
+			t.Errorf("divided %v: tasks may end by %v, want %v", isDivided, gate.endsBy, want)
+		}
 		if !gate.open || gate.closesAt.IsZero() != isDivided {
 			t.Errorf("divided %v: open %v until %v", isDivided, gate.open, gate.closesAt)
 		}
--- a/mesh/coordinator/ownership_test.go
+++ b/mesh/coordinator/ownership_test.go
@@ -137,6 +137,7 @@
 
 func (simGate) Open(lagoonlanding.BackendID, int, time.Time, float64) {}
 func (simGate) Close(lagoonlanding.Reason)                            {}
+func (simGate) EndBy(time.Time)                                       {}
 func (simGate) CloseAt(time.Time, lagoonlanding.Reason)               {}
 
 func newSim(t *testing.T, seed uint64) *sim {
--- a/mesh/forwarder/forwarder.go
+++ b/mesh/forwarder/forwarder.go
@@ -43,6 +43,8 @@
 	Snapshot func() *coordinator.Snapshot
 	// Meter records metrics of requests.
 	Meter lagoonlanding.TaskMeter
+	// Shutdown tells which requests are still accepted while the daemon shuts down.
+	Shutdown lagoonlanding.Shutdown
 	// Clock returns the current time.
 	Clock lagoonlanding.Clock
 	// Log receives one line per request.
@@ -118,7 +120,7 @@
 	task = task.With(func(config *lagoonlanding.TaskConfig) {
 		config.Caller, config.Route, config.Priority = forwarder.config.Service, route.Name(), route.Priority()
 		config.Service = forwarder.drawService(route)
-		config.Objective = route.Objective(task.Received())
+		config.Objective, config.AtMostOnce = route.Objective(task.Received()), !route.IsIdempotent()
 		if at := route.TimeoutAt(task.Received()); !at.IsZero() && at.Before(task.Deadline()) {
 			config.Deadline = at
 		}
@@ -126,6 +128,10 @@
 	if policy, ok := routing.Service(task.Service()); !ok || !policy.IsDivided() {
 		task = task.With(func(config *lagoonlanding.TaskConfig) { config.ShardKey = lagoonlanding.NoShardKey })
 	}
+	task, ok = forwarder.config.Shutdown.Accept(task)
+	if !ok {
+		return nil, forwarder.shuttingDown()
+	}
 	forwarder.config.Budgets.Earn(task.Service())
 	wait := time.Duration(float64(task.Objective().Sub(task.Received())) * ownerWaitShare)
 	return &delivery{
@@ -159,6 +165,11 @@
 	if !ok {
 		return forwarder.wait(ctx, delivery)
 	}
+	delivery.task, ok = forwarder.config.Shutdown.Accept(delivery.task)
+	if !ok {
+		delivery.result = forwarder.shuttingDown()
+		return false
+	}
 	delivery.tries++
 	delivery.tried[backend.ID().Daemon()], delivery.lastBackend = true, backend.ID()
 	delivery.result = forwarder.send(ctx, backend, delivery.task)
@@ -170,6 +181,11 @@
 	return forwarder.shouldRetry(ctx, delivery)
 }
 
+// shuttingDown returns the refusal of a request whose answer the daemon might not live to pass on.
+func (forwarder *Forwarder) shuttingDown() lagoonlanding.Result {
+	return lagoonlanding.NotRun(lagoonlanding.ReasonShuttingDown, forwarder.config.Shutdown.RetryAt())
+}
+
 func (forwarder *Forwarder) send(ctx context.Context, backend lagoonlanding.Backend, task lagoonlanding.Task) lagoonlanding.Result {
 	daemon := backend.ID().Daemon()
 	forwarder.config.Chooser.Sent(daemon)
--- a/mesh/forwarder/forwarder_test.go
+++ b/mesh/forwarder/forwarder_test.go
@@ -18,6 +18,7 @@
 	"lagoonlanding.example/lagoonlanding/mesh/allocator"
 	"lagoonlanding.example/lagoonlanding/mesh/chooser"
 	"lagoonlanding.example/lagoonlanding/mesh/coordinator"
+	"lagoonlanding.example/lagoonlanding/mesh/drainer"
 	"lagoonlanding.example/lagoonlanding/runtime/timekeeper"
 )
 
@@ -59,6 +60,7 @@
 type fixture struct {
 	*Forwarder
 	sender   *fakeSender
+	drain    *drainer.Drain
 	snapshot coordinator.SnapshotConfig
 }
 
@@ -68,7 +70,7 @@
 		Shares: []lagoonlanding.Share{lagoonlanding.NewShare("s", 1)},
 	}
 	change(&route)
-	fixture := &fixture{sender: &fakeSender{script: script}}
+	fixture := &fixture{sender: &fakeSender{script: script}, drain: drainer.New(drainer.Config{Clock: timekeeper.Clock{}})}
 	fixture.snapshot = coordinator.SnapshotConfig{
 		Routing: lagoonlanding.NewRouting(lagoonlanding.RoutingConfig{
 			Version: 1, Routes: []lagoonlanding.PathRoute{lagoonlanding.NewPathRoute(route)},
@@ -85,6 +87,7 @@
 	log.SetOutput(io.Discard)
 	fixture.Forwarder = New(Config{
 		Daemon: "self", Region: "a", Service: "mine", Sender: fixture.sender, Clock: timekeeper.Clock{}, Log: logrus.NewEntry(log), Meter: noMeter{},
+		Shutdown: fixture.drain,
 		Chooser: chooser.New(chooser.Config{
 			AvailabilityZone: "a1", Region: "a", ZoneCost: 20 * time.Millisecond, RegionCost: 400 * time.Millisecond,
 			QueueHalfLife: time.Second, RunTimeHalfLife: 8 * time.Second, AvoidTerm: time.Second, Random: rand.New(rand.NewPCG(1, 1)),
@@ -352,3 +355,23 @@
 		t.Error("a body that is being read can be read again")
 	}
 }
+
+// TestStoppingDaemonSendsNothingThatMustNotRunTwiceAndMayOutlastIt covers the daemon to which the client is connected.
+func TestStoppingDaemonSendsNothingThatMustNotRunTwiceAndMayOutlastIt(t *testing.T) {
+	for _, isIdempotent := range []bool{true, false} {
+		sent := 0
+		var deadline time.Time
+		fixture := newFixture(func(route *lagoonlanding.PathRouteConfig) { route.Idempotent, route.Timeout = isIdempotent, time.Minute }, func(_ string, task lagoonlanding.Task) lagoonlanding.Result {
+			sent, deadline = sent+1, task.Deadline()
+			return answered(200)
+		})
+		answerBy := fixture.drain.Stop(time.Now().Add(3 * time.Second))
+		result := fixture.send(unchanged)
+		switch {
+		case isIdempotent && (sent != 1 || deadline.After(answerBy)):
+			t.Errorf("sent %d times, the last with a deadline %v after the last answer", sent, deadline.Sub(answerBy))
+		case !isIdempotent && (sent != 0 || result.Outcome() != lagoonlanding.OutcomeNotRun || result.Reason() != lagoonlanding.ReasonShuttingDown):
+			t.Errorf("sent %d times; got %v, %q", sent, result.Outcome(), result.Reason())
+		}
+	}
+}
--- a/mesh/gatekeeper/gate.go
+++ b/mesh/gatekeeper/gate.go
@@ -44,6 +44,8 @@
 	// closeReason is why the gate was closed, or ReasonNone; a scheduled close does not set it.
 	closeReason lagoonlanding.Reason
 	closing     scheduledClose
+	// endBy is when all tasks must have ended, or the zero time.
+	endBy       time.Time
 	slots       int
 	running     int
 	waiting     []*waiter
@@ -51,8 +53,8 @@
 	limit       taskLimit
 	// hasResponded means that the backend server has responded to a task.
 	hasResponded bool
-	// limitChanged is closed when the limit changes.
-	limitChanged chan struct{}
+	// changed is closed when a change may make waiting tasks hopeless.
+	changed      chan struct{}
 	meanRunTimes meanRunTimes
 	priorities   priorities
 	keyCounts    keyCounts
@@ -84,7 +86,7 @@
 func NewGate(config Config) *Gate {
 	return &Gate{
 		config: config, closeReason: lagoonlanding.ReasonNoUpstream, meanRunTimes: newMeanRunTimes(), priorities: priorities{},
-		keyCounts: newKeyCounts(), limitChanged: make(chan struct{}),
+		keyCounts: newKeyCounts(), changed: make(chan struct{}),
 	}
 }
 
@@ -166,37 +168,37 @@
 	if waiter == nil {
 		return pass, reason, retryAt
 	}
-	tooLate := gate.config.Clock.Until(waiter.startBy)
 	for {
-		rateLimited, limitChanged := gate.rateLimits()
+		tooLate, rateLimited, changed := gate.signals(waiter)
 		select {
 		case reason := <-waiter.decision:
 			return gate.passFor(task, reason)
 		case <-ctx.Done():
 			return gate.abandon(waiter, lagoonlanding.ReasonDeadline)
 		case <-tooLate:
-			return gate.abandon(waiter, lagoonlanding.ReasonQueueFull)
+			return gate.abandon(waiter, gate.tooLateReason())
 		case <-rateLimited:
 			gate.admitNow()
-		case <-limitChanged:
-			if gate.isHopeless(waiter) {
-				return gate.abandon(waiter, lagoonlanding.ReasonUpstreamLimited)
+		case <-changed:
+			if reason := gate.hopelessReason(waiter); reason != lagoonlanding.ReasonNone {
+				return gate.abandon(waiter, reason)
 			}
 		}
 	}
 }
 
-// rateLimits returns a channel that fires when the rate limits may let the next task pass, nil if none applies, and one that is closed when the
-// limit of the backend server changes.
+// signals returns a channel that fires when a waiting task is too late, one that fires when the rate limits may let the next task pass, nil if
+// none applies, and one that is closed when the gate has changed.
 //
 // While all slots are busy, another task may use up what the limits allow now, so a waiting task looks again after the time of one task.
-func (gate *Gate) rateLimits() (<-chan time.Time, <-chan struct{}) {
+func (gate *Gate) signals(waiter *waiter) (tooLate, rateLimited <-chan time.Time, changed <-chan struct{}) {
 	gate.mutex.Lock()
 	defer gate.mutex.Unlock()
 	now := gate.config.Clock.Now()
+	tooLate = gate.config.Clock.Until(waiter.startBy)
 	spacing := max(gate.rateLimiter.spacing(now), gate.limit.spacing())
 	if spacing == 0 {
-		return nil, gate.limitChanged
+		return tooLate, nil, gate.changed
 	}
 	next := gate.rateLimiter.next(now)
 	if limited := gate.limit.next(now); limited.After(next) {
@@ -205,14 +207,45 @@
 	if next.IsZero() {
 		next = now.Add(spacing)
 	}
-	return gate.config.Clock.Until(next), gate.limitChanged
+	return tooLate, gate.config.Clock.Until(next), gate.changed
 }
 
-// isHopeless reports whether a waiting task would start too late.
-func (gate *Gate) isHopeless(waiter *waiter) bool {
+// tooLateReason returns why a waiting task was not started in time.
+func (gate *Gate) tooLateReason() lagoonlanding.Reason {
 	gate.mutex.Lock()
 	defer gate.mutex.Unlock()
-	return slices.Contains(gate.waiting, waiter) && gate.estimatedStart(gate.config.Clock.Now(), waiter).After(waiter.startBy)
+	if !gate.endBy.IsZero() {
+		return lagoonlanding.ReasonShuttingDown
+	}
+	return lagoonlanding.ReasonQueueFull
+}
+
+// hopelessReason returns why a waiting task would start too late, or ReasonNone if it would not.
+func (gate *Gate) hopelessReason(waiter *waiter) lagoonlanding.Reason {
+	gate.mutex.Lock()
+	defer gate.mutex.Unlock()
+	now := gate.config.Clock.Now()
+	if !slices.Contains(gate.waiting, waiter) || !gate.estimatedStart(now, waiter).After(waiter.startBy) {
+		return lagoonlanding.ReasonNone
+	}
+	return gate.busyReason(now)
+}
+
+// EndBy refuses tasks that would not end before the given time, also those that wait.
+func (gate *Gate) EndBy(at time.Time) {
+	gate.mutex.Lock()
+	defer gate.mutex.Unlock()
+	gate.endBy = at
+	for _, waiter := range gate.waiting {
+		waiter.startBy = gate.startBy(waiter.task)
+	}
+	gate.signalChange()
+}
+
+// signalChange makes waiting tasks check whether they can still start in time.
+func (gate *Gate) signalChange() {
+	close(gate.changed)
+	gate.changed = make(chan struct{})
 }
 
 func (gate *Gate) admitNow() {
@@ -270,8 +303,7 @@
 	}
 	gate.hasResponded = true
 	if gate.limit.heed(gate.config.Clock.Now(), pass.started, advice) {
-		close(gate.limitChanged)
-		gate.limitChanged = make(chan struct{})
+		gate.signalChange()
 	}
 	gate.admit()
 	return previous, gate.limit.rate
--- a/mesh/gatekeeper/gate_test.go
+++ b/mesh/gatekeeper/gate_test.go
@@ -312,3 +312,45 @@
 		}
 	})
 }
+
+// TestTasksThatWouldOutlastTheDaemonAreRefusedAtOnce covers a full backend server whose daemon is stopped: what waits and could not end in time is
+// refused while another daemon can still take it.
+func TestTasksThatWouldOutlastTheDaemonAreRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		gate := newGate(1)
+		running, _ := enter(t, gate, task(1, time.Minute, time.Minute))
+		reasons := make(chan lagoonlanding.Reason, 8)
+		for range 8 {
+			go func() {
+				_, reason := enter(t, gate, task(1, time.Minute, time.Minute))
+				reasons <- reason
+			}()
+		}
+		synctest.Wait()
+		began := time.Now()
+		// Each task is expected to take initialMeanRunTime: two of the eight can start and still end in time.
+		gate.EndBy(began.Add(5 * initialMeanRunTime))
+		synctest.Wait()
+		refused := len(reasons)
+		for range refused {
+			if reason := <-reasons; reason != lagoonlanding.ReasonShuttingDown {
+				t.Errorf("refused for %q", reason)
+			}
+		}
+		if refused == 0 || refused == 8 {
+			t.Errorf("%d of eight waiting tasks were refused at once", refused)
+		}
+		if pass, reason := enter(t, gate, task(1, time.Minute, time.Minute)); pass != nil || reason != lagoonlanding.ReasonShuttingDown || time.Since(began) > 0 {
+			t.Errorf("a new task got pass %v, reason %q after %v", pass, reason, time.Since(began))
+		}
+		for range 8 - refused {
+			if reason := <-reasons; reason != lagoonlanding.ReasonShuttingDown {
+				t.Errorf("a task that still waited ended with %q", reason)
+			}
+		}
+		if waited := time.Since(began); waited > 5*initialMeanRunTime {
+			t.Errorf("a task waited %v", waited)
+		}
+		running.Finish(true)
+	})
+}
--- a/mesh/gatekeeper/queue.go
+++ b/mesh/gatekeeper/queue.go
@@ -58,6 +58,8 @@
 // busyReason returns the reason for refusing a task while the gate is open.
 func (gate *Gate) busyReason(now time.Time) lagoonlanding.Reason {
 	switch {
+	case !gate.endBy.IsZero():
+		return lagoonlanding.ReasonShuttingDown
 	case gate.rateLimiter.isCold(now):
 		return lagoonlanding.ReasonUpstreamCold
 	case gate.limit.rate > 0:
@@ -75,6 +77,15 @@
 // An urgent task is often part of another one, which fails with it, while a late answer to the others is worth little.
 func (gate *Gate) startBy(task lagoonlanding.Task) time.Time {
 	mean := gate.meanRunTimes.ofRoute(task.Route())
+	latest := gate.startInTime(task, mean)
+	if byEnd := gate.endBy.Add(-runTimeReserve * mean); !gate.endBy.IsZero() && byEnd.Before(latest) {
+		return byEnd
+	}
+	return latest
+}
+
+// startInTime returns when a task with the mean run time must start regardless of the end of the gate.
+func (gate *Gate) startInTime(task lagoonlanding.Task, mean time.Duration) time.Time {
 	byDeadline := task.Deadline().Add(-mean)
 	byObjective := task.Objective().Add(-runTimeReserve * mean)
 	if gate.priorities.isUrgent(task.Priority()) || task.Objective().IsZero() || byDeadline.Before(byObjective) {
--- a/mesh/receiver/connection.go
+++ b/mesh/receiver/connection.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"lagoonlanding.example/lagoonlanding"
+	"lagoonlanding.example/lagoonlanding/mesh/drainer"
 	"lagoonlanding.example/lagoonlanding/mesh/framer"
 	"lagoonlanding.example/lagoonlanding/mesh/pipeliner"
 )
@@ -179,7 +180,7 @@
 // add appends a request that has been read, and starts it unless it waits for those before it; it returns nil if it is not passed on.
 func (connection *connection) add(request *http.Request, size int) *exchange {
 	admission := connection.config.Drain.Begin()
-	if admission == Unread {
+	if admission == drainer.Unread {
 		connection.end()
 		return nil
 	}
@@ -195,11 +196,11 @@
 
 // reject appends a response to a malformed request, after which the connection is closed.
 func (connection *connection) reject(status int) {
-	if connection.config.Drain.Begin() == Unread {
+	if connection.config.Drain.Begin() == drainer.Unread {
 		connection.end()
 		return
 	}
-	rejected := newExchange(connection, &http.Request{ProtoMajor: 1, ProtoMinor: 1}, nil, Admitted)
+	rejected := newExchange(connection, &http.Request{ProtoMajor: 1, ProtoMinor: 1}, nil, drainer.Admitted)
 	rejected.rejectStatus = status
 	if !connection.enqueue(rejected, pipeliner.EntryConfig{Last: true}) {
 		connection.config.Drain.End()
--- a/mesh/receiver/exchange.go
+++ b/mesh/receiver/exchange.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"lagoonlanding.example/lagoonlanding"
+	"lagoonlanding.example/lagoonlanding/mesh/drainer"
 	"lagoonlanding.example/lagoonlanding/mesh/pipeliner"
 )
 
@@ -26,7 +27,7 @@
 	connection *connection
 	request    *http.Request
 	body       *requestBody
-	admission  Admission
+	admission  drainer.Admission
 	// rejectStatus is the status for a malformed request, which is not passed to the handler.
 	rejectStatus int
 	ctx          context.Context
@@ -54,7 +55,7 @@
 
 var _ http.ResponseWriter = (*exchange)(nil)
 
-func newExchange(connection *connection, request *http.Request, body *requestBody, admission Admission) *exchange {
+func newExchange(connection *connection, request *http.Request, body *requestBody, admission drainer.Admission) *exchange {
 	exchange := &exchange{
 		connection: connection, request: request, body: body, admission: admission, turn: make(chan struct{}), header: http.Header{}, declared: -1,
 	}
@@ -64,7 +65,7 @@
 		body.onRead = exchange.sendContinue
 		request.Body = body
 	}
-	exchange.request = request.WithContext(exchange.ctx)
+	exchange.request = request
 	return exchange
 }
 
@@ -72,6 +73,9 @@
 func (exchange *exchange) run() {
 	defer exchange.connection.config.Drain.End()
 	defer exchange.cancel()
+	ctx, release := exchange.connection.config.Drain.Bind(exchange.ctx)
+	defer release()
+	exchange.request = exchange.request.WithContext(ctx)
 	isComplete := exchange.handle()
 	if exchange.await() != nil {
 		exchange.endBody()
@@ -104,7 +108,7 @@
 	case exchange.rejectStatus != 0:
 		exchange.header.Set("Connection", "close")
 		exchange.WriteHeader(exchange.rejectStatus)
-	case exchange.admission == Refused:
+	case exchange.admission == drainer.Refused:
 		config.Refuse(exchange)
 	default:
 		config.Handler.ServeHTTP(exchange, exchange.request)
--- a/mesh/receiver/receiver_test.go
+++ b/mesh/receiver/receiver_test.go
@@ -17,6 +17,9 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"lagoonlanding.example/lagoonlanding/mesh/drainer"
+	"lagoonlanding.example/lagoonlanding/runtime/timekeeper"
 )
 
 // countingMeter counts what a server records.
@@ -31,7 +34,7 @@
 // testServer is a server on a loopback address; requests whose path starts with /safe overlap.
 type testServer struct {
 	address string
-	drain   *Drain
+	drain   *drainer.Drain
 	meter   *countingMeter
 }
 
@@ -43,7 +46,7 @@
 	}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	started := &testServer{address: listener.Addr().String(), drain: NewDrain(), meter: &countingMeter{}}
+	started := &testServer{address: listener.Addr().String(), drain: drainer.New(drainer.Config{Clock: timekeeper.Clock{}}), meter: &countingMeter{}}
 	server := New(Config{
 		Handler: handler, Refuse: func(writer http.ResponseWriter) { writer.WriteHeader(http.StatusServiceUnavailable) },
 		Overlaps: func(request *http.Request) bool { return strings.HasPrefix(request.URL.Path, "/safe") },
@@ -436,12 +439,15 @@
 	time.Sleep(50 * time.Millisecond)
 	// The clients leave after two seconds, when they notice that the daemon is not ready.
 	time.AfterFunc(2*time.Second, cancel)
-	server.drain.Wait(time.Now().Add(5 * time.Second))
+	server.drain.Stop(time.Now().Add(5 * time.Second))
+	if count := server.drain.Wait(); count != 0 {
+		t.Errorf("%d requests were ended", count)
+	}
 	clients.Wait()
 	if passedOn.Load() != answered.Load() {
 		t.Errorf("%d requests were passed on, %d were answered", passedOn.Load(), answered.Load())
 	}
-	if server.drain.Begin() != Unread {
+	if server.drain.Begin() != drainer.Unread {
 		t.Error("a request is passed on after the last check")
 	}
 }
--- a/mesh/receiver/server.go
+++ b/mesh/receiver/server.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"lagoonlanding.example/lagoonlanding"
+	"lagoonlanding.example/lagoonlanding/mesh/drainer"
 )
 
 // acceptRetryDelay is the delay after a failed accept, for example while the process has no free descriptors.
@@ -25,7 +26,7 @@
 	// AllowsFrames means that clients may send compact heads.
 	AllowsFrames bool
 	// Drain counts the requests in progress.
-	Drain *Drain
+	Drain *drainer.Drain
 	// Meter records metrics of connections.
 	Meter lagoonlanding.ConnectionMeter
 	// Log receives one line per request that fails in the server.
--- a/mesh/syncer/syncer.go
+++ b/mesh/syncer/syncer.go
@@ -147,9 +147,9 @@
 	return ready
 }
 
-// Stop tells the control thread that the daemon is shutting down.
-func (syncer *Syncer) Stop() {
-	syncer.control.Do(func(state *coordinator.Coordinator) { state.Stop(syncer.config.Clock.Now()) })
+// Stop tells the control thread that the daemon is shutting down and must have answered all tasks by the given time.
+func (syncer *Syncer) Stop(answerBy time.Time) {
+	syncer.control.Do(func(state *coordinator.Coordinator) { state.Stop(syncer.config.Clock.Now(), answerBy) })
 }
 
 // keepRegistration obtains a lease and renews it.
--- a/mesh/syncer/view_test.go
+++ b/mesh/syncer/view_test.go
@@ -92,6 +92,7 @@
 func (noGate) Open(lagoonlanding.BackendID, int, time.Time, float64) {}
 func (noGate) CloseAt(time.Time, lagoonlanding.Reason)               {}
 func (noGate) Close(lagoonlanding.Reason)                            {}
+func (noGate) EndBy(time.Time)                                       {}
 
 func newSyncer(store lagoonlanding.MetadataStore) *Syncer {
 	log := logrus.New()
--- a/mesh/transmitter/codec.go
+++ b/mesh/transmitter/codec.go
@@ -39,6 +39,7 @@
 	Route       string `json:"r"`
 	Priority    int    `json:"p"`
 	Repeated    bool   `json:"a,omitempty"`
+	AtMostOnce  bool   `json:"n,omitempty"`
 }
 
 var _ lagoonlanding.Message[lagoonlanding.TaskConfig] = taskMetadata{}
@@ -47,7 +48,7 @@
 	return taskMetadata{
 		ID: task.ID(), DeadlineMS: task.Deadline().Sub(now).Milliseconds(), ObjectiveMS: task.Objective().Sub(now).Milliseconds(),
 		ShardKey: task.ShardKey(), Caller: task.Caller(), Service: task.Service(), Route: task.Route(), Priority: task.Priority(),
-		Repeated: task.IsRepeated(),
+		Repeated: task.IsRepeated(), AtMostOnce: task.IsAtMostOnce(),
 	}
 }
 
@@ -60,6 +61,7 @@
 		ID: taskmetadata.ID, Received: now, Deadline: now.Add(time.Duration(taskmetadata.DeadlineMS) * time.Millisecond),
 		Objective: now.Add(time.Duration(taskmetadata.ObjectiveMS) * time.Millisecond), ShardKey: taskmetadata.ShardKey, Caller: taskmetadata.Caller,
 		Service: taskmetadata.Service, Route: taskmetadata.Route, Priority: taskmetadata.Priority, Repeated: taskmetadata.Repeated,
+		AtMostOnce: taskmetadata.AtMostOnce,
 	}, nil
 }
 
--- a/mesh/transmitter/compact.go
+++ b/mesh/transmitter/compact.go
@@ -14,15 +14,24 @@
 // referencePrefix starts a value that names the header field which contains it.
 const referencePrefix = "="
 
+// The flags of a task; a daemon of an earlier release takes any of them for the first, which it does not use.
+const (
+	flagRepeated   = 1 << 0
+	flagAtMostOnce = 1 << 1
+)
+
 var errFieldCount = errors.New("wrong number of fields")
 
 // encodeCompactTask sets the header fields with the compact form of the metadata.
 func encodeCompactTask(header http.Header, metadata taskMetadata) {
-	repeated := 0
+	flags := int64(0)
 	if metadata.Repeated {
-		repeated = 1
+		flags |= flagRepeated
+	}
+	if metadata.AtMostOnce {
+		flags |= flagAtMostOnce
 	}
-	header[headerCompactTask] = []string{fmt.Sprint(metadata.DeadlineMS, metadata.ObjectiveMS, metadata.Priority, repeated)}
+	header[headerCompactTask] = []string{fmt.Sprint(metadata.DeadlineMS, metadata.ObjectiveMS, metadata.Priority, flags)}
 	id, key := referenceTo(header, metadata.ID), referenceTo(header, strconv.Itoa(metadata.ShardKey))
 	for name, value := range map[string]string{
 		headerID: id, headerShardKey: key, headerService: metadata.Service, headerCaller: metadata.Caller, headerRoute: metadata.Route,
@@ -61,8 +70,8 @@
 		return lagoonlanding.TaskConfig{}, fmt.Errorf("decode %s: %w", headerShardKey, err)
 	}
 	metadata := taskMetadata{
-		ID: resolve(header, headerID), DeadlineMS: numbers[0], ObjectiveMS: numbers[1], Priority: int(numbers[2]), Repeated: numbers[3] != 0,
-		ShardKey: key, Service: header.Get(headerService), Caller: header.Get(headerCaller), Route: header.Get(headerRoute),
+		ID: resolve(header, headerID), DeadlineMS: numbers[0], ObjectiveMS: numbers[1], Priority: int(numbers[2]), Repeated: numbers[3]&flagRepeated != 0,
+		AtMostOnce: numbers[3]&flagAtMostOnce != 0, ShardKey: key, Service: header.Get(headerService), Caller: header.Get(headerCaller), Route: header.Get(headerRoute),
 	}
 	for _, name := range []string{headerCompactTask, headerID, headerShardKey, headerService, headerCaller, headerRoute} {
 		header.Del(name)
--- a/mesh/transmitter/compact_test.go
+++ b/mesh/transmitter/compact_test.go
@@ -14,6 +14,7 @@
 
 	"lagoonlanding.example/lagoonlanding"
 	"lagoonlanding.example/lagoonlanding/mesh/connector"
+	"lagoonlanding.example/lagoonlanding/mesh/drainer"
 	"lagoonlanding.example/lagoonlanding/mesh/receiver"
 	"lagoonlanding.example/lagoonlanding/runtime/timekeeper"
 )
@@ -59,7 +60,7 @@
 	defer listener.Close()
 	server := NewServer(ServerConfig{Handler: echoHandler{}, Clock: timekeeper.BootClock{}, Log: entry})
 	go receiver.New(receiver.Config{
-		Handler: server, Refuse: server.Refuse, AllowsFrames: true, Drain: receiver.NewDrain(), Meter: noMeter{}, Log: entry,
+		Handler: server, Refuse: server.Refuse, AllowsFrames: true, Drain: drainer.New(drainer.Config{Clock: timekeeper.BootClock{}}), Meter: noMeter{}, Log: entry,
 		HeaderTimeout: time.Second, IdleTimeout: time.Second, MaxHeaderBytes: 16 << 10,
 	}).Serve(listener)
 	pool := connector.Config{DialTimeout: time.Second, IdleTimeout: time.Second, SilenceTimeout: time.Second, MaxIdle: 2}
@@ -72,7 +73,7 @@
 		for _, accepts := range []bool{false, true} {
 			backend := lagoonlanding.NewBackend(lagoonlanding.BackendConfig{PeerAddress: listener.Addr().String(), AcceptsFrames: accepts})
 			config := lagoonlanding.TaskConfig{
-				ID: "0123456789abcdef", Service: "s p", Caller: "c", Route: "r", Priority: 2, Repeated: number == 1, ShardKey: number*7 - 1,
+				ID: "0123456789abcdef", Service: "s p", Caller: "c", Route: "r", Priority: 2, Repeated: number == 1, AtMostOnce: number == 2, ShardKey: number*7 - 1,
 				Method: http.MethodPost, Host: "h", Target: "//odd?x", Deadline: now.Add(time.Minute), Objective: now.Add(time.Second),
 				Header: http.Header{"X-Request-Id": {"0123456789abcdef"}, "Key": {"6"}, "User-Agent": {"u"}},
 				Body:   strings.NewReader("the body"), BodyLength: []int64{8, -1, 8}[number],
--- a/runner.go
+++ b/runner.go
@@ -27,6 +27,16 @@
 	CloseAt(at time.Time, reason Reason)
 	// Close refuses all tasks with the reason.
 	Close(reason Reason)
+	// EndBy refuses tasks that would not end before the given time, also those that wait: the daemon cannot pass on later answers.
+	EndBy(at time.Time)
+}
+
+// Shutdown tells which tasks a daemon still accepts while it shuts down.
+type Shutdown interface {
+	// Accept returns the task, with an earlier deadline if the daemon could not pass on a later answer, or false if the task must not be sent.
+	Accept(task Task) (Task, bool)
+	// RetryAt returns when the daemon can have been restarted.
+	RetryAt() time.Time
 }
 
 // DemandMeter measures the load that arrives for the backend server beside the daemon.
--- a/task.go
+++ b/task.go
@@ -39,6 +39,8 @@
 	Objective time.Time
 	// Repeated means that another backend server may have run the task.
 	Repeated bool
+	// AtMostOnce means that the task must not run twice.
+	AtMostOnce bool
 }
 
 // Task is a client's request to a service of the mesh, with a streamed body.
@@ -97,6 +99,9 @@
 // IsRepeated reports whether another backend server may have run the task.
 func (task Task) IsRepeated() bool { return task.config.Repeated }
 
+// IsAtMostOnce reports whether the task must not run twice.
+func (task Task) IsAtMostOnce() bool { return task.config.AtMostOnce }
+
 // With returns a copy with the given changes to its configuration.
 func (task Task) With(change func(config *TaskConfig)) Task {
 	change(&task.config)
