--- a/lagoonmesh/daemon.go
+++ b/lagoonmesh/daemon.go
@@ -118,8 +118,10 @@
 	})
 	daemon.syncer = syncer.New(syncer.Config{
 		Coordinator: daemon.coordinator,
-		Store:       platform.NewStore(platform.StoreConfig{Pool: daemon.control, Address: daemon.settings.StoreAddress(), WatchTerm: daemon.watchTerm()}),
-		Daemon:      daemon.settings.Daemon(), AvailabilityZone: daemon.settings.AvailabilityZone(), FirstStart: daemon.settings.IsFirstStart(),
+		Store: platform.NewStore(platform.StoreConfig{
+			Pool: daemon.control, Address: daemon.settings.StoreAddress(), WatchTerm: daemon.watchTerm(), Meter: daemon.recorder, Log: daemon.logFor("store"),
+		}),
+		Daemon: daemon.settings.Daemon(), AvailabilityZone: daemon.settings.AvailabilityZone(), FirstStart: daemon.settings.IsFirstStart(),
 		Peers: peers, Stores: peers, FleetJournal: daemon.fleet, DirectiveJournal: daemon.directives,
 		Directives: platform.DirectiveCodec{}, Clock: daemon.clock, Log: daemon.logFor("store"),
 	})
--- a/mesh/forwarder/forwarder_test.go
+++ b/mesh/forwarder/forwarder_test.go
@@ -361,7 +361,9 @@
 	for _, isIdempotent := range []bool{true, false} {
 		sent := 0
 		var deadline time.Time
-		fixture := newFixture(func(route *lagoonlanding.PathRouteConfig) { route.Idempotent, route.Timeout = isIdempotent, time.Minute }, func(_ string, task lagoonlanding.Task) lagoonlanding.Result {
+		fixture := newFixture(func(route *lagoonlanding.PathRouteConfig) {
+			route.Idempotent, route.Timeout = isIdempotent, time.Minute
+		}, func(_ string, task lagoonlanding.Task) lagoonlanding.Result {
 			sent, deadline = sent+1, task.Deadline()
 			return answered(200)
 		})
--- a/mesh/recorder/recorder.go
+++ b/mesh/recorder/recorder.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -44,6 +45,7 @@
 var (
 	_ lagoonlanding.TaskMeter       = (*Recorder)(nil)
 	_ lagoonlanding.ConnectionMeter = (*Recorder)(nil)
+	_ lagoonlanding.StoreMeter      = (*Recorder)(nil)
 )
 
 // New returns a recorder without any counts.
@@ -87,6 +89,11 @@
 	recorder.scope.Histogram("response_held_seconds", latencyBuckets).RecordDuration(took)
 }
 
+// Called counts a call to the store by kind, and whether the store answered it.
+func (recorder *Recorder) Called(kind string, answered bool) {
+	recorder.scope.Tagged(map[string]string{"kind": kind, "answered": strconv.FormatBool(answered)}).Counter("store_calls").Inc(1)
+}
+
 // Silent counts a connection that went silent without being closed or reset.
 func (recorder *Recorder) Silent() { recorder.scope.Counter("connections_silent").Inc(1) }
 
--- a/runner.go
+++ b/runner.go
@@ -58,6 +58,12 @@
 	Ended(task Task, result Result, attempts int, took time.Duration)
 }
 
+// StoreMeter records metrics of calls to the platform's store.
+type StoreMeter interface {
+	// Called records a call of a kind, such as a renewal, and whether the store answered it.
+	Called(kind string, answered bool)
+}
+
 // ConnectionMeter records metrics of client connections.
 type ConnectionMeter interface {
 	// ReadAhead counts a request that was read before those before it on its connection had been answered.
