Repeat a conflicting write at once, and spread writers by how many there are

A first conflict now only brings the current version and is followed by a write at once; a second one spreads the daemons over the time that the remaining owners need.

--- a/mesh/allocator/allotment.go
+++ b/mesh/allocator/allotment.go
@@ -225,6 +225,17 @@
 	return slices.ContainsFunc(allotment.config.Stripes, func(stripe Stripe) bool { return stripe.Prior() == prior })
 }
 
+// AwaitedOwners returns the number of prior owners that new owners wait for.
+func (allotment *Allotment) AwaitedOwners() int {
+	owners := map[lagoonlanding.BackendID]bool{}
+	for _, stripe := range allotment.config.Stripes {
+		if !stripe.Prior().IsZero() {
+			owners[stripe.Prior()] = true
+		}
+	}
+	return len(owners)
+}
+
 // Release returns the allotment after the prior owner has released stripes, as hasReleased reports; it returns false if there are none.
 func (allotment *Allotment) Release(prior lagoonlanding.BackendID, hasReleased func(first, last int) (handover string, ok bool)) (*Allotment, bool) {
 	next, changed := allotment.next(), false
--- a/mesh/coordinator/coordinator.go
+++ b/mesh/coordinator/coordinator.go
@@ -79,6 +79,8 @@
 	nextShedAt   time.Time
 	shedRevision uint64
 	writing      bool
+	// conflicts counts the consecutive writes that conflicted with another daemon's.
+	conflicts int
 	// failedWrites counts the consecutive writes that the store did not answer.
 	failedWrites int
 	// renewedThroughPeer means that the last renewal went through another daemon.
--- a/mesh/coordinator/write.go
+++ b/mesh/coordinator/write.go
@@ -2,12 +2,9 @@
 
 import (
 	"errors"
-	"fmt"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"lagoonlanding.example/lagoonlanding"
 	"lagoonlanding.example/lagoonlanding/mesh/allocator"
 	"lagoonlanding.example/lagoonlanding/mesh/registrar"
@@ -255,14 +252,18 @@
 		coordinator.verifyWritten()
 		log.WithField("revision", revision).Info("Registration written.")
 	case err == nil:
+		coordinator.conflicts = 0
 		coordinator.applyAllotment(lagoonlanding.NewEntry(write.put.Key(), write.put.Value(), revision))
 		coordinator.publish()
 		log.WithField("revision", revision).Info("Allotment written.")
 	case errors.Is(err, lagoonlanding.ErrLeaseEnded):
 		coordinator.session.End()
 	case coordinator.applyConflict(write, err):
-		coordinator.nextWriteAt = now.Add(coordinator.conflictJitter(write.put.Key()))
-		log.WithField("expected", write.expected).Info("Allotment was written by another daemon. Retrying with the newer version.")
+		coordinator.conflicts++
+		delay := conflictDelay(coordinator.conflicts, coordinator.awaitedOwners(write.put.Key()), coordinator.conflictHash(write.put.Key()))
+		coordinator.nextWriteAt = now.Add(delay)
+		log.WithField("expected", write.expected).WithField("conflicts", coordinator.conflicts).WithField("delay", delay.String()).
+			Info("Allotment was written by another daemon. Retrying with the newer version.")
 	default:
 		coordinator.suspectsPending = coordinator.suspectsPending || write.kind == suspectsKind
 		coordinator.nextWriteAt = now.Add(coordinator.retryDelay(err))
@@ -286,16 +287,6 @@
 	return true
 }
 
-// maxConflictJitter bounds the delay after which a daemon retries a conflicting write: some hundred daemons may release keys at once, and
-// a write takes some milliseconds.
-const maxConflictJitter = 200 * time.Millisecond
-
-// conflictJitter returns a delay below maxConflictJitter, which differs between daemons and generations.
-func (coordinator *Coordinator) conflictJitter(key string) time.Duration {
-	hash := xxhash.Sum64String(fmt.Sprint(coordinator.config.Self.ID().Daemon(), key, coordinator.generation))
-	return time.Duration(hash % uint64(maxConflictJitter))
-}
-
 // retryDelay returns the delay after a failed write.
 func (coordinator *Coordinator) retryDelay(err error) time.Duration {
 	if errors.Is(err, lagoonlanding.ErrConflict) {
