--- a/mesh/syncer/discover.go
+++ b/mesh/syncer/discover.go
@@ -27,7 +27,8 @@
 // discover finds daemons of the zone that relay changes, so that a starting daemon doesn't have to read everything from the store.
 //
 // A cheap stale read finds them in a running fleet. It may be too old to show a fleet that starts for the first time; as nobody waits
-// for this daemon then, it takes the time to register and lists the zone once more.
+// for this daemon then, it takes the time to register and lists the zone once more. In a large fleet the first announcement of its backend
+// server may take longer than it waits, but others have registered by then.
 func (syncer *Syncer) discover(ctx context.Context) {
 	if isFound, err := syncer.findSeeds(ctx, syncer.config.Store.ListStale); isFound || err != nil || !syncer.config.FirstStart {
 		return
@@ -35,9 +36,12 @@
 	start := syncer.config.Clock.Now()
 	for ctx.Err() == nil && !syncer.isRegistered() {
 		waited := syncer.config.Clock.Now().Sub(start)
-		if waited > registrationTimeout || waited > leaseTimeout && !syncer.hasLease() {
+		if waited > leaseTimeout && !syncer.hasLease() {
 			return
 		}
+		if waited > registrationTimeout {
+			break
+		}
 		syncer.sleep(ctx, registrationPollInterval)
 	}
 	if _, err := syncer.findSeeds(ctx, syncer.config.Store.List); err != nil {
--- a/mesh/syncer/outage_test.go
+++ b/mesh/syncer/outage_test.go
@@ -12,6 +12,7 @@
 
 	"lagoonlanding.example/lagoonlanding"
 	"lagoonlanding.example/lagoonlanding/mesh/coordinator"
+	"lagoonlanding.example/lagoonlanding/mesh/registrar"
 )
 
 // countingStore counts its calls, and can be made unavailable.
@@ -21,8 +22,8 @@
 	calls map[string]int
 	// version is the version of the configuration, zero for none.
 	version uint64
-	// peers are the zone entries that ListStale returns.
-	peers []lagoonlanding.Entry
+	// peers are the zone entries that ListStale returns, and newPeers those that only List returns.
+	peers, newPeers []lagoonlanding.Entry
 }
 
 func newCountingStore() *countingStore { return &countingStore{calls: map[string]int{}} }
@@ -63,6 +64,9 @@
 }
 
 func (store *countingStore) List(_ context.Context, prefix string) (lagoonlanding.Listing, error) {
+	if prefix == coordinator.ZonePrefix("") {
+		return lagoonlanding.NewListing(store.newPeers, 1), store.call("list " + prefix)
+	}
 	if store.version > 0 {
 		return lagoonlanding.NewListing(entriesOf(prefix, store.version), store.version), store.call("list " + prefix)
 	}
@@ -195,7 +199,11 @@
 		lagoonlanding.NewEntry(coordinator.ZonePrefix("")+"first", []byte("address-of-first"), 1),
 		lagoonlanding.NewEntry(coordinator.ZonePrefix("")+"zeta", []byte("address-of-zeta"), 1),
 	}
-	syncer := newSyncer(store)
+	return newFollowerOf(store, peers, registrar.Config{})
+}
+
+func newFollowerOf(store *countingStore, peers *relayPeers, fleet registrar.Config) *Syncer {
+	syncer := newSyncerOf(store, fleet)
 	syncer.config.Peers = peers
 	return syncer
 }
@@ -275,3 +283,25 @@
 		}
 	})
 }
+
+// TestDaemonThatRegistersLateInAFirstStartFindsTheRelaysOfItsZone plays the start of a fleet of 195 daemons, in which the backend servers announce
+// themselves over several seconds.
+func TestDaemonThatRegistersLateInAFirstStartFindsTheRelaysOfItsZone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, peers := newCountingStore(), &relayPeers{calls: map[string]int{}, connected: true}
+		syncer := newFollowerOf(store, peers, registrar.Config{VerificationTerm: 7 * time.Second})
+		syncer.config.FirstStart = true
+		// The stale read is from before the start.
+		store.newPeers = []lagoonlanding.Entry{lagoonlanding.NewEntry(coordinator.ZonePrefix("")+"first", []byte("address-of-first"), 1)}
+		run(t, syncer)
+		time.Sleep(10 * time.Second)
+		if peers.count("address-of-first") == 0 {
+			t.Error("the daemon that relays changes was not asked")
+		}
+		for kind, count := range store.counts() {
+			if kind == "list "+coordinator.FleetPrefix || kind == "list orders/" || strings.HasPrefix(kind, "look") {
+				t.Errorf("the store was called directly: %d times %s", count, kind)
+			}
+		}
+	})
+}
--- a/mesh/syncer/view_test.go
+++ b/mesh/syncer/view_test.go
@@ -95,13 +95,18 @@
 func (noGate) EndBy(time.Time)                                       {}
 
 func newSyncer(store lagoonlanding.MetadataStore) *Syncer {
+	return newSyncerOf(store, registrar.Config{})
+}
+
+// newSyncerOf returns a syncer whose daemon registers without a backend server once all assignments from before its start have expired.
+func newSyncerOf(store lagoonlanding.MetadataStore, fleet registrar.Config) *Syncer {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	entry := logrus.NewEntry(log)
 	self := lagoonlanding.NewBackend(lagoonlanding.BackendConfig{ID: lagoonlanding.NewBackendID("self", "", 0), PeerAddress: "p"})
 	return New(Config{
 		Coordinator: coordinator.New(time.Now(), coordinator.Config{
-			Self: self, Fleet: registrar.NewFleet(registrar.Config{}), Assigner: assigner.New(assigner.Config{Daemon: "self"}), Gate: noGate{}, Log: entry,
+			Self: self, Fleet: registrar.NewFleet(fleet), Assigner: assigner.New(assigner.Config{Daemon: "self"}), Gate: noGate{}, Log: entry,
 		}),
 		Store: store, Daemon: "self", FleetJournal: relayer.NewJournal(coordinator.FleetPrefix), DirectiveJournal: relayer.NewJournal("orders/"),
 		Directives: versionCodec{}, Clock: timekeeper.Clock{}, Log: entry,
