--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 
 FUZZ_TIME ?= 20s
 
-.PHONY: build fuzz demo faults test format lint unit known-red soak faultsoak measure bench mutants slopes scores
+.PHONY: build fuzz demo faults test format size lint unit known-red soak faultsoak measure bench mutants slopes scores
 
 build:
 	@mkdir -p bin
@@ -25,11 +25,18 @@
 bench: build
 	@bin/bench
 
-test: format lint unit known-red
+test: format size lint unit known-red
 
 format:
 	@unformatted=$$(gofmt -l .); test -z "$$unformatted" || { echo "not formatted: $$unformatted"; exit 1; }
 
+# MAX_FILE_BYTES limits the size of a committed file; only the journal of the users' bench may have larger ones.
+MAX_FILE_BYTES := 1000000
+
+size:
+	@large=$$(git ls-files -z -- . ':!journal' | xargs -0 stat -c '%s %n' | awk '$$1 > $(MAX_FILE_BYTES)'); \
+		test -z "$$large" || { echo "too large to be committed: $$large"; exit 1; }
+
 lint:
 	@for module in $(MODULES); do \
 		(cd $$module && go vet ./... && go tool staticcheck ./...) || exit 1; \
