--- a/mesh/receiver/exchange.go
+++ b/mesh/receiver/exchange.go
@@ -65,7 +65,6 @@
 		body.onRead = exchange.sendContinue
 		request.Body = body
 	}
-	exchange.request = request
 	return exchange
 }
 
@@ -75,8 +74,7 @@
 	defer exchange.cancel()
 	ctx, release := exchange.connection.config.Drain.Bind(exchange.ctx)
 	defer release()
-	exchange.request = exchange.request.WithContext(ctx)
-	isComplete := exchange.handle()
+	isComplete := exchange.handle(ctx)
 	if exchange.await() != nil {
 		exchange.endBody()
 		return
@@ -88,8 +86,8 @@
 	exchange.connection.finish(exchange)
 }
 
-// handle calls the handler; it returns false if the response is incomplete.
-func (exchange *exchange) handle() (isComplete bool) {
+// handle calls the handler with a request that ends with ctx; it returns false if the response is incomplete.
+func (exchange *exchange) handle(ctx context.Context) (isComplete bool) {
 	config := exchange.connection.config
 	defer func() {
 		failure := recover()
@@ -111,7 +109,7 @@
 	case exchange.admission == drainer.Refused:
 		config.Refuse(exchange)
 	default:
-		config.Handler.ServeHTTP(exchange, exchange.request)
+		config.Handler.ServeHTTP(exchange, exchange.request.WithContext(ctx))
 	}
 	return true
 }
