--- a/mesh/gatekeeper/gate_test.go
+++ b/mesh/gatekeeper/gate_test.go
@@ -435,3 +435,21 @@
 		t.Logf("%d urgent tasks were served, %d refused; %d long ones were served", served, refused, long)
 	})
 }
+
+func TestNoSlotIsKeptFreeForTasksWhoseTimeIsUp(t *testing.T) {
+	var reserve reserve
+	now := time.Unix(1000, 0)
+	reserve.observe(now, now.Add(-time.Millisecond))
+	if got := reserve.slots(now, 6, time.Second); got != 0 {
+		t.Errorf("%d slots are kept free", got)
+	}
+	reserve.observe(now, now.Add(300*time.Millisecond))
+	for untilFree, want := range map[time.Duration]int{200 * time.Millisecond: 0, 400 * time.Millisecond: 1} {
+		if got := reserve.slots(now, 6, untilFree); got != want {
+			t.Errorf("a slot is free after %v: %d slots are kept free", untilFree, got)
+		}
+	}
+	if got := reserve.slots(now.Add(priorityTTL+time.Second), 6, time.Second); got != 0 {
+		t.Errorf("%d slots are kept free long after the last urgent task", got)
+	}
+}
--- a/mesh/gatekeeper/reserve.go
+++ b/mesh/gatekeeper/reserve.go
@@ -20,9 +20,11 @@
 	seenAt   time.Time
 }
 
-// observe records that an urgent task arrived that must start by the given time.
+// observe records that an urgent task arrived that must start by the given time; a free slot would not help one whose time is up.
 func (reserve *reserve) observe(now, startBy time.Time) {
-	reserve.patience, reserve.seenAt = startBy.Sub(now), now
+	if patience := startBy.Sub(now); patience > 0 {
+		reserve.patience, reserve.seenAt = patience, now
+	}
 }
 
 // slots returns the number of slots to keep free of tasks that are not urgent, if all slots are expected to free one after the given time.
