--- a/Makefile
+++ b/Makefile
@@ -68,7 +68,7 @@
 	@bin/measure -seed $(SEED) -out out
 
 # scores shows the worth of a site's standard days over the scores in the journal of the users' bench (not the target bench), and draws it under out/.
-SITE ?= karotsaki-mesh
+SITE ?= karotsaki-mesh-large
 scores:
 	@cd trials/measure && go build -o $(CURDIR)/bin/measure .
 	@bin/measure -journal journal -site $(SITE) -out out
--- a/trials/measure/main.go
+++ b/trials/measure/main.go
@@ -15,7 +15,7 @@
 	out := flag.String("out", "out", "folder for the charts")
 	only := flag.String("only", "", "name of the only experiment to run")
 	journal := flag.String("journal", "", "folder of the journal of the users' bench; shows the scores of a site instead of running experiments")
-	site := flag.String("site", "karotsaki-mesh", "site of which to show the scores")
+	site := flag.String("site", "karotsaki-mesh-large", "site of which to show the scores")
 	flag.Parse()
 	var err error
 	if *journal != "" {
