Wait a quiet period after the last response of a shutdown, too

Since the end of the last request wakes the drain at once, and the quiet period counted from the last arrival only. It counts from the last response as well; a test of the drain fails without that.

--- a/mesh/drainer/drain.go
+++ b/mesh/drainer/drain.go
@@ -13,7 +13,7 @@
 	// notReadyDelay is how long a daemon accepts requests after the start of its shutdown: clients notice within two seconds that
 	// it is not ready, and later requests might not complete within the shutdown timeout.
 	notReadyDelay = 2200 * time.Millisecond
-	// quietPeriod is how long no request may have arrived before a daemon that is shutting down exits.
+	// quietPeriod is how long no request may have arrived, and none have been answered, before a daemon that is shutting down exits.
 	quietPeriod = 100 * time.Millisecond
 	// answerReserve is the part of the shutdown timeout that is left for the responses to requests that are still in progress.
 	answerReserve = 250 * time.Millisecond
@@ -57,9 +57,10 @@
 	// idle receives a value when the last request in progress has ended.
 	idle chan struct{}
 
-	mutex       sync.Mutex
-	running     int
-	lastRequest time.Time
+	mutex   sync.Mutex
+	running int
+	// lastActivity is when the last admitted request began or ended.
+	lastActivity time.Time
 	// acceptUntil is when the last new request is accepted, and answerBy when all must have been answered; zero before the shutdown.
 	acceptUntil, answerBy time.Time
 	// exitBy is when the daemon exits whatever is in progress.
@@ -88,14 +89,17 @@
 	if drain.isStopping() && now.After(drain.acceptUntil) {
 		return Refused
 	}
-	drain.lastRequest = now
+	drain.lastActivity = now
 	return Admitted
 }
 
-// End counts a request as completed.
-func (drain *Drain) End() {
+// End counts a request as completed; its client may send another one at once, unless it was refused.
+func (drain *Drain) End(admission Admission) {
 	drain.mutex.Lock()
 	defer drain.mutex.Unlock()
+	if admission == Admitted {
+		drain.lastActivity = drain.config.Clock.Now()
+	}
 	if drain.running--; drain.running > 0 {
 		return
 	}
@@ -188,7 +192,7 @@
 func (drain *Drain) nextCheck() time.Time {
 	drain.mutex.Lock()
 	defer drain.mutex.Unlock()
-	quietAt := drain.lastRequest.Add(quietPeriod)
+	quietAt := drain.lastActivity.Add(quietPeriod)
 	switch {
 	case drain.running > 0:
 		return drain.answerBy
@@ -209,6 +213,6 @@
 	drain.mutex.Lock()
 	defer drain.mutex.Unlock()
 	now := drain.config.Clock.Now()
-	drain.sealed = drain.running == 0 && !now.Before(drain.acceptUntil) && now.Sub(drain.lastRequest) >= quietPeriod
+	drain.sealed = drain.running == 0 && !now.Before(drain.acceptUntil) && now.Sub(drain.lastActivity) >= quietPeriod
 	return drain.sealed
 }
--- a/mesh/drainer/drain_test.go
+++ b/mesh/drainer/drain_test.go
@@ -75,7 +75,7 @@
 			time.Sleep(50 * time.Millisecond)
 			answered <- time.Since(began)
 			release()
-			drain.End()
+			drain.End(Admitted)
 		}()
 		drain.Stop(began.Add(graceTime))
 		if count := drain.Wait(); count != 1 {
@@ -97,9 +97,9 @@
 		drain.Stop(began.Add(graceTime))
 		var clients sync.WaitGroup
 		clients.Go(func() {
-			for drain.Begin() != Unread {
+			for admission := drain.Begin(); admission != Unread; admission = drain.Begin() {
 				time.Sleep(30 * time.Millisecond)
-				drain.End()
+				drain.End(admission)
 				time.Sleep(70 * time.Millisecond)
 			}
 		})
@@ -131,3 +131,32 @@
 		}
 	})
 }
+
+// TestClientThatSendsItsNextRequestAtOnceIsAnswered covers clients in step: the last responses are sent at the same moment, and each client sends
+// another request right after.
+func TestClientThatSendsItsNextRequestAtOnceIsAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		drain := newDrain()
+		drain.Stop(time.Now().Add(graceTime))
+		time.Sleep(notReadyDelay - 10*time.Millisecond)
+		if drain.Begin() != Admitted {
+			t.Fatal("not admitted")
+		}
+		ended := make(chan struct{})
+		go func() {
+			drain.Wait()
+			close(ended)
+		}()
+		time.Sleep(2 * quietPeriod)
+		drain.End(Admitted)
+		time.Sleep(time.Millisecond)
+		admission := drain.Begin()
+		if admission != Refused {
+			t.Errorf("a request right after a response has admission %d, want a refusal", admission)
+		}
+		if admission != Unread {
+			drain.End(admission)
+		}
+		<-ended
+	})
+}
--- a/mesh/receiver/connection.go
+++ b/mesh/receiver/connection.go
@@ -188,7 +188,7 @@
 	overlaps := body == nil && !request.Close && connection.config.Overlaps != nil && connection.config.Overlaps(request)
 	exchange := newExchange(connection, request, body, admission)
 	if !connection.enqueue(exchange, pipeliner.EntryConfig{Overlaps: overlaps, Last: request.Close || !request.ProtoAtLeast(1, 1), HeadBytes: size}) {
-		connection.config.Drain.End()
+		connection.config.Drain.End(admission)
 		return nil
 	}
 	return exchange
@@ -203,7 +203,7 @@
 	rejected := newExchange(connection, &http.Request{ProtoMajor: 1, ProtoMinor: 1}, nil, drainer.Admitted)
 	rejected.rejectStatus = status
 	if !connection.enqueue(rejected, pipeliner.EntryConfig{Last: true}) {
-		connection.config.Drain.End()
+		connection.config.Drain.End(rejected.admission)
 	}
 }
 
@@ -299,7 +299,7 @@
 		if cancelled.started {
 			continue
 		}
-		connection.config.Drain.End()
+		connection.config.Drain.End(cancelled.admission)
 		if cancelled.body != nil {
 			cancelled.body.close()
 		}
--- a/mesh/receiver/exchange.go
+++ b/mesh/receiver/exchange.go
@@ -70,7 +70,7 @@
 
 // run calls the handler and sends its response.
 func (exchange *exchange) run() {
-	defer exchange.connection.config.Drain.End()
+	defer exchange.connection.config.Drain.End(exchange.admission)
 	defer exchange.cancel()
 	ctx, release := exchange.connection.config.Drain.Bind(exchange.ctx)
 	defer release()
