--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -60,6 +60,8 @@
 	busyKeys     = 48
 	busyShare    = 0.5
 	busyDistance = 300
+	// things is the number of things that requests are about.
+	things = 60000
 )
 
 // randomKey returns a busy key or any.
@@ -76,7 +78,8 @@
 		fleet.requests.Go(func() {
 			for ctx.Err() == nil {
 				fleet.requests.Go(func() {
-					fleet.send(machine, requestConfig{method: http.MethodGet, host: "keys.example", path: "/keys/1", key: randomKey(), deadline: time.Second})
+					path := fmt.Sprintf("/keys/%d", rand.IntN(things))
+					fleet.send(machine, requestConfig{method: http.MethodGet, host: "keys.example", path: path, key: randomKey(), deadline: time.Second})
 				})
 				time.Sleep(time.Duration(rand.ExpFloat64() / perSecond * float64(time.Second)))
 			}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -22,6 +22,7 @@
 	"changed-path":      playChangedPath,
 	"reset-upload":      playResetUpload,
 	"forgotten-leaving": playForgottenLeaving,
+	"refused-path":      playRefusedPath,
 }
 
 func main() {
