--- a/review/standin/refusedpath.go
+++ b/review/standin/refusedpath.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -58,8 +59,8 @@
 	return wasArmed
 }
 
-// playRefusedPath sends requests with one path, as clients do that issue something. Three times an upstream crashes, twice before and once after all
-// daemons were killed at the same time; with no trouble no upstream crashes.
+// playRefusedPath sends requests with one path, as clients do that issue something. Three times an upstream crashes, twice before and once after a
+// configuration was written and all daemons were killed at the same time; with no trouble no upstream crashes.
 func playRefusedPath(fleet *fleet, hasTrouble bool) error {
 	crasher := &crasher{}
 	for number := range ledgerCount {
@@ -97,6 +98,7 @@
 	crash()
 	time.Sleep(crashSpacing)
 	endBefore()
+	fleet.store.put("op/config", strings.Replace(tagsConfig, `"version":7`, `"version":8`, 1))
 	if err := fleet.killAll(); err != nil {
 		return err
 	}
