--- a/review/standin/refusedpath.go
+++ b/review/standin/refusedpath.go
@@ -20,13 +20,16 @@
 	ledgerCount = 7
 	// crashSpacing is the time from one crash to the next.
 	crashSpacing = 8 * time.Second
+	// crashDownTime is how long an upstream is down after a crash.
+	crashDownTime = 2 * time.Second
 	// closingDownTime is for how long all daemons are down at the end.
 	closingDownTime = 1300 * time.Millisecond
 	// recoveryTime is the bound recoveryS.
 	recoveryTime = 15 * time.Second
 	// minServedShare is the share of the requests that must be served after the recovery.
 	minServedShare = 0.25
-	tagRate        = 12
+	// tagRate is the number of requests per second.
+	tagRate = 12
 )
 
 // tagCounts counts requests and those that were served.
