--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -119,7 +119,7 @@
 	if err != nil {
 		return nil, err
 	}
-	created := &fleet{recorder: recorder, ledger: &keyLedger{}, store: newStore(recorder), binary: binary, folder: folder}
+	created := &fleet{recorder: recorder, ledger: newKeyLedger(), store: newStore(recorder), binary: binary, folder: folder}
 	for range 20 {
 		created.subnet = fmt.Sprintf("127.%d.%d", 16+rand.IntN(200), rand.IntN(250))
 		listener, listenErr := net.Listen("tcp4", fmt.Sprintf("%s.1:%d", created.subnet, storePort))
--- a/review/standin/keys.go
+++ b/review/standin/keys.go
@@ -26,12 +26,33 @@
 type keyLedger struct {
 	mutex  sync.Mutex
 	blocks [keyCount / blockKeys][]*span
+	// working counts the requests at work by key and process.
+	working map[work]int
+	// takenFromWork are the first cases in which a process was given a key on which another one that held it was at work, by the two processes.
+	takenFromWork map[[2]string]takeover
+}
+
+// work is a process at work on a key.
+type work struct {
+	process string
+	key     int
+}
+
+// takeover is a grant of a key on which another process was at work.
+type takeover struct {
+	at  time.Time
+	key int
+}
+
+func newKeyLedger() *keyLedger {
+	return &keyLedger{working: map[work]int{}, takenFromWork: map[[2]string]takeover{}}
 }
 
 // hold records that a process holds the keys from first to last until the given time, from now on.
 func (keyledger *keyLedger) hold(now time.Time, process string, first, last int, fence int64, until time.Time) {
 	keyledger.mutex.Lock()
 	defer keyledger.mutex.Unlock()
+	keyledger.checkWork(now, process, first, last)
 	for block := first / blockKeys; block <= last/blockKeys; block++ {
 		if current := keyledger.current(block, process, now); current != nil {
 			current.to, current.fence = until, max(current.fence, fence)
@@ -41,6 +62,30 @@
 	}
 }
 
+// checkWork records a grant of keys on which another process that holds them is at work; the mutex must be locked.
+func (keyledger *keyLedger) checkWork(now time.Time, process string, first, last int) {
+	for work := range keyledger.working {
+		isOther := work.process != process && first <= work.key && work.key <= last
+		if !isOther || keyledger.current(work.key/blockKeys, process, now) != nil || keyledger.current(work.key/blockKeys, work.process, now) == nil {
+			continue
+		}
+		pair := [2]string{work.process, process}
+		if _, ok := keyledger.takenFromWork[pair]; !ok {
+			keyledger.takenFromWork[pair] = takeover{at: now, key: work.key}
+		}
+	}
+}
+
+// finish records that a request on a key has ended.
+func (keyledger *keyLedger) finish(process string, key int) {
+	keyledger.mutex.Lock()
+	defer keyledger.mutex.Unlock()
+	ended := work{process: process, key: key}
+	if keyledger.working[ended]--; keyledger.working[ended] <= 0 {
+		delete(keyledger.working, ended)
+	}
+}
+
 // release records that a process no longer holds the keys.
 func (keyledger *keyLedger) release(now time.Time, process string, first, last int) {
 	keyledger.mutex.Lock()
@@ -61,6 +106,7 @@
 func (keyledger *keyLedger) begin(now time.Time, process string, key int) {
 	keyledger.mutex.Lock()
 	defer keyledger.mutex.Unlock()
+	keyledger.working[work{process: process, key: key}]++
 	if current := keyledger.current(key/blockKeys, process, now); current != nil {
 		current.begun = append(current.begun, now)
 	}
@@ -93,7 +139,8 @@
 	return count
 }
 
-// check reports every pair of processes that held the same keys for too long, or that both began requests on them meanwhile.
+// check reports every pair of processes that held the same keys for too long, that both began requests on them meanwhile, or of which one was given a
+// key on which the other was at work.
 func (keyledger *keyLedger) check(recorder *recorder) {
 	keyledger.mutex.Lock()
 	defer keyledger.mutex.Unlock()
@@ -130,6 +177,9 @@
 			}
 		}
 	}
+	for pair, taken := range keyledger.takenFromWork {
+		recorder.breaks("OWNER: %s was given key %d at %.3f, while %s held it and was at work on it", pair[1], taken.key, recorder.since(taken.at), pair[0])
+	}
 	for key, found := range findings {
 		recorder.breaks("OWNER: %s and %s held %d keys at the same time from %.3f on, for up to %v; on %d of these both began requests meanwhile",
 			key.first, key.second, found.blocks*blockKeys, recorder.since(found.from), found.longest.Round(time.Millisecond), found.both*blockKeys)
--- a/review/standin/lateregistration.go
+++ b/review/standin/lateregistration.go
@@ -29,7 +29,7 @@
 // first and does it seconds later; with no trouble it answers all.
 func playLateRegistration(fleet *fleet, hasTrouble bool) error {
 	for number := range 12 {
-		fleet.add([]string{"piraeus", "marousi"}[number%2], "status", true)
+		fleet.add([]string{"piraeus", "marousi"}[number%2], "status", true).upstream.workTime = longWorkTime
 	}
 	fleet.store.put("op/config", keysConfig)
 	if err := fleet.start(); err != nil {
--- a/review/standin/upstream.go
+++ b/review/standin/upstream.go
@@ -151,6 +151,7 @@
 	process.upstream.recorder.log("upstream %s: runs %s %s %s %q", process.id, id, request.Method, request.RequestURI, body)
 	if key >= 0 {
 		process.upstream.ledger.begin(time.Now(), process.id, key)
+		defer process.upstream.ledger.finish(process.id, key)
 	}
 	if process.upstream.onRun != nil && process.upstream.onRun(process, request) {
 		process.upstream.crash()
