Keep a late write of a registration from replacing a newer one

Cause: the registration was written without a condition. The late write said that the daemon had no backend server; planners took that for the proof that the running process had ended and moved its keys without waiting for their release. The daemon noticed only when it next read its entry.

Change: every write names the revisions that it depends on. A registration depends on the entry that it replaces and is written again after a write without an answer. An allotment depends on the registrations that prove former owners to have ended. A conflict names the current entries through another daemon too. During a rolling update, calls to the store through a daemon of another release are refused as not carried out, and the next daemon is tried.

--- a/mesh/coordinator/coordinator.go
+++ b/mesh/coordinator/coordinator.go
@@ -78,7 +78,8 @@
 	// nextShedAt is when the daemon next considers to move keys for load, and shedRevision the revision of the allotment to which it applies.
 	nextShedAt   time.Time
 	shedRevision uint64
-	writing      bool
+	// inFlight is the kind of the write in progress, zero for none.
+	inFlight writeKind
 	// conflicts counts the consecutive writes that conflicted with another daemon's.
 	conflicts int
 	// failedWrites counts the consecutive writes that the store did not answer.
--- a/mesh/coordinator/gate_test.go
+++ b/mesh/coordinator/gate_test.go
@@ -32,7 +32,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	coordinator := New(start, Config{
-		Self:  lagoonlanding.NewBackend(lagoonlanding.BackendConfig{ID: lagoonlanding.NewBackendID("d", "", 0), Service: "s"}),
+		Self:  lagoonlanding.NewBackend(lagoonlanding.BackendConfig{ID: lagoonlanding.NewBackendID("d", "", 0), PeerAddress: "d:1", Service: "s"}),
 		Fleet: registrar.NewFleet(registrar.Config{}), Assigner: assigner.New(assigner.Config{Daemon: "d"}), Gate: gate,
 		DrainTerm: 2 * time.Second, EvacuateTerm: 1500 * time.Millisecond, Log: logrus.NewEntry(log),
 	})
--- a/mesh/coordinator/ownership_test.go
+++ b/mesh/coordinator/ownership_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -69,6 +70,36 @@
 	}
 }
 
+// commit carries out a transaction if its preconditions hold and its leases exist.
+func (store *simStore) commit(transaction lagoonlanding.Transaction) (uint64, error) {
+	var current []lagoonlanding.Entry
+	isExpected := true
+	for _, precondition := range transaction.Preconditions() {
+		entry, exists := store.entries[precondition.Key()]
+		isExpected = isExpected && entry.Revision() == precondition.Revision()
+		if exists {
+			current = append(current, entry)
+		}
+	}
+	if !isExpected {
+		return 0, lagoonlanding.NewConflictError(current)
+	}
+	for _, put := range transaction.Puts() {
+		if _, ok := store.expiries[put.Lease()]; put.Lease() != 0 && !ok {
+			return 0, lagoonlanding.ErrLeaseEnded
+		}
+	}
+	// The zone entries of registrations are left out: no daemon of the simulation reads them.
+	put := transaction.Puts()[0]
+	return store.put(put.Key(), put.Value(), put.Lease()), nil
+}
+
+// simLateWrite is a write without an answer that the store carries out later.
+type simLateWrite struct {
+	at          time.Time
+	transaction lagoonlanding.Transaction
+}
+
 // simOwnership is the ownership of a stripe by a backend server.
 type simOwnership struct {
 	token uint64
@@ -124,8 +155,10 @@
 	store   *simStore
 	daemons []*simDaemon
 	tokens  map[int]simToken
-	// conditionalWrites counts the allotments that were written.
-	conditionalWrites int
+	// late are the writes that the store has not carried out yet.
+	late []simLateWrite
+	// allotmentWrites counts the allotments that were written.
+	allotmentWrites int
 }
 
 type simToken struct {
@@ -268,7 +301,7 @@
 	}
 }
 
-// write carries out the daemon's next write; the answer to one in ten is lost.
+// write carries out the daemon's next write; the answer to one in ten is lost, and half of those writes are carried out seconds later.
 func (sim *sim) write(daemon *simDaemon) {
 	write, _, ok := daemon.coordinator.NextWrite(sim.now)
 	if !ok {
@@ -278,31 +311,31 @@
 		daemon.coordinator.WriteDone(sim.now, write, 0, lagoonlanding.ErrUnavailable)
 		return
 	}
-	put := write.Put()
-	if put.Lease() != 0 {
-		if _, ok := sim.store.expiries[put.Lease()]; !ok {
-			daemon.coordinator.WriteDone(sim.now, write, 0, lagoonlanding.ErrLeaseEnded)
-			return
-		}
-	}
-	if write.IsConditional() {
-		isExpected := sim.store.entries[put.Key()].Revision() == write.Expected()
-		for _, key := range write.Absent() {
-			_, exists := sim.store.entries[key]
-			isExpected = isExpected && !exists
-		}
-		if !isExpected {
-			daemon.coordinator.WriteDone(sim.now, write, 0, lagoonlanding.NewConflictError([]lagoonlanding.Entry{sim.store.entries[put.Key()]}))
-			return
-		}
-		sim.conditionalWrites++
-	}
-	revision := sim.store.put(put.Key(), put.Value(), put.Lease())
-	if sim.random.Float64() < 0.1 {
+	outcome := sim.random.Float64()
+	if outcome < 0.05 {
+		sim.late = append(sim.late, simLateWrite{at: sim.now.Add(time.Duration(1000+sim.random.IntN(5000)) * time.Millisecond), transaction: write.Transaction()})
 		daemon.coordinator.WriteDone(sim.now, write, 0, lagoonlanding.ErrUnknown)
 		return
 	}
-	daemon.coordinator.WriteDone(sim.now, write, revision, nil)
+	revision, err := sim.store.commit(write.Transaction())
+	if err == nil && outcome < 0.1 {
+		revision, err = 0, lagoonlanding.ErrUnknown
+	}
+	if err == nil && strings.HasPrefix(write.Transaction().Puts()[0].Key(), allotmentPrefix) {
+		sim.allotmentWrites++
+	}
+	daemon.coordinator.WriteDone(sim.now, write, revision, err)
+}
+
+// commitLate carries out the writes without an answer that are due, as far as their preconditions still hold.
+func (sim *sim) commitLate() {
+	sim.late = slices.DeleteFunc(sim.late, func(late simLateWrite) bool {
+		if sim.now.Before(late.at) {
+			return false
+		}
+		_, _ = sim.store.commit(late.transaction) // Nobody receives the answer.
+		return true
+	})
 }
 
 // heartbeat sends the announcement of the backend server and applies the assignment; one answer in twenty is lost.
@@ -458,6 +491,7 @@
 	sim.now = sim.now.Add(simStep)
 	if !sim.store.down {
 		sim.store.expireLeases(sim.now)
+		sim.commitLate()
 	}
 	for _, daemon := range sim.daemons {
 		sim.stepDaemon(daemon)
@@ -520,7 +554,7 @@
 			t.Parallel()
 			sim := newSim(t, seed)
 			sim.run()
-			if sim.conditionalWrites == 0 {
+			if sim.allotmentWrites == 0 {
 				t.Error("no allotment was written")
 			}
 		})
--- a/mesh/coordinator/absences_test.go
+++ b/mesh/coordinator/proofs_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -23,27 +24,43 @@
 		}
 	}
 	late := start.Add(9 * time.Second)
-	absences := newAbsences(fleet)
-	if absences.isExpired(late, ids[0]) {
+	proofs := newProofs(fleet)
+	if proofs.isExpired(late, ids[0]) {
 		t.Error("a registered process is expired")
 	}
-	if !absences.isExpired(late, lagoonlanding.NewBackendID("d0", "earlier", 0)) || len(absences.keys) != 0 {
-		t.Error("a process that was replaced on the same daemon is not expired, or requires an absence")
+	if !proofs.isExpired(late, lagoonlanding.NewBackendID("d0", "earlier", 0)) || len(proofs.preconditions) != 0 {
+		t.Error("a process that was replaced by a later one is not expired, or requires a registration")
 	}
 	expired := 0
 	for _, id := range ids[1:] {
-		if absences.isExpired(late, id) {
+		if proofs.isExpired(late, id) {
 			expired++
 		}
 	}
-	if expired != maxAbsences || len(absences.keys) != maxAbsences || absences.keys[0] != daemonPrefix+"d1" {
-		t.Errorf("%d processes expired with absences %v", expired, absences.keys)
+	if expired != maxProofs || len(proofs.preconditions) != maxProofs || proofs.preconditions[0] != lagoonlanding.NewPrecondition(daemonPrefix+"d1", 0) {
+		t.Errorf("%d processes expired with preconditions %v", expired, proofs.preconditions)
 	}
-	if !absences.isExpired(late, ids[1]) || len(absences.keys) != maxAbsences {
+	if !proofs.isExpired(late, ids[1]) || len(proofs.preconditions) != maxProofs {
 		t.Error("an absence was recorded twice")
 	}
 }
 
+// TestKeysOfALivingServerDoNotMoveOnAnOutdatedRegistration guards against two owners of a key: a planner that knows an older registration than
+// the allotment takes the newer process for ended, so the store must check the registration together with the write.
+func TestKeysOfALivingServerDoNotMoveOnAnOutdatedRegistration(t *testing.T) {
+	for name, registered := range map[string]lagoonlanding.BackendID{
+		"without a backend server": lagoonlanding.NewBackendID("d", "", 0), "with an earlier process": lagoonlanding.NewBackendID("d", "s", 1),
+	} {
+		fleet := registrar.NewFleet(registrar.Config{})
+		fleet.Register(lagoonlanding.NewBackend(lagoonlanding.BackendConfig{ID: registered}), 7)
+		proofs := newProofs(fleet)
+		if proofs.isExpired(time.Unix(1000, 0), lagoonlanding.NewBackendID("d", "s", 2)) &&
+			!slices.Equal(proofs.preconditions, []lagoonlanding.Precondition{lagoonlanding.NewPrecondition(daemonPrefix+"d", 7)}) {
+			t.Errorf("%s: the write depends on %v", name, proofs.preconditions)
+		}
+	}
+}
+
 func TestFirstDaemonOfAZoneWatchesTheStore(t *testing.T) {
 	at := func(name, zone, region string) lagoonlanding.Backend {
 		return lagoonlanding.NewBackend(lagoonlanding.BackendConfig{ID: lagoonlanding.NewBackendID(name, "", 0), AvailabilityZone: zone, Region: region})
--- a/mesh/coordinator/write.go
+++ b/mesh/coordinator/write.go
@@ -41,36 +41,30 @@
 	put  lagoonlanding.Put
 	// zonePut is the zone entry by which starting daemons discover this one; it is written with the registration.
 	zonePut lagoonlanding.Put
-	// absent are the keys of registrations that must not exist for an allotment to be valid.
-	absent   []string
+	// proofs are the registrations that an allotment depends on.
+	proofs []lagoonlanding.Precondition
+	// expected is the revision that the main entry must have.
 	expected uint64
 	backend  lagoonlanding.Backend
 	sent     time.Time
 }
 
-// Put returns the main entry to write.
-func (write Write) Put() lagoonlanding.Put { return write.put }
-
-// Puts returns all entries to write in one transaction.
-func (write Write) Puts() []lagoonlanding.Put {
+// Transaction returns the write with what it depends on.
+func (write Write) Transaction() lagoonlanding.Transaction {
+	config := lagoonlanding.TransactionConfig{Puts: []lagoonlanding.Put{write.put}}
 	if write.kind == registrationKind {
-		return []lagoonlanding.Put{write.put, write.zonePut}
+		config.Puts = append(config.Puts, write.zonePut)
+	}
+	if write.kind != suspectsKind {
+		config.Preconditions = append(config.Preconditions, lagoonlanding.NewPrecondition(write.put.Key(), write.expected))
 	}
-	return []lagoonlanding.Put{write.put}
+	config.Preconditions = append(config.Preconditions, write.proofs...)
+	return lagoonlanding.NewTransaction(config)
 }
 
-// Absent returns the keys that must not exist for a conditional write to succeed.
-func (write Write) Absent() []string { return write.absent }
-
-// IsConditional reports whether the write requires an expected revision.
-func (write Write) IsConditional() bool { return write.kind == allotmentKind }
-
-// Expected returns the revision that the entry must have for a conditional write to succeed.
-func (write Write) Expected() uint64 { return write.expected }
-
 // NextWrite returns the write that is due, or when to call again; the zero time means after the next change.
 func (coordinator *Coordinator) NextWrite(now time.Time) (Write, time.Time, bool) {
-	if coordinator.writing {
+	if coordinator.inFlight != 0 {
 		return Write{}, time.Time{}, false
 	}
 	if now.Before(coordinator.nextWriteAt) {
@@ -78,11 +72,11 @@
 	}
 	coordinator.config.Fleet.RemoveExpired(now)
 	if write, ok := coordinator.registrationWrite(now); ok {
-		coordinator.writing = true
+		coordinator.inFlight = write.kind
 		return write, time.Time{}, true
 	}
 	if write, ok := coordinator.suspectWrite(now); ok {
-		coordinator.writing = true
+		coordinator.inFlight = write.kind
 		return write, time.Time{}, true
 	}
 	if !coordinator.session.IsRegistered() || coordinator.routing == nil || coordinator.viewRevision == 0 {
@@ -95,7 +89,7 @@
 		}
 		write, at, ok := coordinator.allotmentWrite(now, policy.Name())
 		if ok {
-			coordinator.writing = true
+			coordinator.inFlight = write.kind
 			return write, time.Time{}, true
 		}
 		next = earlier(next, at)
@@ -124,7 +118,8 @@
 	lease, self := coordinator.session.Lease(), coordinator.config.Self
 	zonePut := lagoonlanding.NewPut(ZonePrefix(self.AvailabilityZone())+self.ID().Daemon(), []byte(self.PeerAddress()), lease)
 	return Write{
-		kind: registrationKind, put: lagoonlanding.NewPut(coordinator.RegistrationKey(), value, lease), zonePut: zonePut, backend: backend, sent: now,
+		kind: registrationKind, put: lagoonlanding.NewPut(coordinator.RegistrationKey(), value, lease), zonePut: zonePut,
+		expected: coordinator.session.Stored(), backend: backend, sent: now,
 	}, true
 }
 
@@ -151,10 +146,10 @@
 		delete(coordinator.planNeededSince, service)
 		return Write{}, time.Time{}, false
 	}
-	absences := newAbsences(coordinator.config.Fleet)
+	proofs := newProofs(coordinator.config.Fleet)
 	next, ok := known.allotment.Plan(allocator.PlanConfig{
 		Backends:  coordinator.eligibleBackends(now, service),
-		IsExpired: func(id lagoonlanding.BackendID) bool { return absences.isExpired(now, id) },
+		IsExpired: func(id lagoonlanding.BackendID) bool { return proofs.isExpired(now, id) },
 	})
 	if !ok {
 		delete(coordinator.planNeededSince, service)
@@ -174,7 +169,7 @@
 	if now.Before(due) {
 		return Write{}, due, false
 	}
-	return coordinator.conditionalWrite(now, next, known.revision, absences.keys)
+	return coordinator.conditionalWrite(now, next, known.revision, proofs.preconditions)
 }
 
 // inherit returns the allotment in which a restarted backend server keeps the keys of its previous process, as nobody else owns them.
@@ -202,9 +197,9 @@
 	})
 }
 
-// conditionalWrite returns the write that replaces an allotment, if it still has the given revision and the given registrations are absent.
+// conditionalWrite returns the write that replaces an allotment, if it still has the given revision and so have the given registrations.
 func (coordinator *Coordinator) conditionalWrite(
-	now time.Time, next *allocator.Allotment, revision uint64, absent []string,
+	now time.Time, next *allocator.Allotment, revision uint64, proofs []lagoonlanding.Precondition,
 ) (Write, time.Time, bool) {
 	value, err := allocator.Codec{}.Encode(next)
 	if err != nil {
@@ -212,7 +207,7 @@
 		return Write{}, time.Time{}, false
 	}
 	return Write{
-		kind: allotmentKind, put: lagoonlanding.NewPut(allotmentPrefix+next.Service(), value, 0), expected: revision, absent: absent, sent: now,
+		kind: allotmentKind, put: lagoonlanding.NewPut(allotmentPrefix+next.Service(), value, 0), expected: revision, proofs: proofs, sent: now,
 	}, time.Time{}, true
 }
 
@@ -238,7 +233,7 @@
 
 // WriteDone records the result of a write.
 func (coordinator *Coordinator) WriteDone(now time.Time, write Write, revision uint64, err error) {
-	coordinator.writing = false
+	coordinator.inFlight = 0
 	if err == nil {
 		coordinator.failedWrites = 0
 	}
@@ -258,6 +253,8 @@
 		log.WithField("revision", revision).Info("Allotment written.")
 	case errors.Is(err, lagoonlanding.ErrLeaseEnded):
 		coordinator.session.End()
+	case write.kind == registrationKind:
+		coordinator.registrationFailed(now, write, err)
 	case coordinator.applyConflict(write, err):
 		coordinator.conflicts++
 		delay := conflictDelay(coordinator.conflicts, coordinator.awaitedOwners(write.put.Key()), coordinator.conflictHash(write.put.Key()))
@@ -271,6 +268,27 @@
 	}
 }
 
+// registrationFailed records that a write of the registration failed, after which the registration is written again in any case.
+//
+// The store may carry out a write without an answer seconds later. The next one depends on the same revision of the entry, so only one of them
+// can succeed, and once this daemon knows of a success no earlier write can follow.
+func (coordinator *Coordinator) registrationFailed(now time.Time, write Write, err error) {
+	coordinator.writtenRegistration = lagoonlanding.Backend{}
+	log := coordinator.config.Log.WithField("key", write.put.Key()).WithField("expected", write.expected)
+	var conflict *lagoonlanding.ConflictError
+	if !errors.As(err, &conflict) {
+		coordinator.nextWriteAt = now.Add(coordinator.retryDelay(err))
+		log.WithError(err).Warn("Write of the registration failed. Retrying after a delay.")
+		return
+	}
+	current, _ := conflict.Current(write.put.Key())
+	coordinator.session.Observe(current.Revision())
+	if current.Revision() == write.expected {
+		coordinator.nextWriteAt = now.Add(minRetryDelay)
+	}
+	log.WithField("current", current.Revision()).Info("Registration has another revision than expected. Writing it on top of that one.")
+}
+
 // applyConflict applies the allotment that the store held instead of the one that a write expected; it returns false if the error does not
 // contain a newer one.
 func (coordinator *Coordinator) applyConflict(write Write, err error) bool {
--- a/mesh/registrar/fleet.go
+++ b/mesh/registrar/fleet.go
@@ -90,10 +90,19 @@
 	return now.After(fleet.AssignmentsExpireAt(since))
 }
 
-// IsRegistered reports whether the daemon is registered.
-func (fleet *Fleet) IsRegistered(name string) bool {
+// IsOutlived reports whether the daemon has registered a later process, which stays true whatever it registers next.
+func (fleet *Fleet) IsOutlived(id lagoonlanding.BackendID) bool {
+	known, ok := fleet.daemons[id.Daemon()]
+	return ok && known.backend.ID().StartedMilli() > id.StartedMilli()
+}
+
+// Revision returns the revision of the daemon's registration in the store, zero if it is not registered.
+func (fleet *Fleet) Revision(name string) uint64 {
 	known, ok := fleet.daemons[name]
-	return ok && known.unregisteredAt.IsZero()
+	if !ok || !known.unregisteredAt.IsZero() {
+		return 0
+	}
+	return known.revision
 }
 
 // AssignmentsExpireAt returns when all assignments made until the given time have expired.
--- a/mesh/registrar/session.go
+++ b/mesh/registrar/session.go
@@ -12,7 +12,9 @@
 type Session struct {
 	lease lagoonlanding.LeaseID
 	// revision is the store revision of the daemon's entry; zero while there is none.
-	revision   uint64
+	revision uint64
+	// stored is the revision that the entry was last seen to have in the store, zero for none; the next write of the entry depends on it.
+	stored     uint64
 	verified   bool
 	verifiedAt time.Time
 }
@@ -32,7 +34,15 @@
 // Revision returns the store revision of the entry, zero while there is none.
 func (session *Session) Revision() uint64 { return session.revision }
 
-// Unregister records that the entry was removed, though the lease may still exist.
+// Stored returns the revision that the entry was last seen to have in the store, zero for none. It may be outdated: a write that depends on it
+// then fails and shows the current one.
+func (session *Session) Stored() uint64 { return session.stored }
+
+// Observe records the revision of the entry in the store, zero for none, which may have been written by an earlier process of the daemon or
+// be an earlier write of this one.
+func (session *Session) Observe(revision uint64) { session.stored = revision }
+
+// Unregister records that the entry was removed or replaced, though the lease may still exist.
 func (session *Session) Unregister() { session.revision, session.verified = 0, false }
 
 // Begin records a new lease, under which nothing is registered yet.
@@ -41,7 +51,9 @@
 }
 
 // Register records the revision at which the entry was written.
-func (session *Session) Register(revision uint64) { session.revision = revision }
+func (session *Session) Register(revision uint64) {
+	session.revision, session.stored = revision, revision
+}
 
 // Renewed records that a renewal sent at the given time succeeded.
 func (session *Session) Renewed(sent time.Time) {
@@ -54,7 +66,7 @@
 func (session *Session) SetUnverified() { session.verified = false }
 
 // End records that the lease has ended, and the entry with it.
-func (session *Session) End() { session.lease, session.revision, session.verified = 0, 0, false }
+func (session *Session) End() { *session = Session{verifiedAt: session.verifiedAt} }
 
 // Verify records the revision of the daemon's entry, zero for none, from a read that was sent at the given time.
 func (session *Session) Verify(sent time.Time, revision uint64) {
@@ -62,7 +74,8 @@
 		return
 	}
 	if revision != session.revision {
-		session.revision, session.verified = 0, false
+		session.Observe(revision)
+		session.Unregister()
 		return
 	}
 	session.verified = true
--- a/mesh/syncer/outage_test.go
+++ b/mesh/syncer/outage_test.go
@@ -92,11 +92,8 @@
 func (store *countingStore) Get(context.Context, string) (lagoonlanding.Entry, error) {
 	return lagoonlanding.Entry{}, store.call("get")
 }
-func (store *countingStore) Put(context.Context, ...lagoonlanding.Put) (uint64, error) {
-	return 1, store.call("put")
-}
-func (store *countingStore) PutIf(context.Context, lagoonlanding.Put, uint64, ...string) (uint64, error) {
-	return 1, store.call("put-if")
+func (store *countingStore) Commit(context.Context, lagoonlanding.Transaction) (uint64, error) {
+	return 1, store.call("commit")
 }
 func (store *countingStore) Grant(context.Context, time.Duration) (lagoonlanding.LeaseID, error) {
 	return 7, store.call("grant")
--- a/mesh/syncer/proxy.go
+++ b/mesh/syncer/proxy.go
@@ -75,8 +75,8 @@
 
 // call makes a call to the store directly, or through other daemons if the store does not answer; isDirect tells which.
 //
-// A call without an answer may take effect later. All calls can safely be repeated: a write either depends on the previous revision or
-// only affects the daemon's own entries.
+// A call without an answer may take effect later. All calls can safely be repeated: a write depends on the revision of the entry that it
+// replaces, so a late one fails after a newer one.
 func call[T any](ctx context.Context, syncer *Syncer, ask func(context.Context, lagoonlanding.LeaseStore) (T, error)) (answer T, isDirect bool, err error) {
 	now := syncer.config.Clock.Now()
 	if !syncer.proxyState.isActive(now) {
--- a/mesh/syncer/proxystore.go
+++ b/mesh/syncer/proxystore.go
@@ -34,17 +34,10 @@
 	})
 }
 
-// Put writes entries atomically.
-func (proxystore proxyStore) Put(ctx context.Context, puts ...lagoonlanding.Put) (uint64, error) {
+// Commit carries out a transaction.
+func (proxystore proxyStore) Commit(ctx context.Context, transaction lagoonlanding.Transaction) (uint64, error) {
 	return proxyCall(ctx, proxystore, func(ctx context.Context, store lagoonlanding.LeaseStore) (uint64, error) {
-		return store.Put(ctx, puts...)
-	})
-}
-
-// PutIf writes an entry if it has the expected revision and the given keys are absent.
-func (proxystore proxyStore) PutIf(ctx context.Context, put lagoonlanding.Put, expected uint64, absent ...string) (uint64, error) {
-	return proxyCall(ctx, proxystore, func(ctx context.Context, store lagoonlanding.LeaseStore) (uint64, error) {
-		return store.PutIf(ctx, put, expected, absent...)
+		return store.Commit(ctx, transaction)
 	})
 }
 
--- a/mesh/syncer/syncer.go
+++ b/mesh/syncer/syncer.go
@@ -246,10 +246,7 @@
 // send makes one write and passes its result to the control thread.
 func (syncer *Syncer) send(ctx context.Context, write coordinator.Write) {
 	revision, _, err := call(ctx, syncer, func(ctx context.Context, store lagoonlanding.LeaseStore) (uint64, error) {
-		if write.IsConditional() {
-			return store.PutIf(ctx, write.Put(), write.Expected(), write.Absent()...)
-		}
-		return store.Put(ctx, write.Puts()...)
+		return store.Commit(ctx, write.Transaction())
 	})
 	syncer.do(func(state *coordinator.Coordinator, now time.Time) { state.WriteDone(now, write, revision, err) })
 }
--- a/mesh/syncer/view_test.go
+++ b/mesh/syncer/view_test.go
@@ -66,10 +66,7 @@
 	}
 	return lagoonlanding.Listing{}, nil
 }
-func (store *fakeStore) Put(context.Context, ...lagoonlanding.Put) (uint64, error) {
-	return 0, lagoonlanding.ErrUnavailable
-}
-func (store *fakeStore) PutIf(context.Context, lagoonlanding.Put, uint64, ...string) (uint64, error) {
+func (store *fakeStore) Commit(context.Context, lagoonlanding.Transaction) (uint64, error) {
 	return 0, lagoonlanding.ErrUnavailable
 }
 func (store *fakeStore) Grant(context.Context, time.Duration) (lagoonlanding.LeaseID, error) {
--- a/mesh/transmitter/store.go
+++ b/mesh/transmitter/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"time"
@@ -15,8 +16,7 @@
 // The store calls that a daemon executes for another.
 const (
 	callGet       = "get"
-	callPut       = "put"
-	callPutIf     = "put-if"
+	callCommit    = "commit"
 	callGrant     = "grant"
 	callKeepAlive = "keep"
 )
@@ -26,11 +26,9 @@
 	Call string `json:"call"`
 	// Key is the key to read.
 	Key string `json:"key,omitempty"`
-	// Puts are the entries to write; a conditional put has exactly one.
-	Puts []storePut `json:"puts,omitempty"`
-	// Expected is the revision that the entry of a conditional put must have, and Absent lists keys that must not exist.
-	Expected uint64   `json:"expected,omitempty"`
-	Absent   []string `json:"absent,omitempty"`
+	// Puts are the entries to write, and Preconditions what the write depends on.
+	Puts          []storePut          `json:"puts,omitempty"`
+	Preconditions []storePrecondition `json:"preconditions,omitempty"`
 	// Lease is the lease to renew, and TermMS the duration of a lease to grant.
 	Lease  lagoonlanding.LeaseID `json:"lease,omitempty"`
 	TermMS int64                 `json:"term-ms,omitempty"`
@@ -43,12 +41,26 @@
 	Lease lagoonlanding.LeaseID `json:"lease,omitempty"`
 }
 
+// storePrecondition is a revision that an entry must have, zero for a key that must not exist.
+type storePrecondition struct {
+	Key      string `json:"key"`
+	Revision uint64 `json:"revision,omitempty"`
+}
+
+// storeEntry is one entry as the store holds it.
+type storeEntry struct {
+	Key      string `json:"key,omitempty"`
+	Value    []byte `json:"value,omitempty"`
+	Revision uint64 `json:"revision,omitempty"`
+}
+
 // storeResponse is the result of a store call.
 type storeResponse struct {
-	Key      string                `json:"key,omitempty"`
-	Value    []byte                `json:"value,omitempty"`
-	Revision uint64                `json:"revision,omitempty"`
-	Lease    lagoonlanding.LeaseID `json:"lease,omitempty"`
+	storeEntry
+	Lease lagoonlanding.LeaseID `json:"lease,omitempty"`
+	// IsConflict means that a precondition did not hold, and Current lists the entries that the store holds instead.
+	IsConflict bool         `json:"conflict,omitempty"`
+	Current    []storeEntry `json:"current,omitempty"`
 }
 
 // peerStore calls the store through one daemon.
@@ -68,18 +80,29 @@
 	return lagoonlanding.NewEntry(response.Key, response.Value, response.Revision), err
 }
 
-// Put writes entries atomically.
-func (peerstore *peerStore) Put(ctx context.Context, puts ...lagoonlanding.Put) (uint64, error) {
-	response, err := peerstore.call(ctx, storeRequest{Call: callPut, Puts: encodePuts(puts)})
+// Commit carries out a transaction.
+func (peerstore *peerStore) Commit(ctx context.Context, transaction lagoonlanding.Transaction) (uint64, error) {
+	query := storeRequest{Call: callCommit}
+	for _, put := range transaction.Puts() {
+		query.Puts = append(query.Puts, storePut{Key: put.Key(), Value: put.Value(), Lease: put.Lease()})
+	}
+	for _, precondition := range transaction.Preconditions() {
+		query.Preconditions = append(query.Preconditions, storePrecondition{Key: precondition.Key(), Revision: precondition.Revision()})
+	}
+	response, err := peerstore.call(ctx, query)
+	if err == nil && response.IsConflict {
+		return 0, response.conflict()
+	}
 	return response.Revision, err
 }
 
-// PutIf writes an entry if it has the expected revision and none of the absent keys exists.
-func (peerstore *peerStore) PutIf(ctx context.Context, put lagoonlanding.Put, expected uint64, absent ...string) (uint64, error) {
-	response, err := peerstore.call(ctx, storeRequest{
-		Call: callPutIf, Puts: encodePuts([]lagoonlanding.Put{put}), Expected: expected, Absent: absent,
-	})
-	return response.Revision, err
+// conflict returns the error of a transaction that was not carried out.
+func (storeresponse storeResponse) conflict() error {
+	var current []lagoonlanding.Entry
+	for _, entry := range storeresponse.Current {
+		current = append(current, lagoonlanding.NewEntry(entry.Key, entry.Value, entry.Revision))
+	}
+	return lagoonlanding.NewConflictError(current)
 }
 
 // Grant creates a lease.
@@ -94,14 +117,6 @@
 	return err
 }
 
-func encodePuts(puts []lagoonlanding.Put) []storePut {
-	var encoded []storePut
-	for _, put := range puts {
-		encoded = append(encoded, storePut{Key: put.Key(), Value: put.Value(), Lease: put.Lease()})
-	}
-	return encoded
-}
-
 // serveStore executes a store call for another daemon.
 func (server *Server) serveStore(writer http.ResponseWriter, request *http.Request) {
 	query, ok := decodeRequest[storeRequest](writer, request)
@@ -113,25 +128,43 @@
 }
 
 func execute(ctx context.Context, store lagoonlanding.LeaseStore, query storeRequest) (response storeResponse, err error) {
-	var puts []lagoonlanding.Put
-	for _, put := range query.Puts {
-		puts = append(puts, lagoonlanding.NewPut(put.Key, put.Value, put.Lease))
-	}
-	switch {
-	case query.Call == callGet:
+	switch query.Call {
+	case callGet:
 		var entry lagoonlanding.Entry
 		entry, err = store.Get(ctx, query.Key)
 		response.Key, response.Value, response.Revision = entry.Key(), entry.Value(), entry.Revision()
-	case query.Call == callPut:
-		response.Revision, err = store.Put(ctx, puts...)
-	case query.Call == callPutIf && len(puts) == 1:
-		response.Revision, err = store.PutIf(ctx, puts[0], query.Expected, query.Absent...)
-	case query.Call == callGrant:
+	case callCommit:
+		return commit(ctx, store, query)
+	case callGrant:
 		response.Lease, err = store.Grant(ctx, time.Duration(query.TermMS)*time.Millisecond)
-	case query.Call == callKeepAlive:
+	case callKeepAlive:
 		err = store.KeepAlive(ctx, query.Lease)
 	default:
 		err = fmt.Errorf("%w: unknown call %q", lagoonlanding.ErrUnavailable, query.Call)
 	}
 	return response, err
 }
+
+// commit carries out a transaction for another daemon; a conflict is a response with the current entries, on which that daemon builds its next
+// write.
+func commit(ctx context.Context, store lagoonlanding.LeaseStore, query storeRequest) (storeResponse, error) {
+	var config lagoonlanding.TransactionConfig
+	for _, put := range query.Puts {
+		config.Puts = append(config.Puts, lagoonlanding.NewPut(put.Key, put.Value, put.Lease))
+	}
+	for _, precondition := range query.Preconditions {
+		config.Preconditions = append(config.Preconditions, lagoonlanding.NewPrecondition(precondition.Key, precondition.Revision))
+	}
+	var response storeResponse
+	var err error
+	response.Revision, err = store.Commit(ctx, lagoonlanding.NewTransaction(config))
+	var conflict *lagoonlanding.ConflictError
+	if !errors.As(err, &conflict) {
+		return response, err
+	}
+	response.IsConflict = true
+	for _, entry := range conflict.Entries() {
+		response.Current = append(response.Current, storeEntry{Key: entry.Key(), Value: entry.Value(), Revision: entry.Revision()})
+	}
+	return response, nil
+}
--- a/mesh/transmitter/store_test.go
+++ b/mesh/transmitter/store_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http/httptest"
 	"strings"
@@ -32,18 +33,17 @@
 	return lagoonlanding.NewEntry(key, []byte("value"), 12), recordingstore.record("get", key)
 }
 
-func (recordingstore *recordingStore) Put(_ context.Context, puts ...lagoonlanding.Put) (uint64, error) {
-	parts := []string{"put"}
-	for _, put := range puts {
-		parts = append(parts, put.Key(), string(put.Value()))
+func (recordingstore *recordingStore) Commit(_ context.Context, transaction lagoonlanding.Transaction) (uint64, error) {
+	parts := []string{"commit"}
+	for _, put := range transaction.Puts() {
+		parts = append(parts, fmt.Sprint(put.Key(), "=", string(put.Value()), " lease ", put.Lease()))
+	}
+	for _, precondition := range transaction.Preconditions() {
+		parts = append(parts, fmt.Sprint("if ", precondition.Key(), " at ", precondition.Revision()))
 	}
 	return 13, recordingstore.record(parts...)
 }
 
-func (recordingstore *recordingStore) PutIf(_ context.Context, put lagoonlanding.Put, expected uint64, absent ...string) (uint64, error) {
-	return expected + 1, recordingstore.record(append([]string{"put-if", put.Key(), string(put.Value())}, absent...)...)
-}
-
 func (recordingstore *recordingStore) Grant(_ context.Context, term time.Duration) (lagoonlanding.LeaseID, error) {
 	return 7, recordingstore.record("grant", term.String())
 }
@@ -69,10 +69,11 @@
 	if err != nil || entry.Key() != "a/b" || string(entry.Value()) != "value" || entry.Revision() != 12 {
 		t.Errorf("got %v, %v", entry, err)
 	}
-	if revision, err := peer.Put(t.Context(), lagoonlanding.NewPut("k1", []byte("v1"), 3), lagoonlanding.NewPut("k2", []byte("v2"), 3)); revision != 13 || err != nil {
-		t.Errorf("got %d, %v", revision, err)
-	}
-	if revision, err := peer.PutIf(t.Context(), lagoonlanding.NewPut("k", []byte("v"), 0), 5, "x", "y"); revision != 6 || err != nil {
+	transaction := lagoonlanding.NewTransaction(lagoonlanding.TransactionConfig{
+		Puts:          []lagoonlanding.Put{lagoonlanding.NewPut("k1", []byte("v1"), 3), lagoonlanding.NewPut("k2", []byte("v2"), 0)},
+		Preconditions: []lagoonlanding.Precondition{lagoonlanding.NewPrecondition("k1", 5), lagoonlanding.NewPrecondition("x", 0)},
+	})
+	if revision, err := peer.Commit(t.Context(), transaction); revision != 13 || err != nil {
 		t.Errorf("got %d, %v", revision, err)
 	}
 	if lease, err := peer.Grant(t.Context(), 3*time.Second); lease != 7 || err != nil {
@@ -81,7 +82,7 @@
 	if err := peer.KeepAlive(t.Context(), 9); err != nil {
 		t.Error(err)
 	}
-	want := []string{"get a/b", "put k1 v1 k2 v2", "put-if k v x y", "grant 3s", "keep 9ns"}
+	want := []string{"get a/b", "commit k1=v1 lease 3 k2=v2 lease 0 if k1 at 5 if x at 0", "grant 3s", "keep 9ns"}
 	if diff := cmp.Diff(want, store.calls); diff != "" {
 		t.Error(diff)
 	}
@@ -103,6 +104,20 @@
 	}
 }
 
+// TestConflictThroughADaemonNamesTheCurrentEntries covers a write that could not be repeated on top of the newer one for lack of its revision.
+func TestConflictThroughADaemonNamesTheCurrentEntries(t *testing.T) {
+	current := []lagoonlanding.Entry{lagoonlanding.NewEntry("k", []byte("newer"), 8)}
+	peer := newPeer(t, &recordingStore{err: lagoonlanding.NewConflictError(current)})
+	_, err := peer.Commit(t.Context(), lagoonlanding.NewTransaction(lagoonlanding.TransactionConfig{}))
+	var conflict *lagoonlanding.ConflictError
+	if !errors.As(err, &conflict) {
+		t.Fatalf("got %v", err)
+	}
+	if entry, ok := conflict.Current("k"); !ok || entry.Revision() != 8 || string(entry.Value()) != "newer" {
+		t.Errorf("got %v, %v", entry, ok)
+	}
+}
+
 func TestCallThroughAnUnreachableDaemonIsUnavailable(t *testing.T) {
 	pool := connector.NewPool(connector.Config{DialTimeout: time.Second, IdleTimeout: time.Second, SilenceTimeout: time.Second, MaxIdle: 2})
 	if err := NewPeers(pool).Store("127.0.0.1:1").KeepAlive(t.Context(), 1); !errors.Is(err, lagoonlanding.ErrUnavailable) {
@@ -111,7 +126,7 @@
 }
 
 func FuzzStoreRequest(f *testing.F) {
-	f.Add(`{"call":"put-if","puts":[]}`)
+	f.Add(`{"call":"commit","puts":[],"preconditions":[{"key":7}]}`)
 	f.Add(`{"call":"get","key":7}`)
 	f.Fuzz(func(t *testing.T, text string) {
 		server := NewServer(ServerConfig{Store: &recordingStore{}, Clock: timekeeper.BootClock{}, Log: logrus.NewEntry(logrus.New())})
--- a/metadata.go
+++ b/metadata.go
@@ -30,6 +30,9 @@
 // Unwrap returns ErrConflict.
 func (conflicterror *ConflictError) Unwrap() error { return ErrConflict }
 
+// Entries returns the current entries of the preconditions whose keys exist.
+func (conflicterror *ConflictError) Entries() []Entry { return conflicterror.current }
+
 // Current returns the current entry of a key; it returns false if the entry does not exist or was not reported.
 func (conflicterror *ConflictError) Current(key string) (Entry, bool) {
 	for _, entry := range conflicterror.current {
@@ -96,6 +99,49 @@
 // Lease returns the lease that the entry is attached to, zero if the entry is permanent.
 func (put Put) Lease() LeaseID { return put.lease }
 
+// Precondition is a revision that an entry must have for a transaction to be carried out.
+type Precondition struct {
+	key      string
+	revision uint64
+}
+
+// NewPrecondition returns the condition that an entry has a revision, zero for a key that does not exist.
+func NewPrecondition(key string, revision uint64) Precondition {
+	return Precondition{key: key, revision: revision}
+}
+
+// Key returns the key of the entry.
+func (precondition Precondition) Key() string { return precondition.key }
+
+// Revision returns the required revision, zero for a key that must not exist.
+func (precondition Precondition) Revision() uint64 { return precondition.revision }
+
+// TransactionConfig holds the fields of a Transaction.
+type TransactionConfig struct {
+	// Preconditions must all hold for the transaction to be carried out.
+	Preconditions []Precondition
+	// Puts are the entries to write.
+	Puts []Put
+}
+
+// Transaction is an atomic write that depends on the current revisions of entries.
+//
+// A store may carry out a write whose response was lost seconds later. The preconditions keep such a write from replacing a newer one.
+type Transaction struct {
+	config TransactionConfig
+}
+
+// NewTransaction returns a transaction with the given configuration.
+func NewTransaction(config TransactionConfig) Transaction { return Transaction{config: config} }
+
+// Preconditions returns the conditions that must all hold.
+func (transaction Transaction) Preconditions() []Precondition {
+	return transaction.config.Preconditions
+}
+
+// Puts returns the entries to write.
+func (transaction Transaction) Puts() []Put { return transaction.config.Puts }
+
 // Feed reads the entries of the store and watches them for changes.
 type Feed interface {
 	// List reads all entries under a prefix; a watch that starts at the returned revision misses no change.
@@ -123,11 +169,9 @@
 type LeaseStore interface {
 	// Get reads one entry and fails with ErrNotFound if it does not exist.
 	Get(ctx context.Context, key string) (Entry, error)
-	// Put writes entries atomically and unconditionally; it fails with ErrLeaseEnded if a lease of the entries has expired.
-	Put(ctx context.Context, puts ...Put) (uint64, error)
-	// PutIf writes an entry if it has the expected revision, zero for a key that does not exist, and none of the absent keys exists;
-	// otherwise it fails with ErrConflict.
-	PutIf(ctx context.Context, put Put, expected uint64, absent ...string) (uint64, error)
+	// Commit carries out a transaction and returns its revision; it fails with a ConflictError if a precondition does not hold, and with
+	// ErrLeaseEnded if a lease of the entries has expired.
+	Commit(ctx context.Context, transaction Transaction) (uint64, error)
 	// Grant creates a lease that expires unless it is renewed.
 	Grant(ctx context.Context, term time.Duration) (LeaseID, error)
 	// KeepAlive renews a lease; it fails with ErrLeaseEnded if the lease has expired.
