Keep a server that has left out of use after a restart of its daemon

Cause: that the server leaves was kept in memory only. After a restart of the daemon a delayed heartbeat, sent before the deregistration, made the server a ready one again.

Change: a departure names the process that leaves. The daemon writes it to the store and acknowledges the leaving only then. The first registration of each process of a daemon depends on the departure that it knows, so that a conflict names the one that it doesn't. A deregistration names its process too: a late one doesn't take a later process out of use, and a server that starts again under its name is used.

Cost: a lease and a write for each server that leaves.

--- a/mesh/coordinator/coordinator.go
+++ b/mesh/coordinator/coordinator.go
@@ -57,13 +57,10 @@
 	stopping     bool
 	// stopDeadline is when a stopping daemon closes the gate of a backend server that others can replace.
 	stopDeadline time.Time
-	// deregistered holds the name of the backend server that announced its shutdown.
-	deregistered map[string]bool
-	// leavingID is the process of the backend server that said in a response that it is about to stop.
-	leavingID lagoonlanding.BackendID
-	// drainingID is the process that was last known to drain, and drainDeadline when it stops receiving tasks.
-	drainingID    lagoonlanding.BackendID
-	drainDeadline time.Time
+	// departure is the process of the backend server that leaves.
+	departure registrar.Departure
+	// knowsDeparture means that no earlier process of the daemon can have recorded a departure that this one doesn't know.
+	knowsDeparture bool
 	// writtenRegistration is the registration as last written to the store.
 	writtenRegistration lagoonlanding.Backend
 	// planNeededSince maps each service whose allotment has to change to the time at which this was first seen.
@@ -97,7 +94,7 @@
 // New returns the control state of a newly started daemon.
 func New(now time.Time, config Config) *Coordinator {
 	coordinator := &Coordinator{
-		config: config, evacuated: map[string]time.Time{}, allotments: map[string]storedAllotment{}, deregistered: map[string]bool{},
+		config: config, evacuated: map[string]time.Time{}, allotments: map[string]storedAllotment{},
 		planNeededSince: map[string]time.Time{}, upToDate: map[string]planValidity{}, startedAt: now,
 	}
 	coordinator.publish()
@@ -175,15 +172,15 @@
 	switch {
 	case !ok:
 		gate.Close(lagoonlanding.ReasonNoUpstream)
-	case coordinator.isDraining(latest) && !coordinator.isDivided(latest.Service()):
+	case coordinator.isDraining() && !coordinator.isDivided(latest.Service()):
 		gate.Close(lagoonlanding.ReasonShuttingDown)
 	case coordinator.isEvacuated(coordinator.config.Self.AvailabilityZone()) && !coordinator.isDivided(latest.Service()):
 		gate.Close(lagoonlanding.ReasonNotReady)
 	default:
 		gate.Open(coordinator.config.Assigner.ID(), latest.Slots(), latest.WarmAt(), coordinator.coldRate(latest.Service()))
 		switch {
-		case coordinator.isDraining(latest):
-			gate.CloseAt(coordinator.drainDeadline, lagoonlanding.ReasonShuttingDown)
+		case coordinator.isDraining():
+			gate.CloseAt(coordinator.departure.Deadline(), lagoonlanding.ReasonShuttingDown)
 		case coordinator.isEvacuated(coordinator.config.Self.AvailabilityZone()):
 			gate.CloseAt(coordinator.evacuated[coordinator.config.Self.AvailabilityZone()].Add(coordinator.config.EvacuateTerm), lagoonlanding.ReasonNotReady)
 		case coordinator.stopping && !coordinator.isDivided(latest.Service()):
@@ -207,13 +204,6 @@
 	return ok && policy.IsDivided()
 }
 
-// startDraining records when the backend server was first known to drain and sets its deadline.
-func (coordinator *Coordinator) startDraining(now time.Time, id lagoonlanding.BackendID) {
-	if coordinator.drainingID != id {
-		coordinator.drainingID, coordinator.drainDeadline = id, now.Add(coordinator.config.DrainTerm)
-	}
-}
-
 // defaultColdRate is the rate of a cold backend server, in tasks per second, while the policy of its service is not known.
 const defaultColdRate = 1
 
@@ -228,11 +218,6 @@
 	return policy.ColdRate()
 }
 
-func (coordinator *Coordinator) isDraining(latest lagoonlanding.Announcement) bool {
-	isLeaving := !coordinator.leavingID.IsZero() && coordinator.leavingID == coordinator.config.Assigner.ID()
-	return isLeaving || latest.State() != lagoonlanding.BackendReady || coordinator.deregistered[latest.Name()]
-}
-
 // ApplyDirective applies an entry that an operator wrote: a configuration or the evacuation of a zone.
 func (coordinator *Coordinator) ApplyDirective(now time.Time, directive lagoonlanding.Directive) {
 	switch {
--- a/mesh/coordinator/shed.go
+++ b/mesh/coordinator/shed.go
@@ -25,8 +25,8 @@
 		return nil, false
 	}
 	coordinator.nextShedAt = now.Add(shedCheckInterval)
-	latest, ok := coordinator.config.Assigner.Latest()
-	if !ok || coordinator.isDraining(latest) || coordinator.isEvacuated(coordinator.config.Self.AvailabilityZone()) {
+	_, ok := coordinator.config.Assigner.Latest()
+	if !ok || coordinator.isDraining() || coordinator.isEvacuated(coordinator.config.Self.AvailabilityZone()) {
 		return nil, false
 	}
 	demand := coordinator.config.Demand.Demand(now)
--- a/mesh/coordinator/upstream.go
+++ b/mesh/coordinator/upstream.go
@@ -28,8 +28,8 @@
 		coordinator.config.Log.WithField("backend-server", coordinator.config.Assigner.ID().String()).
 			WithField("state", announcement.State()).WithField("slots", announcement.Slots()).Info("Backend server started or changed state.")
 	}
-	if coordinator.isDraining(announcement) {
-		coordinator.startDraining(now, coordinator.config.Assigner.ID())
+	if announcement.State() != lagoonlanding.BackendReady {
+		coordinator.depart(now, coordinator.config.Assigner.ID(), "announcement")
 	}
 	defer coordinator.updateGate()
 	if !coordinator.mayAssign() {
@@ -48,36 +48,17 @@
 // mayAssign reports whether the registration was ever verified: only then are the known allotments as new as it.
 func (coordinator *Coordinator) mayAssign() bool { return !coordinator.session.VerifiedAt().IsZero() }
 
-// Deregister records that the backend server is shutting down; it returns false if there is none of that name.
-func (coordinator *Coordinator) Deregister(now time.Time, name string) bool {
-	latest, ok := coordinator.config.Assigner.Latest()
-	if !ok || latest.Name() != name {
-		return false
-	}
-	if !coordinator.deregistered[name] {
-		coordinator.deregistered = map[string]bool{name: true}
-		coordinator.startDraining(now, coordinator.config.Assigner.ID())
-		coordinator.config.Log.WithField("backend-server", name).Info("Backend server is shutting down.")
-		coordinator.updateGate()
-	}
-	return true
-}
-
 // BackendLeaving records that a process of the backend server said in a response that it is about to stop; its announcements may say so later.
 func (coordinator *Coordinator) BackendLeaving(now time.Time, id lagoonlanding.BackendID) {
-	if id != coordinator.config.Assigner.ID() || id == coordinator.leavingID {
-		return
+	if id == coordinator.config.Assigner.ID() {
+		coordinator.depart(now, id, "response")
 	}
-	coordinator.leavingID = id
-	coordinator.startDraining(now, id)
-	coordinator.config.Log.WithField("backend-server", id.String()).Info("Backend server says that it is leaving.")
-	coordinator.updateGate()
 }
 
 // ProcessEnded records that a process of the backend server refuses connections and so has ended, unless it is draining: then it may still
 // run the tasks that it has, and owns their keys.
 func (coordinator *Coordinator) ProcessEnded(id lagoonlanding.BackendID) {
-	if latest, ok := coordinator.config.Assigner.Latest(); ok && coordinator.isDraining(latest) {
+	if coordinator.isDraining() {
 		coordinator.config.Log.WithField("backend-server", id.String()).Info("Draining backend server refuses connections.")
 		return
 	}
@@ -101,7 +82,7 @@
 		return lagoonlanding.NewBackend(config), coordinator.isAbsenceCertain(now)
 	}
 	config.Slots, config.Service, config.State = latest.Slots(), latest.Service(), lagoonlanding.BackendReady
-	if coordinator.isDraining(latest) || coordinator.config.Assigner.IsSilent(now) {
+	if coordinator.isDraining() || coordinator.config.Assigner.IsSilent(now) {
 		config.State = lagoonlanding.BackendDraining
 	}
 	return lagoonlanding.NewBackend(config), true
--- a/mesh/coordinator/write.go
+++ b/mesh/coordinator/write.go
@@ -33,6 +33,7 @@
 	registrationKind writeKind = iota + 1
 	allotmentKind
 	suspectsKind
+	departureKind
 )
 
 // Write is a store write requested by the control state.
@@ -41,12 +42,28 @@
 	put  lagoonlanding.Put
 	// zonePut is the zone entry by which starting daemons discover this one; it is written with the registration.
 	zonePut lagoonlanding.Put
-	// proofs are the registrations that an allotment depends on.
+	// proofs are the other entries that the write depends on.
 	proofs []lagoonlanding.Precondition
 	// expected is the revision that the main entry must have.
 	expected uint64
 	backend  lagoonlanding.Backend
-	sent     time.Time
+	// departing is the process whose departure is written.
+	departing lagoonlanding.BackendID
+	sent      time.Time
+}
+
+// LeaseTerm returns the term of the lease that has to be granted for the write, zero if it needs no lease of its own.
+func (write Write) LeaseTerm() time.Duration {
+	if write.kind == departureKind {
+		return departureTerm
+	}
+	return 0
+}
+
+// WithLease returns the write of an entry that is attached to the lease.
+func (write Write) WithLease(lease lagoonlanding.LeaseID) Write {
+	write.put = lagoonlanding.NewPut(write.put.Key(), write.put.Value(), lease)
+	return write
 }
 
 // Transaction returns the write with what it depends on.
@@ -75,6 +92,10 @@
 		coordinator.inFlight = write.kind
 		return write, time.Time{}, true
 	}
+	if write, ok := coordinator.departureWrite(); ok {
+		coordinator.inFlight = write.kind
+		return write, time.Time{}, true
+	}
 	if write, ok := coordinator.suspectWrite(now); ok {
 		coordinator.inFlight = write.kind
 		return write, time.Time{}, true
@@ -117,10 +138,14 @@
 	}
 	lease, self := coordinator.session.Lease(), coordinator.config.Self
 	zonePut := lagoonlanding.NewPut(ZonePrefix(self.AvailabilityZone())+self.ID().Daemon(), []byte(self.PeerAddress()), lease)
-	return Write{
+	write := Write{
 		kind: registrationKind, put: lagoonlanding.NewPut(coordinator.RegistrationKey(), value, lease), zonePut: zonePut,
 		expected: coordinator.session.Stored(), backend: backend, sent: now,
-	}, true
+	}
+	if !coordinator.knowsDeparture {
+		write.proofs = []lagoonlanding.Precondition{lagoonlanding.NewPrecondition(coordinator.departureKey(), coordinator.departure.Revision())}
+	}
+	return write, true
 }
 
 // allotmentWrite returns the write of the next allotment of a service if it differs from the current one, or when to check again.
@@ -175,7 +200,7 @@
 // inherit returns the allotment in which a restarted backend server keeps the keys of its previous process, as nobody else owns them.
 func (coordinator *Coordinator) inherit(now time.Time, service string, allotment *allocator.Allotment) (*allocator.Allotment, bool) {
 	latest, ok := coordinator.config.Assigner.Latest()
-	isEligible := ok && latest.Service() == service && !coordinator.isDraining(latest) && !coordinator.isEvacuated(coordinator.config.Self.AvailabilityZone())
+	isEligible := ok && latest.Service() == service && !coordinator.isDraining() && !coordinator.isEvacuated(coordinator.config.Self.AvailabilityZone())
 	if !isEligible {
 		return nil, false
 	}
@@ -239,11 +264,14 @@
 	}
 	log := coordinator.config.Log.WithField("key", write.put.Key())
 	switch {
+	case write.kind == departureKind:
+		coordinator.departureDone(now, write, revision, err)
 	case err == nil && write.kind == suspectsKind:
 		log.WithField("revision", revision).Info("Suspects written.")
 	case err == nil && write.kind == registrationKind:
 		coordinator.writtenRegistration, coordinator.registrationSentAt = write.backend, write.sent
 		coordinator.session.Register(revision)
+		coordinator.knowsDeparture = true
 		coordinator.verifyWritten()
 		log.WithField("revision", revision).Info("Registration written.")
 	case err == nil:
@@ -283,7 +311,11 @@
 	}
 	current, _ := conflict.Current(write.put.Key())
 	coordinator.session.Observe(current.Revision())
-	if current.Revision() == write.expected {
+	isNews := current.Revision() != write.expected
+	if !coordinator.knowsDeparture {
+		isNews = coordinator.observeDeparture(now, conflict) || isNews
+	}
+	if !isNews {
 		coordinator.nextWriteAt = now.Add(minRetryDelay)
 	}
 	log.WithField("current", current.Revision()).Info("Registration has another revision than expected. Writing it on top of that one.")
--- a/mesh/syncer/syncer.go
+++ b/mesh/syncer/syncer.go
@@ -32,6 +32,8 @@
 	// minBackoff and maxBackoff bound the delay after a failed call, which doubles each time.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 500 * time.Millisecond
+	// acknowledgeTimeout bounds the time to acknowledge that the backend server leaves: after a second it asks again.
+	acknowledgeTimeout = 700 * time.Millisecond
 	// writePollInterval bounds the time between two checks for a due write.
 	writePollInterval = 500 * time.Millisecond
 )
@@ -114,16 +116,44 @@
 	return ok
 }
 
-// Announce passes an announcement of the backend server to the control thread.
-func (syncer *Syncer) Announce(_ context.Context, announcement lagoonlanding.Announcement) (ranges lagoonlanding.RangeAssignment, ok bool) {
-	syncer.do(func(state *coordinator.Coordinator, now time.Time) { ranges, ok = state.Announce(now, announcement) })
-	return ranges, ok
+// Announce passes an announcement of the backend server to the control thread. One that says that the backend server leaves is acknowledged once
+// the store holds that.
+func (syncer *Syncer) Announce(ctx context.Context, announcement lagoonlanding.Announcement) (ranges lagoonlanding.RangeAssignment, ok bool) {
+	var recorded <-chan struct{}
+	syncer.do(func(state *coordinator.Coordinator, now time.Time) {
+		if ranges, ok = state.Announce(now, announcement); ok && announcement.State() != lagoonlanding.BackendReady {
+			recorded = state.DepartureRecorded()
+		}
+	})
+	return ranges, ok && syncer.awaitRecord(ctx, recorded, announcement.Received())
 }
 
-// Deregister tells the control thread that the backend server is shutting down.
-func (syncer *Syncer) Deregister(_ context.Context, name string, _ time.Time) (ok bool) {
-	syncer.do(func(state *coordinator.Coordinator, now time.Time) { ok = state.Deregister(now, name) })
-	return ok
+// Deregister tells the control thread that the backend server is shutting down, and returns true once the store holds that.
+func (syncer *Syncer) Deregister(ctx context.Context, name string, startedMilli int64, received time.Time) (ok bool) {
+	var recorded <-chan struct{}
+	syncer.do(func(state *coordinator.Coordinator, now time.Time) {
+		if ok = state.Deregister(now, name, startedMilli); ok {
+			recorded = state.DepartureRecorded()
+		}
+	})
+	return ok && syncer.awaitRecord(ctx, recorded, received)
+}
+
+// awaitRecord waits until the store holds a departure, nil for none, and returns false if that takes too long to acknowledge it in time.
+//
+// A departure that is acknowledged binds this daemon even after a restart, in which it forgets all that the store does not hold.
+func (syncer *Syncer) awaitRecord(ctx context.Context, recorded <-chan struct{}, received time.Time) bool {
+	if recorded == nil {
+		return true
+	}
+	select {
+	case <-recorded:
+		return true
+	case <-ctx.Done():
+	case <-time.After(received.Add(acknowledgeTimeout).Sub(syncer.config.Clock.Now())):
+	}
+	syncer.config.Log.Warn("The store does not hold the departure of the backend server yet; it is not acknowledged.")
+	return false
 }
 
 // ProcessEnded tells the control thread that the process of a backend server has ended.
@@ -245,10 +275,25 @@
 
 // send makes one write and passes its result to the control thread.
 func (syncer *Syncer) send(ctx context.Context, write coordinator.Write) {
+	revision, err := syncer.commit(ctx, write)
+	syncer.do(func(state *coordinator.Coordinator, now time.Time) { state.WriteDone(now, write, revision, err) })
+}
+
+// commit carries out a write, with a new lease if it needs one of its own.
+func (syncer *Syncer) commit(ctx context.Context, write coordinator.Write) (uint64, error) {
+	if term := write.LeaseTerm(); term > 0 {
+		lease, _, err := call(ctx, syncer, func(ctx context.Context, store lagoonlanding.LeaseStore) (lagoonlanding.LeaseID, error) {
+			return store.Grant(ctx, term)
+		})
+		if err != nil {
+			return 0, err
+		}
+		write = write.WithLease(lease)
+	}
 	revision, _, err := call(ctx, syncer, func(ctx context.Context, store lagoonlanding.LeaseStore) (uint64, error) {
 		return store.Commit(ctx, write.Transaction())
 	})
-	syncer.do(func(state *coordinator.Coordinator, now time.Time) { state.WriteDone(now, write, revision, err) })
+	return revision, err
 }
 
 // waitForChange waits for a change of the control state or for the time at which a write is due, and at most for the poll interval.
--- a/runner.go
+++ b/runner.go
@@ -84,8 +84,9 @@
 type AnnouncementHandler interface {
 	// Announce returns the backend server's range assignment; it returns false if the announcement cannot be acknowledged.
 	Announce(ctx context.Context, announcement Announcement) (RangeAssignment, bool)
-	// Deregister handles the notice that the backend server is about to stop; it returns false if that cannot be acknowledged.
-	Deregister(ctx context.Context, name string, received time.Time) bool
+	// Deregister handles the notice that the backend server is about to stop; startedMilli is the Unix time in milliseconds at which its process
+	// started, zero if the notice doesn't say. It returns false if the notice cannot be acknowledged.
+	Deregister(ctx context.Context, name string, startedMilli int64, received time.Time) bool
 }
 
 // Directive is one operator instruction from the store.
