Keep a late write of suspects from replacing newer ones

The last write without a condition, of the same class as the late registration: a daemon's suspects, carried out seconds late, replaced newer ones, so that daemons that started then did not learn of a request that crashes backend servers.

Suspects depend on the revision of the entry that they replace, and every write has such a condition now. The results of each kind of write are handled beside the write itself.

No additional calls but for a conflict after a write whose answer was lost, or after a lease has ended.

--- a/mesh/coordinator/coordinator.go
+++ b/mesh/coordinator/coordinator.go
@@ -67,6 +67,8 @@
 	planNeededSince map[string]time.Time
 	// suspectsPending means that the quarantine recorded a crash that has not been written to the store yet.
 	suspectsPending bool
+	// suspectsRevision is the revision that the daemon's suspects were last seen to have in the store, zero for none.
+	suspectsRevision uint64
 	// upToDate maps each service whose allotment needs no change to how long that is known to be so.
 	upToDate map[string]planValidity
 	// generation counts the changes that can affect a plan.
--- a/mesh/coordinator/store.go
+++ b/mesh/coordinator/store.go
@@ -110,25 +110,6 @@
 	}
 }
 
-// observeRegistration records a change of the daemon's own entry; if it isn't the daemon's latest write, the registration is written again.
-func (coordinator *Coordinator) observeRegistration(change lagoonlanding.Change) {
-	revision := change.Entry().Revision()
-	if revision <= coordinator.session.Revision() || revision <= coordinator.session.Stored() {
-		return
-	}
-	if change.IsRemoved() {
-		coordinator.session.Observe(0)
-		coordinator.session.Unregister()
-		return
-	}
-	coordinator.session.Observe(revision)
-	// The result of a write in progress may arrive after the change that it makes.
-	if coordinator.inFlight != registrationKind && coordinator.session.IsRegistered() {
-		coordinator.session.Unregister()
-		coordinator.config.Log.WithField("revision", revision).Warn("Registration was replaced by another write. Writing it again.")
-	}
-}
-
 func (coordinator *Coordinator) applyAllotment(entry lagoonlanding.Entry) {
 	allotment, err := allocator.Codec{}.Decode(entry)
 	if err != nil {
--- a/mesh/coordinator/suspect.go
+++ b/mesh/coordinator/suspect.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"time"
 
 	"lagoonlanding.example/lagoonlanding"
@@ -28,7 +29,34 @@
 		return Write{}, false
 	}
 	coordinator.config.Log.WithField("suspects", len(notice.Suspects())).Warn("Backend server crashed with requests in flight.")
-	return Write{put: lagoonlanding.NewPut(suspectPrefix+self.ID().Daemon(), value, coordinator.session.Lease()), kind: suspectsKind}, true
+	return Write{
+		put: lagoonlanding.NewPut(suspectPrefix+self.ID().Daemon(), value, coordinator.session.Lease()), kind: suspectsKind, expected: coordinator.suspectsRevision,
+	}, true
+}
+
+// suspectsDone records the result of a write of suspects. After a failure they are written again, on top of what the store holds, so that a late
+// write cannot replace newer suspects.
+func (coordinator *Coordinator) suspectsDone(now time.Time, write Write, revision uint64, err error) {
+	log := coordinator.config.Log.WithField("key", write.put.Key()).WithField("expected", write.expected)
+	if err == nil {
+		coordinator.suspectsRevision = revision
+		log.WithField("revision", revision).Info("Suspects written.")
+		return
+	}
+	coordinator.suspectsPending = true
+	if errors.Is(err, lagoonlanding.ErrLeaseEnded) {
+		coordinator.session.End()
+		return
+	}
+	var conflict *lagoonlanding.ConflictError
+	if errors.As(err, &conflict) {
+		current, _ := conflict.Current(write.put.Key())
+		coordinator.suspectsRevision = current.Revision()
+	}
+	if coordinator.suspectsRevision == write.expected {
+		coordinator.nextWriteAt = now.Add(coordinator.retryDelay(err))
+	}
+	log.WithError(err).Warn("Write of the suspects failed. Writing them again.")
 }
 
 func (coordinator *Coordinator) applySuspects(now time.Time, entry lagoonlanding.Entry) {
--- a/mesh/coordinator/upstream.go
+++ b/mesh/coordinator/upstream.go
@@ -67,29 +67,3 @@
 		coordinator.updateGate()
 	}
 }
-
-// currentRegistration returns the registration that the store should hold now; it returns false while that is not certain.
-func (coordinator *Coordinator) currentRegistration(now time.Time) (lagoonlanding.Backend, bool) {
-	self := coordinator.config.Self
-	config := lagoonlanding.BackendConfig{
-		ID: coordinator.config.Assigner.ID(), PeerAddress: self.PeerAddress(), AvailabilityZone: self.AvailabilityZone(),
-		Region: self.Region(), Service: self.Service(), State: lagoonlanding.BackendAbsent,
-		AcceptsFrames: self.AcceptsFrames(),
-	}
-	latest, ok := coordinator.config.Assigner.Latest()
-	if !ok {
-		// A backend server that has not sent an announcement since the daemon started may own keys from an earlier assignment.
-		return lagoonlanding.NewBackend(config), coordinator.isAbsenceCertain(now)
-	}
-	config.Slots, config.Service, config.State = latest.Slots(), latest.Service(), lagoonlanding.BackendReady
-	if coordinator.isDraining() || coordinator.config.Assigner.IsSilent(now) {
-		config.State = lagoonlanding.BackendDraining
-	}
-	return lagoonlanding.NewBackend(config), true
-}
-
-// isAbsenceCertain reports whether there is surely no backend server: its process has ended, or all assignments from before the daemon's start
-// have expired.
-func (coordinator *Coordinator) isAbsenceCertain(now time.Time) bool {
-	return coordinator.config.Assigner.HasEnded() || now.After(coordinator.config.Fleet.AssignmentsExpireAt(coordinator.startedAt))
-}
--- a/mesh/coordinator/write.go
+++ b/mesh/coordinator/write.go
@@ -7,7 +7,6 @@
 
 	"lagoonlanding.example/lagoonlanding"
 	"lagoonlanding.example/lagoonlanding/mesh/allocator"
-	"lagoonlanding.example/lagoonlanding/mesh/registrar"
 )
 
 const (
@@ -68,14 +67,13 @@
 
 // Transaction returns the write with what it depends on.
 func (write Write) Transaction() lagoonlanding.Transaction {
-	config := lagoonlanding.TransactionConfig{Puts: []lagoonlanding.Put{write.put}}
+	config := lagoonlanding.TransactionConfig{
+		Puts:          []lagoonlanding.Put{write.put},
+		Preconditions: slices.Concat([]lagoonlanding.Precondition{lagoonlanding.NewPrecondition(write.put.Key(), write.expected)}, write.proofs),
+	}
 	if write.kind == registrationKind {
 		config.Puts = append(config.Puts, write.zonePut)
 	}
-	if write.kind != suspectsKind {
-		config.Preconditions = append(config.Preconditions, lagoonlanding.NewPrecondition(write.put.Key(), write.expected))
-	}
-	config.Preconditions = append(config.Preconditions, write.proofs...)
 	return lagoonlanding.NewTransaction(config)
 }
 
@@ -126,28 +124,6 @@
 	return a
 }
 
-func (coordinator *Coordinator) registrationWrite(now time.Time) (Write, bool) {
-	backend, ok := coordinator.currentRegistration(now)
-	if !ok || coordinator.session.Lease() == 0 || coordinator.session.IsRegistered() && backend == coordinator.writtenRegistration {
-		return Write{}, false
-	}
-	value, err := registrar.Codec{}.Encode(backend)
-	if err != nil {
-		coordinator.config.Log.WithError(err).Error("Cannot encode the registration; it was not written.")
-		return Write{}, false
-	}
-	lease, self := coordinator.session.Lease(), coordinator.config.Self
-	zonePut := lagoonlanding.NewPut(ZonePrefix(self.AvailabilityZone())+self.ID().Daemon(), []byte(self.PeerAddress()), lease)
-	write := Write{
-		kind: registrationKind, put: lagoonlanding.NewPut(coordinator.RegistrationKey(), value, lease), zonePut: zonePut,
-		expected: coordinator.session.Stored(), backend: backend, sent: now,
-	}
-	if !coordinator.knowsDeparture {
-		write.proofs = []lagoonlanding.Precondition{lagoonlanding.NewPrecondition(coordinator.departureKey(), coordinator.departure.Revision())}
-	}
-	return write, true
-}
-
 // allotmentWrite returns the write of the next allotment of a service if it differs from the current one, or when to check again.
 func (coordinator *Coordinator) allotmentWrite(now time.Time, service string) (Write, time.Time, bool) {
 	known, exists := coordinator.allotments[service]
@@ -262,63 +238,37 @@
 	if err == nil {
 		coordinator.failedWrites = 0
 	}
-	log := coordinator.config.Log.WithField("key", write.put.Key())
-	switch {
-	case write.kind == departureKind:
+	switch write.kind {
+	case registrationKind:
+		coordinator.registrationDone(now, write, revision, err)
+	case allotmentKind:
+		coordinator.allotmentDone(now, write, revision, err)
+	case suspectsKind:
+		coordinator.suspectsDone(now, write, revision, err)
+	case departureKind:
 		coordinator.departureDone(now, write, revision, err)
-	case err == nil && write.kind == suspectsKind:
-		log.WithField("revision", revision).Info("Suspects written.")
-	case err == nil && write.kind == registrationKind:
-		coordinator.writtenRegistration, coordinator.registrationSentAt = write.backend, write.sent
-		coordinator.session.Register(revision)
-		coordinator.knowsDeparture = true
-		coordinator.verifyWritten()
-		log.WithField("revision", revision).Info("Registration written.")
+	}
+}
+
+// allotmentDone records the result of a write of an allotment.
+func (coordinator *Coordinator) allotmentDone(now time.Time, write Write, revision uint64, err error) {
+	log := coordinator.config.Log.WithField("key", write.put.Key()).WithField("expected", write.expected)
+	switch {
 	case err == nil:
 		coordinator.conflicts = 0
 		coordinator.applyAllotment(lagoonlanding.NewEntry(write.put.Key(), write.put.Value(), revision))
 		coordinator.publish()
 		log.WithField("revision", revision).Info("Allotment written.")
-	case errors.Is(err, lagoonlanding.ErrLeaseEnded):
-		coordinator.session.End()
-	case write.kind == registrationKind:
-		coordinator.registrationFailed(now, write, err)
 	case coordinator.applyConflict(write, err):
 		coordinator.conflicts++
 		delay := conflictDelay(coordinator.conflicts, coordinator.awaitedOwners(write.put.Key()), coordinator.conflictHash(write.put.Key()))
 		coordinator.nextWriteAt = now.Add(delay)
-		log.WithField("expected", write.expected).WithField("conflicts", coordinator.conflicts).WithField("delay", delay.String()).
+		log.WithField("conflicts", coordinator.conflicts).WithField("delay", delay.String()).
 			Info("Allotment was written by another daemon. Retrying with the newer version.")
 	default:
-		coordinator.suspectsPending = coordinator.suspectsPending || write.kind == suspectsKind
-		coordinator.nextWriteAt = now.Add(coordinator.retryDelay(err))
-		log.WithError(err).Warn("Write to the store failed. Retrying after a delay.")
-	}
-}
-
-// registrationFailed records that a write of the registration failed, after which the registration is written again in any case.
-//
-// The store may carry out a write without an answer seconds later. The next one depends on the same revision of the entry, so only one of them
-// can succeed, and once this daemon knows of a success no earlier write can follow.
-func (coordinator *Coordinator) registrationFailed(now time.Time, write Write, err error) {
-	coordinator.writtenRegistration = lagoonlanding.Backend{}
-	log := coordinator.config.Log.WithField("key", write.put.Key()).WithField("expected", write.expected)
-	var conflict *lagoonlanding.ConflictError
-	if !errors.As(err, &conflict) {
 		coordinator.nextWriteAt = now.Add(coordinator.retryDelay(err))
-		log.WithError(err).Warn("Write of the registration failed. Retrying after a delay.")
-		return
-	}
-	current, _ := conflict.Current(write.put.Key())
-	coordinator.session.Observe(current.Revision())
-	isNews := current.Revision() != write.expected
-	if !coordinator.knowsDeparture {
-		isNews = coordinator.observeDeparture(now, conflict) || isNews
-	}
-	if !isNews {
-		coordinator.nextWriteAt = now.Add(minRetryDelay)
+		log.WithError(err).Warn("Write of the allotment failed. Retrying after a delay.")
 	}
-	log.WithField("current", current.Revision()).Info("Registration has another revision than expected. Writing it on top of that one.")
 }
 
 // applyConflict applies the allotment that the store held instead of the one that a write expected; it returns false if the error does not
