Take no earlier process for the proof that a later one has ended

The last place of the same class in the control path: after a restart, a daemon may know its backend server only from a delayed announcement of an ended process, or a planner may know an older registration than the allotment. The running process's keys were then inherited by the ended one, and planners took the running one for ended at once.

Keys pass only to a later process. A process counts as ended because of the registration of an earlier one only after the assignments of its daemon have expired, since a daemon assigns keys only to the process that it registers. No additional calls.

--- a/mesh/allocator/allocator_test.go
+++ b/mesh/allocator/allocator_test.go
@@ -106,6 +106,23 @@
 	}
 }
 
+// TestDelayedAnnouncementInheritsNoKeysOfALaterProcess guards against two owners of a key: after a restart of its daemon an ended process may be the
+// only one known, while the one that followed it still owns keys or has not released them yet.
+func TestDelayedAnnouncementInheritsNoKeysOfALaterProcess(t *testing.T) {
+	ended, running, other := process(1, 1), process(1, 2), process(2, 1)
+	stripes := make([]Stripe, MinStripes)
+	for number := range stripes {
+		stripes[number] = NewStripe(StripeConfig{Owner: running, Token: 1})
+		if number%2 == 0 {
+			stripes[number] = NewStripe(StripeConfig{Owner: other, Prior: running, Token: 1})
+		}
+	}
+	allotment := NewAllotment(AllotmentConfig{Service: "s", Version: 1, Stripes: stripes})
+	if next, changed := allotment.Inherit(ended); changed {
+		t.Errorf("the first stripe is assignable %v, the second one belongs to %v", next.Stripes()[0].IsAssignable(), next.Stripes()[1].Owner())
+	}
+}
+
 func TestRangesFitIntoAMessage(t *testing.T) {
 	a := process(1, 1)
 	var stripes []Stripe
--- a/mesh/allocator/allotment.go
+++ b/mesh/allocator/allotment.go
@@ -186,9 +186,13 @@
 // Inherit returns the allotment in which a new process of a backend server owns the keys of earlier processes on the same daemon, which
 // ended before it started; it returns false if those have no keys.
 //
+// Keys of a later process are left alone: the successor may be known from a delayed announcement only.
+//
 // Other registered new processes inherit theirs by the same write, so that a restarting fleet doesn't need one write per backend server.
 func (allotment *Allotment) Inherit(successor lagoonlanding.BackendID, others ...lagoonlanding.BackendID) (*Allotment, bool) {
-	isEarlier := func(id lagoonlanding.BackendID) bool { return id.Daemon() == successor.Daemon() && id != successor }
+	isEarlier := func(id lagoonlanding.BackendID) bool {
+		return id.Daemon() == successor.Daemon() && id.StartedMilli() < successor.StartedMilli()
+	}
 	if !slices.ContainsFunc(allotment.config.Stripes, func(stripe Stripe) bool { return isEarlier(stripe.Owner()) || isEarlier(stripe.Prior()) }) {
 		return nil, false
 	}
@@ -199,7 +203,7 @@
 	successors[successor.Daemon()] = successor
 	next := allotment.next()
 	for number := range next.config.Stripes {
-		next.inherit(&next.config.Stripes[number].config, successor, successors)
+		next.inherit(&next.config.Stripes[number].config, successors)
 	}
 	return next, true
 }
@@ -207,10 +211,10 @@
 // inherit moves one stripe to the successor of its owner, if there is one.
 //
 // The registrations of other daemons may be older than the allotment, so their keys move only to a process that started later.
-func (allotment *Allotment) inherit(stripe *StripeConfig, self lagoonlanding.BackendID, successors map[string]lagoonlanding.BackendID) {
+func (allotment *Allotment) inherit(stripe *StripeConfig, successors map[string]lagoonlanding.BackendID) {
 	successorOf := func(id lagoonlanding.BackendID) (lagoonlanding.BackendID, bool) {
 		successor, ok := successors[id.Daemon()]
-		return successor, ok && successor != id && (successor == self || successor.StartedMilli() > id.StartedMilli())
+		return successor, ok && successor.StartedMilli() > id.StartedMilli()
 	}
 	if _, ok := successorOf(stripe.Prior); ok {
 		stripe.Prior = lagoonlanding.BackendID{}
--- a/mesh/coordinator/departure_test.go
+++ b/mesh/coordinator/departure_test.go
@@ -110,7 +110,7 @@
 		gate := &recordingGate{}
 		coordinator := newCoordinator(now, gate, false)
 		if test.isRegistered {
-			coordinator.config.Fleet.Register(lagoonlanding.NewBackend(lagoonlanding.BackendConfig{ID: lagoonlanding.NewBackendID("d", "server", 1)}), 5)
+			coordinator.config.Fleet.Register(now, lagoonlanding.NewBackend(lagoonlanding.BackendConfig{ID: lagoonlanding.NewBackendID("d", "server", 1)}), 5)
 		}
 		if got := coordinator.Deregister(now, "server", test.startedMilli); got != test.want {
 			t.Errorf("%s: acknowledged %v", name, got)
--- a/mesh/coordinator/gate_test.go
+++ b/mesh/coordinator/gate_test.go
@@ -149,7 +149,7 @@
 	start := time.Unix(1000, 0)
 	gate := &recordingGate{}
 	coordinator := newCoordinator(start, gate, false)
-	coordinator.config.Fleet.Register(lagoonlanding.NewBackend(lagoonlanding.BackendConfig{ID: lagoonlanding.NewBackendID("d", "second", 2000), Service: "s"}), 5)
+	coordinator.config.Fleet.Register(start, lagoonlanding.NewBackend(lagoonlanding.BackendConfig{ID: lagoonlanding.NewBackendID("d", "second", 2000), Service: "s"}), 5)
 	announce := func(name string, startedMilli int64) bool {
 		_, ok := coordinator.Announce(start, lagoonlanding.NewAnnouncement(lagoonlanding.AnnouncementConfig{
 			Name: name, Service: "s", StartedMilli: startedMilli, Sequence: 9, State: lagoonlanding.BackendReady, Slots: 6,
--- a/mesh/coordinator/proofs_test.go
+++ b/mesh/coordinator/proofs_test.go
@@ -18,7 +18,7 @@
 	for number := range 40 {
 		id := lagoonlanding.NewBackendID(fmt.Sprint("d", number), "s", 1)
 		ids = append(ids, id)
-		fleet.Register(lagoonlanding.NewBackend(lagoonlanding.BackendConfig{ID: id}), uint64(number+1))
+		fleet.Register(time.Unix(1000, 0), lagoonlanding.NewBackend(lagoonlanding.BackendConfig{ID: id}), uint64(number+1))
 		if number > 0 {
 			fleet.Unregister(start, id.Daemon(), 100)
 		}
@@ -52,7 +52,7 @@
 		"without a backend server": lagoonlanding.NewBackendID("d", "", 0), "with an earlier process": lagoonlanding.NewBackendID("d", "s", 1),
 	} {
 		fleet := registrar.NewFleet(registrar.Config{})
-		fleet.Register(lagoonlanding.NewBackend(lagoonlanding.BackendConfig{ID: registered}), 7)
+		fleet.Register(time.Unix(1000, 0), lagoonlanding.NewBackend(lagoonlanding.BackendConfig{ID: registered}), 7)
 		proofs := newProofs(fleet)
 		if proofs.isExpired(time.Unix(1000, 0), lagoonlanding.NewBackendID("d", "s", 2)) &&
 			!slices.Equal(proofs.preconditions, []lagoonlanding.Precondition{lagoonlanding.NewPrecondition(daemonPrefix+"d", 7)}) {
@@ -73,7 +73,7 @@
 		fleet := registrar.NewFleet(registrar.Config{})
 		coordinator := &Coordinator{config: Config{Fleet: fleet}}
 		for index, backend := range all {
-			fleet.Register(backend, uint64(index+1))
+			fleet.Register(time.Unix(1000, 0), backend, uint64(index+1))
 			if backend.ID().Daemon() == name {
 				coordinator.config.Self = backend
 			}
--- a/mesh/coordinator/store.go
+++ b/mesh/coordinator/store.go
@@ -105,7 +105,7 @@
 		log.WithError(err).Warn("Invalid registration ignored.")
 		return
 	}
-	if coordinator.config.Fleet.Register(backend, change.Entry().Revision()) {
+	if coordinator.config.Fleet.Register(now, backend, change.Entry().Revision()) {
 		log.WithField("backend-server", backend.ID().String()).WithField("state", backend.State()).Info("Registration updated.")
 	}
 }
--- a/mesh/registrar/fleet.go
+++ b/mesh/registrar/fleet.go
@@ -31,6 +31,8 @@
 type daemon struct {
 	backend  lagoonlanding.Backend
 	revision uint64
+	// processSince is since when the backend server's process is known to be the registered one.
+	processSince time.Time
 	// unregisteredAt is when the registration was found to have disappeared; zero while it exists.
 	unregisteredAt time.Time
 }
@@ -39,12 +41,16 @@
 func NewFleet(config Config) *Fleet { return &Fleet{config: config, daemons: map[string]*daemon{}} }
 
 // Register records a registration and its revision in the store, and reports whether it changes the fleet.
-func (fleet *Fleet) Register(backend lagoonlanding.Backend, revision uint64) bool {
+func (fleet *Fleet) Register(now time.Time, backend lagoonlanding.Backend, revision uint64) bool {
 	known, ok := fleet.daemons[backend.ID().Daemon()]
 	if ok && revision <= known.revision {
 		return false
 	}
-	fleet.daemons[backend.ID().Daemon()] = &daemon{backend: backend, revision: revision}
+	registered := &daemon{backend: backend, revision: revision, processSince: now}
+	if ok && known.unregisteredAt.IsZero() && known.backend.ID() == backend.ID() {
+		registered.processSince = known.processSince
+	}
+	fleet.daemons[backend.ID().Daemon()] = registered
 	return !ok || !known.unregisteredAt.IsZero() || known.backend != backend
 }
 
@@ -75,10 +81,17 @@
 func (fleet *Fleet) IsComplete() bool { return !fleet.completeSince.IsZero() }
 
 // IsExpired reports whether a process can no longer own any key.
+//
+// That a daemon has registered an earlier process proves nothing yet: the registration may be older than what names the process, or made for a delayed
+// announcement after a restart. But the daemon assigns keys only to the process that it registers.
 func (fleet *Fleet) IsExpired(now time.Time, id lagoonlanding.BackendID) bool {
 	known, ok := fleet.daemons[id.Daemon()]
 	if ok && known.unregisteredAt.IsZero() {
-		return known.backend.ID() != id
+		registered := known.backend.ID()
+		if registered.Name() != "" && registered.StartedMilli() < id.StartedMilli() {
+			return now.After(fleet.AssignmentsExpireAt(known.processSince))
+		}
+		return registered != id
 	}
 	if fleet.completeSince.IsZero() {
 		return false
@@ -110,7 +123,7 @@
 	return since.Add(fleet.config.VerificationTerm + fleet.config.Margin)
 }
 
-// NextExpiry returns when the assignments of the next unregistered daemon expire, zero for none.
+// NextExpiry returns when the next assignments expire: those of an unregistered daemon, or of a process that its daemon has replaced; zero for none.
 func (fleet *Fleet) NextExpiry(now time.Time) time.Time {
 	var next time.Time
 	if fleet.completeSince.IsZero() {
@@ -125,6 +138,8 @@
 	for _, known := range fleet.daemons {
 		if !known.unregisteredAt.IsZero() {
 			consider(fleet.AssignmentsExpireAt(known.unregisteredAt))
+		} else {
+			consider(fleet.AssignmentsExpireAt(known.processSince))
 		}
 	}
 	return next
--- a/mesh/registrar/registrar_test.go
+++ b/mesh/registrar/registrar_test.go
@@ -28,21 +28,36 @@
 
 func TestProcessExpiresAtOnceWhenItsDaemonRegistersAnother(t *testing.T) {
 	fleet := newFleet()
-	fleet.Register(newBackend("d", "a", 1), 5)
+	fleet.Register(start, newBackend("d", "a", 1), 5)
 	id := lagoonlanding.NewBackendID("d", "a", 1)
 	if fleet.IsExpired(start.Add(time.Hour), id) {
 		t.Error("a registered process is expired")
 	}
-	fleet.Register(newBackend("d", "b", 2), 6)
+	fleet.Register(start, newBackend("d", "b", 2), 6)
 	if !fleet.IsExpired(start, id) {
 		t.Error("a replaced process is not expired")
 	}
 }
 
+// TestProcessOutlastsTheRegistrationOfAnEarlierOne guards against two owners of a key: a registration that is older than the allotment, or was made for a
+// delayed announcement after a restart of the daemon, does not prove that a later process has ended.
+func TestProcessOutlastsTheRegistrationOfAnEarlierOne(t *testing.T) {
+	fleet := newFleet()
+	fleet.Register(start, newBackend("d", "a", 1), 5)
+	later := lagoonlanding.NewBackendID("d", "b", 2)
+	if fleet.IsExpired(start.Add(8*time.Second), later) {
+		t.Error("the later process is expired while assignments of its daemon may be in force")
+	}
+	fleet.Register(start.Add(6*time.Second), newBackend("d", "a", 1), 6)
+	if !fleet.IsExpired(start.Add(8001*time.Millisecond), later) || !fleet.NextExpiry(start).Equal(start.Add(8*time.Second)) {
+		t.Error("the later process did not expire together with its assignments")
+	}
+}
+
 func TestUnregisteredProcessExpiresAfterItsAssignments(t *testing.T) {
 	fleet := newFleet()
 	id := lagoonlanding.NewBackendID("d", "a", 1)
-	fleet.Register(newBackend("d", "a", 1), 5)
+	fleet.Register(start, newBackend("d", "a", 1), 5)
 	if fleet.Unregister(start, "d", 4) {
 		t.Error("a removal older than the registration was applied")
 	}
