--- a/mesh/coordinator/coordinator.go
+++ b/mesh/coordinator/coordinator.go
@@ -61,7 +61,7 @@
 	departure registrar.Departure
 	// knowsDeparture means that no earlier process of the daemon can have recorded a departure that this one doesn't know.
 	knowsDeparture bool
-	// writtenRegistration is the registration as last written to the store.
+	// writtenRegistration is the registration as last written to the store, zero after a write whose outcome is not known.
 	writtenRegistration lagoonlanding.Backend
 	// planNeededSince maps each service whose allotment has to change to the time at which this was first seen.
 	planNeededSince map[string]time.Time
