Read the load that a backend server reports, and return it with results

Cause: a backend server names its running and waiting tasks, its slots and how long work takes on its machine now in each response, and nothing read it. Admission control and load balancing need these figures within a second.

Results between daemons carry the slowdown and an admission level. A daemon of an earlier release doesn't ask for them and gets the earlier form.

No decision uses the figures yet.

--- a/advice.go
+++ b/advice.go
@@ -8,6 +8,8 @@
 	LimitUnknown bool
 	// Leaving means that the backend server is about to stop.
 	Leaving bool
+	// ServerLoad is the load that the backend server reports, the zero value for none.
+	ServerLoad ServerLoad
 }
 
 // Advice is what a backend server says about itself in a response; the zero value means that there was no response.
@@ -30,3 +32,6 @@
 
 // Limit returns the number of tasks per second that the backend server accepts from all daemons together, zero for no limit.
 func (advice Advice) Limit() float64 { return advice.config.Limit }
+
+// ServerLoad returns the load that the backend server reports, the zero value for none.
+func (advice Advice) ServerLoad() ServerLoad { return advice.config.ServerLoad }
--- a/mesh/transmitter/codec.go
+++ b/mesh/transmitter/codec.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 	"net/http"
 	"time"
 
@@ -76,6 +77,9 @@
 	Slots         int                   `json:"s,omitempty"`
 	MeanRunTimeMS int64                 `json:"m,omitempty"`
 	Open          bool                  `json:"u,omitempty"`
+	// SlowdownPercent and Level are missing in the results of an earlier release.
+	SlowdownPercent int64  `json:"x,omitempty"`
+	Level           uint32 `json:"l,omitempty"`
 }
 
 var _ lagoonlanding.Message[lagoonlanding.ResultConfig] = resultMetadata{}
@@ -85,6 +89,7 @@
 		Outcome: result.Outcome(), Reason: result.Reason(), Delivered: result.IsDelivered(),
 		Waiting: result.Load().Waiting(), Running: result.Load().Running(), Slots: result.Load().Slots(),
 		MeanRunTimeMS: result.Load().MeanRunTime().Milliseconds(), Open: result.Load().IsOpen(),
+		SlowdownPercent: int64(math.Round(result.Load().Slowdown() * 100)), Level: uint32(result.Load().Level()),
 	}
 	if !result.RetryAt().IsZero() {
 		metadata.RetryMS = max(result.RetryAt().Sub(now).Milliseconds(), 1)
@@ -104,6 +109,7 @@
 		Load: lagoonlanding.NewLoad(lagoonlanding.LoadConfig{
 			Waiting: resultmetadata.Waiting, Running: resultmetadata.Running, Slots: resultmetadata.Slots,
 			MeanRunTime: time.Duration(resultmetadata.MeanRunTimeMS) * time.Millisecond, Open: resultmetadata.Open,
+			Slowdown: float64(resultmetadata.SlowdownPercent) / 100, Level: lagoonlanding.AdmissionLevel(resultmetadata.Level),
 		}),
 	}
 	if resultmetadata.RetryMS > 0 {
--- a/mesh/transmitter/compact.go
+++ b/mesh/transmitter/compact.go
@@ -18,13 +18,21 @@
 const (
 	flagRepeated   = 1 << 0
 	flagAtMostOnce = 1 << 1
+	// flagAcceptsLevel means that the sender can decode results with a slowdown and an admission level.
+	flagAcceptsLevel = 1 << 2
+)
+
+// The numbers of a compact result, without and with the slowdown and the admission level.
+const (
+	resultNumbers         = 8
+	extendedResultNumbers = 10
 )
 
 var errFieldCount = errors.New("wrong number of fields")
 
 // encodeCompactTask sets the header fields with the compact form of the metadata.
 func encodeCompactTask(header http.Header, metadata taskMetadata) {
-	flags := int64(0)
+	flags := int64(flagAcceptsLevel)
 	if metadata.Repeated {
 		flags |= flagRepeated
 	}
@@ -79,8 +87,14 @@
 	return metadata.Value(now)
 }
 
-// encodeCompactResult sets the header field with the compact form of the metadata.
-func encodeCompactResult(header http.Header, metadata resultMetadata) {
+// acceptsLevel reports whether the sender of a compact task can decode results with a slowdown and an admission level.
+func acceptsLevel(header http.Header) bool {
+	numbers, err := parseNumbers(header.Get(headerCompactTask), 4)
+	return err == nil && numbers[3]&flagAcceptsLevel != 0
+}
+
+// encodeCompactResult sets the header field with the compact form of the metadata; the extended form has a slowdown and an admission level.
+func encodeCompactResult(header http.Header, metadata resultMetadata, isExtended bool) {
 	delivered, open := 0, 0
 	if metadata.Delivered {
 		delivered = 1
@@ -90,25 +104,36 @@
 	}
 	text := fmt.Sprint(
 		int(metadata.Outcome), delivered, open, metadata.Waiting, metadata.Running, metadata.Slots, metadata.MeanRunTimeMS, metadata.RetryMS)
+	if isExtended {
+		text += " " + fmt.Sprint(metadata.SlowdownPercent, metadata.Level)
+	}
 	header[headerCompactResult] = []string{strings.TrimSuffix(text+" "+string(metadata.Reason), " ")}
 }
 
 // decodeCompactResult decodes the compact metadata in a header and removes its field.
 func decodeCompactResult(header http.Header, now time.Time) (lagoonlanding.ResultConfig, error) {
 	text := header.Get(headerCompactResult)
-	reason := ""
-	if last := strings.LastIndexByte(text, ' '); last >= 0 && strings.Count(text, " ") == 8 {
+	reason, count := "", resultNumbers
+	fields := strings.Count(text, " ") + 1
+	if fields >= extendedResultNumbers {
+		count = extendedResultNumbers
+	}
+	if last := strings.LastIndexByte(text, ' '); last >= 0 && fields == count+1 {
 		text, reason = text[:last], text[last+1:]
 	}
-	numbers, err := parseNumbers(text, 8)
+	numbers, err := parseNumbers(text, count)
 	if err != nil {
 		return lagoonlanding.ResultConfig{}, fmt.Errorf("decode %s: %w", headerCompactResult, err)
 	}
 	header.Del(headerCompactResult)
-	return resultMetadata{
+	metadata := resultMetadata{
 		Outcome: lagoonlanding.Outcome(numbers[0]), Delivered: numbers[1] != 0, Open: numbers[2] != 0, Waiting: int(numbers[3]),
 		Running: int(numbers[4]), Slots: int(numbers[5]), MeanRunTimeMS: numbers[6], RetryMS: numbers[7], Reason: lagoonlanding.Reason(reason),
-	}.Value(now)
+	}
+	if count == extendedResultNumbers {
+		metadata.SlowdownPercent, metadata.Level = numbers[8], uint32(max(numbers[9], 0))
+	}
+	return metadata.Value(now)
 }
 
 // parseNumbers returns the numbers in a text that are separated by spaces.
--- a/mesh/transmitter/compact_test.go
+++ b/mesh/transmitter/compact_test.go
@@ -25,7 +25,7 @@
 func (echoHandler) Handle(_ context.Context, task lagoonlanding.Task) lagoonlanding.Result {
 	if task.Target() == "/refused" {
 		return lagoonlanding.NotRun(lagoonlanding.ReasonQueueFull, timekeeper.BootClock{}.Now().Add(time.Second)).With(func(config *lagoonlanding.ResultConfig) {
-			config.Load = lagoonlanding.NewLoad(lagoonlanding.LoadConfig{Waiting: 3, Running: 2, Slots: 2, MeanRunTime: 70 * time.Millisecond, Open: true})
+			config.Load = lagoonlanding.NewLoad(lagoonlanding.LoadConfig{Waiting: 3, Running: 2, Slots: 2, MeanRunTime: 70 * time.Millisecond, Open: true, Slowdown: 1.4, Level: 130})
 		})
 	}
 	body, err := io.ReadAll(task.Body())
@@ -91,7 +91,7 @@
 			config.Target, config.Body, config.BodyLength = "/refused", nil, 0
 			refused := transmitter.Send(t.Context(), backend, lagoonlanding.NewTask(config))
 			if refused.Outcome() != lagoonlanding.OutcomeNotRun || refused.Reason() != lagoonlanding.ReasonQueueFull || refused.IsDelivered() ||
-				refused.Load().Waiting() != 3 || refused.Load().MeanRunTime() != 70*time.Millisecond || !refused.Load().IsOpen() ||
+				refused.Load().Waiting() != 3 || refused.Load().MeanRunTime() != 70*time.Millisecond || !refused.Load().IsOpen() || refused.Load().Slowdown() != 1.4 || refused.Load().Level() != 130 ||
 				refused.RetryAt().Before(now.Add(900*time.Millisecond)) {
 				t.Errorf("got the refusal %+v", refused)
 			}
@@ -104,6 +104,7 @@
 
 func FuzzCompactMetadata(f *testing.F) {
 	f.Add("10 20 1 0", "=X-Request-Id", "-1", "1 1 1 0 2 6 33 0 queue-full")
+	f.Add("10 20 1 4", "=X-Request-Id", "-1", "1 1 1 0 2 6 33 0 140 130 queue-full")
 	f.Fuzz(func(t *testing.T, numbers, id, key, result string) {
 		header := http.Header{headerCompactTask: {numbers}, headerID: {id}, headerShardKey: {key}, headerService: {"s"}, headerCompactResult: {result}}
 		if config, err := decodeCompactTask(header.Clone(), time.Now()); err == nil && config.ID == "" {
@@ -114,3 +115,13 @@
 		}
 	})
 }
+
+// TestResultsForAnEarlierRelease guards against results that a daemon of an earlier release cannot decode during a rolling update.
+func TestResultsForAnEarlierRelease(t *testing.T) {
+	metadata := resultMetadata{Outcome: lagoonlanding.OutcomeNotRun, Slots: 6, SlowdownPercent: 140, Level: 130, Reason: lagoonlanding.ReasonQueueFull}
+	header := http.Header{headerCompactTask: {"10 20 1 1"}}
+	encodeCompactResult(header, metadata, acceptsLevel(header))
+	if got, want := header.Get(headerCompactResult), "2 0 0 0 0 6 0 0 queue-full"; got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
--- a/mesh/transmitter/server.go
+++ b/mesh/transmitter/server.go
@@ -36,6 +36,7 @@
 // ServeHTTP handles a task, a feed request or a store call.
 func (server *Server) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	isCompact := request.Header.Get(headerCompactTask) != ""
+	isExtended := acceptsLevel(request.Header)
 	if !isCompact && request.Header.Get(headerTask) == "" {
 		switch request.URL.Path {
 		case feedPath:
@@ -58,7 +59,7 @@
 	config.Body, config.BodyLength = request.Body, request.ContentLength
 	task := lagoonlanding.NewTask(config)
 	result := server.config.Handler.Handle(request.Context(), task)
-	server.respondTask(writer, task, result, isCompact)
+	server.respondTask(writer, task, result, isCompact, isExtended)
 }
 
 // decodeTask decodes the metadata of a task in either form and removes them from the header.
@@ -71,13 +72,13 @@
 
 // Refuse responds that a task was not run because the daemon is shutting down.
 func (server *Server) Refuse(writer http.ResponseWriter) {
-	server.respondTask(writer, lagoonlanding.Task{}, lagoonlanding.NotRun(lagoonlanding.ReasonShuttingDown, time.Time{}), false)
+	server.respondTask(writer, lagoonlanding.Task{}, lagoonlanding.NotRun(lagoonlanding.ReasonShuttingDown, time.Time{}), false, false)
 }
 
-func (server *Server) respondTask(writer http.ResponseWriter, task lagoonlanding.Task, result lagoonlanding.Result, isCompact bool) {
+func (server *Server) respondTask(writer http.ResponseWriter, task lagoonlanding.Task, result lagoonlanding.Result, isCompact, isExtended bool) {
 	metadata := newResultMetadata(server.config.Clock.Now(), result)
 	if isCompact {
-		encodeCompactResult(writer.Header(), metadata)
+		encodeCompactResult(writer.Header(), metadata, isExtended)
 	} else if err := encodeHeader(writer.Header(), headerResult, metadata); err != nil {
 		server.config.Log.WithField("request", task.ID()).WithError(err).Error("Cannot encode result; the connection is closed.")
 		// Aborting closes the connection, so the sender treats the outcome as unknown.
--- a/result.go
+++ b/result.go
@@ -119,6 +119,10 @@
 	Limit float64
 	// Open means that the backend server accepts tasks.
 	Open bool
+	// Slowdown is how many times as long as usual work takes on the backend server's machine now; zero counts as one.
+	Slowdown float64
+	// Level limits the admission ranks that the daemon admits; zero means no limit.
+	Level AdmissionLevel
 }
 
 // Load is the load of a backend server.
@@ -146,3 +150,14 @@
 
 // IsOpen reports whether the backend server accepts tasks.
 func (load Load) IsOpen() bool { return load.config.Open }
+
+// Slowdown returns how many times as long as usual work takes on the backend server's machine now.
+func (load Load) Slowdown() float64 {
+	if load.config.Slowdown <= 0 {
+		return 1
+	}
+	return load.config.Slowdown
+}
+
+// Level returns the admission level of the backend server's daemon, zero if it admits all ranks.
+func (load Load) Level() AdmissionLevel { return load.config.Level }
