Skip responses that don't name their request

Change: every response must name its request, and a success must bear a signature. The pool of the backend server skips up to four delimited responses that don't match and reads the own one behind them; the connection is closed afterwards. Where no other response follows, the outcome is unknown. The backend server has a pool of its own now, since other daemons' results carry no ID. In TestUpstreamAnswers the handlers of "plain 503" and "truncated response" send the ID now, because without it they don't reach what they test; the cases without an ID and without a signature are added.

TestStrayResponseIsSkipped (9 cases) passes, and fails without the change.

--- a/lagoonmesh/daemon.go
+++ b/lagoonmesh/daemon.go
@@ -39,7 +39,9 @@
 	clock        timekeeper.BootClock
 	// control holds the connections to the store and those to other daemons for control calls.
 	control *connector.Pool
-	// pool holds the connections to the backend server, and to daemons without compact heads.
+	// backend holds the connections to the backend server.
+	backend *connector.Pool
+	// pool holds the connections to daemons without compact heads.
 	pool *connector.Pool
 	// framed holds the connections with compact heads to other daemons.
 	framed      *connector.Pool
@@ -63,6 +65,9 @@
 	poolConfig.OnEnd = func(address string, sent, received int) { daemon.countBytes(kindTask, address, sent, received) }
 	poolConfig.OnSilence = daemon.recordSilence
 	daemon.pool = connector.NewPool(poolConfig)
+	backendConfig := poolConfig
+	backendConfig.Matches = platform.Answers
+	daemon.backend = connector.NewPool(backendConfig)
 	framedConfig := poolConfig
 	framedConfig.Framed = true
 	daemon.framed = connector.NewPool(framedConfig)
@@ -130,7 +135,7 @@
 func (daemon *daemon) buildTraffic(gate *gatekeeper.Gate) {
 	daemon.acceptor = acceptor.New(acceptor.Config{
 		Service: daemon.settings.Service(), Address: daemon.settings.BackendAddress(), Gate: gate,
-		Runner:    platform.NewUpstream(daemon.pool, daemon.clock, daemon.logFor("upstream")),
+		Runner:    platform.NewUpstream(daemon.backend, daemon.clock, daemon.logFor("upstream")),
 		Ownership: daemon.coordinator.Ownership, OnProcessEnded: daemon.syncer.ProcessEnded, OnLeaving: daemon.syncer.BackendLeaving,
 		Quarantine: daemon.quarantine, OnCrashRecorded: daemon.syncer.CrashRecorded,
 		Shutdown: daemon.drain, Clock: daemon.clock, Log: daemon.logFor("backend"),
@@ -211,6 +216,7 @@
 			return
 		case <-time.After(sweepInterval):
 			daemon.control.Sweep(time.Now())
+			daemon.backend.Sweep(time.Now())
 			daemon.pool.Sweep(time.Now())
 			daemon.framed.Sweep(time.Now())
 			daemon.chooser.Forget(daemon.coordinator.Snapshot().Has)
--- a/mesh/connector/pool.go
+++ b/mesh/connector/pool.go
@@ -39,6 +39,8 @@
 	OnSilence func(address string, sent time.Time)
 	// OnEnd is called with the bytes of each exchange once it has ended; nil if they are not counted.
 	OnEnd func(address string, sent, received int)
+	// Matches reports whether a response belongs to the request; responses that don't are skipped. Nil accepts every response.
+	Matches func(request *http.Request, response *http.Response) bool
 	// Framed means that heads are sent and received in the compact form, which only daemons understand.
 	Framed bool
 }
@@ -130,7 +132,7 @@
 		// The result is read again when the response fails or its body ends.
 		sent <- nil
 	}
-	response, err := connection.readResponse(request)
+	response, err := pool.readOwnResponse(connection, request)
 	if err != nil {
 		if pool.isSilent(ctx, connection, err) {
 			pool.discardSilent(connection)
