Order store revisions by era, and keep ownership safe when the store is restored

The store may be restored from a copy that is some seconds old: revisions and leases are issued again and acknowledged writes are lost. Its header Store-Era rises each time.

The store's client now returns revisions and leases that contain the era, and takes no answer of another era for one to the call that it made. The coordinator keeps the newest allotment that it knows, writes it again with versions from era x 2^32, and lets no backend server acquire keys until the assignments of earlier eras have expired. Feeds and journals reject sources of an earlier era.

--- a/lagoonmesh/daemon.go
+++ b/lagoonmesh/daemon.go
@@ -125,6 +125,7 @@
 		Coordinator: daemon.coordinator,
 		Store: platform.NewStore(platform.StoreConfig{
 			Pool: daemon.control, Address: daemon.settings.StoreAddress(), WatchTerm: daemon.watchTerm(), Meter: daemon.recorder, Log: daemon.logFor("store"),
+			OnEra: daemon.beginEra,
 		}),
 		Daemon: daemon.settings.Daemon(), AvailabilityZone: daemon.settings.AvailabilityZone(), FirstStart: daemon.settings.IsFirstStart(),
 		Peers: peers, Stores: peers, FleetJournal: daemon.fleet, DirectiveJournal: daemon.directives,
--- a/mesh/allocator/allotment.go
+++ b/mesh/allocator/allotment.go
@@ -84,6 +84,10 @@
 	// Weights are the shares of the stripes that backend servers should have, relative to the average, by daemon; those without an entry
 	// should have the average.
 	Weights map[string]float64
+	// Base is the version of an earlier era of the store on which the allotment is based, zero for none.
+	Base uint64
+	// Settled is the newest era of the store in which the longest assignment of earlier eras was waited out, zero for none.
+	Settled uint64
 }
 
 // Allotment maps the keys of a sharded service to their owners; it is immutable, and methods that change it return a new one.
--- a/mesh/allocator/codec.go
+++ b/mesh/allocator/codec.go
@@ -45,11 +45,16 @@
 	Handovers map[int]string `json:"handovers,omitempty"`
 	// Weights are the shares relative to the average, in thousandths, of the daemons in the list of processes.
 	Weights map[string]int `json:"weights,omitempty"`
+	// Base and Settled are a version of an earlier era of the store and an era; see AllotmentConfig.
+	Base    uint64 `json:"base,omitempty"`
+	Settled uint64 `json:"settled-era,omitempty"`
 }
 
 // Encode returns the compressed bytes of the allotment.
 func (codec Codec) Encode(allotment *Allotment) ([]byte, error) {
-	encoded := encodedAllotment{Service: allotment.Service(), Version: allotment.Version(), Handovers: map[int]string{}}
+	encoded := encodedAllotment{
+		Service: allotment.Service(), Version: allotment.Version(), Handovers: map[int]string{}, Base: allotment.Base(), Settled: allotment.config.Settled,
+	}
 	positions := map[lagoonlanding.BackendID]uint64{{}: 0}
 	positionOf := func(id lagoonlanding.BackendID) uint64 {
 		if _, ok := positions[id]; !ok {
@@ -140,7 +145,9 @@
 	for daemon, weight := range encoded.Weights {
 		weights[daemon] = float64(weight) / weightUnit
 	}
-	return NewAllotment(AllotmentConfig{Service: encoded.Service, Version: encoded.Version, Stripes: stripes, Weights: weights}), nil
+	return NewAllotment(AllotmentConfig{
+		Service: encoded.Service, Version: encoded.Version, Stripes: stripes, Weights: weights, Base: encoded.Base, Settled: encoded.Settled,
+	}), nil
 }
 
 // columns reads the columns of an allotment in parallel.
--- a/mesh/assigner/assigner.go
+++ b/mesh/assigner/assigner.go
@@ -139,6 +139,15 @@
 	return lagoonlanding.NewRangeAssignment(ranges, assigner.expiresAt)
 }
 
+// Renew returns an assignment as Assign does, but only of keys in the assignment that the backend server has now: no key passes from another
+// backend server to this one. It returns none if there is no current assignment, so that the backend server keeps its keys until they expire.
+func (assigner *Assigner) Renew(now, verifiedAt time.Time, allotment *allocator.Allotment) lagoonlanding.RangeAssignment {
+	if allotment == nil || !now.Before(assigner.expiresAt) {
+		return lagoonlanding.RangeAssignment{}
+	}
+	return assigner.Assign(now, verifiedAt, allotment.Within(func(first, last int) bool { return covers(assigner.assigned, first, last) }))
+}
+
 // withClockDrift returns how long a term lasts at most by the clock of the backend server.
 func (assigner *Assigner) withClockDrift(term time.Duration) time.Duration {
 	return time.Duration(float64(term) * (1 + assigner.config.MaxClockDrift))
--- a/mesh/coordinator/conflict.go
+++ b/mesh/coordinator/conflict.go
@@ -37,6 +37,11 @@
 	return stored.allotment.AwaitedOwners()
 }
 
+// eraHash returns a number that differs between daemons and eras.
+func (coordinator *Coordinator) eraHash(service string) uint64 {
+	return xxhash.Sum64String(fmt.Sprint(coordinator.config.Self.ID().Daemon(), service, coordinator.era))
+}
+
 // conflictHash returns a number that differs between daemons and generations.
 func (coordinator *Coordinator) conflictHash(key string) uint64 {
 	return xxhash.Sum64String(fmt.Sprint(coordinator.config.Self.ID().Daemon(), key, coordinator.generation))
--- a/mesh/coordinator/coordinator.go
+++ b/mesh/coordinator/coordinator.go
@@ -37,10 +37,13 @@
 	Log *logrus.Entry
 }
 
-// storedAllotment is an allotment with its revision in the store.
+// storedAllotment is an allotment with the revision of its entry in the store.
 type storedAllotment struct {
 	allotment *allocator.Allotment
 	revision  uint64
+	// isReplaced means that the entry now contains another allotment, which does not supersede this one; the other fields are that one's.
+	isReplaced                   bool
+	replacedVersion, replacedEra uint64
 }
 
 // Coordinator is the control state of a daemon; only the control thread may call its methods, except Snapshot and Ownership.
@@ -88,6 +91,11 @@
 	// registrationSentAt is when the last successful write of the registration was sent.
 	registrationSentAt time.Time
 	startedAt          time.Time
+	// era is the era of the store, and settledAt when every assignment of earlier eras has expired; zero in era zero.
+	era       uint64
+	settledAt time.Time
+	// restoreAt maps each evacuated zone whose entry a restore of the store has lost to the time until which the operator can write it again.
+	restoreAt map[string]time.Time
 
 	snapshot  atomic.Pointer[Snapshot]
 	ownership atomic.Pointer[assigner.Ownership]
@@ -98,6 +106,7 @@
 	coordinator := &Coordinator{
 		config: config, evacuated: map[string]time.Time{}, allotments: map[string]storedAllotment{},
 		planNeededSince: map[string]time.Time{}, upToDate: map[string]planValidity{}, startedAt: now,
+		restoreAt: map[string]time.Time{},
 	}
 	coordinator.publish()
 	return coordinator
@@ -222,6 +231,7 @@
 
 // ApplyDirective applies an entry that an operator wrote: a configuration or the evacuation of a zone.
 func (coordinator *Coordinator) ApplyDirective(now time.Time, directive lagoonlanding.Directive) {
+	delete(coordinator.restoreAt, directive.EvacuatedZone())
 	switch {
 	case directive.Routing() != nil:
 		coordinator.applyRouting(directive.Routing())
@@ -245,6 +255,7 @@
 
 // RestoreZone ends the evacuation of a zone.
 func (coordinator *Coordinator) RestoreZone(zone string) {
+	delete(coordinator.restoreAt, zone)
 	if coordinator.isEvacuated(zone) {
 		delete(coordinator.evacuated, zone)
 		coordinator.config.Log.WithField("zone", zone).Info("Zone is no longer evacuated.")
--- a/mesh/coordinator/store.go
+++ b/mesh/coordinator/store.go
@@ -29,6 +29,7 @@
 
 // Apply applies changes of the fleet's entries.
 func (coordinator *Coordinator) Apply(now time.Time, list lagoonlanding.ChangeList) {
+	coordinator.BeginEra(now, lagoonlanding.EraOf(list.Revision()))
 	for _, change := range list.Changes() {
 		coordinator.apply(now, change)
 	}
@@ -40,6 +41,7 @@
 // Replace applies a full listing of the fleet's entries, requested from the store at the given time. The time is zero if the listing
 // came from another daemon; such a listing doesn't verify the registration.
 func (coordinator *Coordinator) Replace(now, requested time.Time, listing lagoonlanding.Listing) {
+	coordinator.BeginEra(now, lagoonlanding.EraOf(listing.Revision()))
 	listed := map[string]bool{}
 	ownRevision := uint64(0)
 	for _, entry := range listing.Entries() {
@@ -120,6 +122,10 @@
 	if ok && entry.Revision() <= known.revision {
 		return
 	}
+	if era := lagoonlanding.EraOf(entry.Revision()); ok && era > 0 && !allotment.Supersedes(known.allotment, era) {
+		coordinator.keepAllotment(known, allotment, entry.Revision())
+		return
+	}
 	coordinator.allotments[allotment.Service()] = storedAllotment{allotment: allotment, revision: entry.Revision()}
 	delete(coordinator.planNeededSince, allotment.Service())
 	coordinator.config.Log.WithField("service", allotment.Service()).WithField("version", allotment.Version()).
--- a/mesh/coordinator/upstream.go
+++ b/mesh/coordinator/upstream.go
@@ -35,7 +35,7 @@
 	if !coordinator.mayAssign() {
 		return lagoonlanding.RangeAssignment{}, true
 	}
-	return coordinator.config.Assigner.Assign(now, coordinator.session.VerifiedAt(), coordinator.allotments[announcement.Service()].allotment), true
+	return coordinator.assign(now, announcement.Service()), true
 }
 
 // isOutlived reports whether a later process of the backend server has been registered: after a restart of the daemon, a delayed announcement
--- a/mesh/coordinator/write.go
+++ b/mesh/coordinator/write.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"slices"
 	"time"
 
@@ -82,6 +83,7 @@
 	if coordinator.inFlight != 0 {
 		return Write{}, time.Time{}, false
 	}
+	coordinator.endRestore(now)
 	if now.Before(coordinator.nextWriteAt) {
 		return Write{}, coordinator.nextWriteAt, false
 	}
@@ -128,7 +130,10 @@
 func (coordinator *Coordinator) allotmentWrite(now time.Time, service string) (Write, time.Time, bool) {
 	known, exists := coordinator.allotments[service]
 	if !exists {
-		known.allotment = allocator.NewAllotment(allocator.AllotmentConfig{Service: service})
+		known.allotment = allocator.InitialAllotment(service, coordinator.era)
+	}
+	if write, at, ok := coordinator.eraWrite(now, service, known, exists); ok || !at.IsZero() {
+		return write, at, ok
 	}
 	if next, ok := coordinator.inherit(now, service, known.allotment); ok {
 		return coordinator.conditionalWrite(now, next, known.revision, nil)
@@ -235,6 +240,10 @@
 // WriteDone records the result of a write.
 func (coordinator *Coordinator) WriteDone(now time.Time, write Write, revision uint64, err error) {
 	coordinator.inFlight = 0
+	coordinator.BeginEra(now, lagoonlanding.EraOf(revision))
+	if err == nil && lagoonlanding.EraOf(revision) < coordinator.era {
+		err = fmt.Errorf("%w: written in an earlier era", lagoonlanding.ErrUnknown)
+	}
 	if err == nil {
 		coordinator.failedWrites = 0
 	}
--- a/mesh/registrar/departure.go
+++ b/mesh/registrar/departure.go
@@ -87,6 +87,14 @@
 	}
 }
 
+// BeginEra records that the store was restored from a copy, which may lack the departure: it has to be written again if it is still needed.
+func (departure *Departure) BeginEra(isNeeded bool) {
+	departure.revision = 0
+	if isNeeded && departure.IsRecorded() {
+		departure.recorded = make(chan struct{})
+	}
+}
+
 // DepartureCodec converts the processes named by departures to and from their stored form.
 type DepartureCodec struct{}
 
--- a/mesh/registrar/fleet.go
+++ b/mesh/registrar/fleet.go
@@ -25,6 +25,8 @@
 	daemons map[string]*daemon
 	// completeSince is since when the view is complete after a start or an outage of the store; zero while it is not.
 	completeSince time.Time
+	// restoring means that the store was restored from a copy a short time ago, so that registrations may be missing or older than known.
+	restoring bool
 }
 
 // daemon is the state of one daemon.
@@ -35,6 +37,8 @@
 	processSince time.Time
 	// unregisteredAt is when the registration was found to have disappeared; zero while it exists.
 	unregisteredAt time.Time
+	// restored is the registration in the store while that is older than the known one after a restore, zero for none.
+	restored lagoonlanding.Backend
 }
 
 // NewFleet returns a Fleet without daemons.
@@ -47,11 +51,14 @@
 		return false
 	}
 	registered := &daemon{backend: backend, revision: revision, processSince: now}
-	if ok && known.unregisteredAt.IsZero() && known.backend.ID() == backend.ID() {
+	if ok && fleet.restoring && isEarlierProcess(backend.ID(), known.backend.ID()) {
+		registered.backend, registered.restored = known.backend, backend
+	}
+	if ok && known.unregisteredAt.IsZero() && known.backend.ID() == registered.backend.ID() {
 		registered.processSince = known.processSince
 	}
 	fleet.daemons[backend.ID().Daemon()] = registered
-	return !ok || !known.unregisteredAt.IsZero() || known.backend != backend
+	return !ok || !known.unregisteredAt.IsZero() || known.backend != registered.backend
 }
 
 // Unregister records that the daemon's registration is no longer in the store, and reports whether that changes the fleet.
@@ -171,11 +178,11 @@
 	return backends
 }
 
-// Registered returns the daemons that are registered, ordered by name.
+// Registered returns the daemons that are registered, ordered by name; after a restore of the store also those that have yet to register again.
 func (fleet *Fleet) Registered() []lagoonlanding.Backend {
 	var backends []lagoonlanding.Backend
 	for _, known := range fleet.daemons {
-		if known.unregisteredAt.IsZero() {
+		if known.unregisteredAt.IsZero() || fleet.restoring {
 			backends = append(backends, known.backend)
 		}
 	}
--- a/mesh/registrar/session.go
+++ b/mesh/registrar/session.go
@@ -17,6 +17,8 @@
 	stored     uint64
 	verified   bool
 	verifiedAt time.Time
+	// earlierVerifiedAt is when the registration was last certainly in the store in an earlier era of it, zero for never.
+	earlierVerifiedAt time.Time
 }
 
 // Lease returns the lease of the registration, zero if there is none.
@@ -66,7 +68,17 @@
 func (session *Session) SetUnverified() { session.verified = false }
 
 // End records that the lease has ended, and the entry with it.
-func (session *Session) End() { *session = Session{verifiedAt: session.verifiedAt} }
+func (session *Session) End() {
+	*session = Session{verifiedAt: session.verifiedAt, earlierVerifiedAt: session.earlierVerifiedAt}
+}
+
+// BeginEra records that the store was restored from a copy: it may lack the lease and the entry, or issue the lease to another daemon again.
+func (session *Session) BeginEra() {
+	*session = Session{verifiedAt: session.verifiedAt, earlierVerifiedAt: session.verifiedAt}
+}
+
+// EarlierVerifiedAt returns when the registration was last certainly in the store in an earlier era of it, zero for never.
+func (session *Session) EarlierVerifiedAt() time.Time { return session.earlierVerifiedAt }
 
 // Verify records the revision of the daemon's entry, zero for none, from a read that was sent at the given time.
 func (session *Session) Verify(sent time.Time, revision uint64) {
--- a/mesh/relayer/journal.go
+++ b/mesh/relayer/journal.go
@@ -66,6 +66,10 @@
 func (journal *Journal) Replace(listing lagoonlanding.Listing) []lagoonlanding.Change {
 	journal.mutex.Lock()
 	defer journal.mutex.Unlock()
+	if lagoonlanding.EraOf(listing.Revision()) < lagoonlanding.EraOf(journal.revision) {
+		// A listing of an earlier era of the store shows nothing of the current one.
+		return nil
+	}
 	listed := map[string]lagoonlanding.Entry{}
 	for _, entry := range listing.Entries() {
 		listed[entry.Key()] = entry
@@ -213,6 +217,10 @@
 	if !journal.connected {
 		return lagoonlanding.ChangeList{}, nil, lagoonlanding.ErrStoreDisconnected
 	}
+	if lagoonlanding.EraOf(after) > lagoonlanding.EraOf(journal.revision) {
+		// The follower knows a later era of the store than this daemon does.
+		return lagoonlanding.ChangeList{}, nil, lagoonlanding.ErrStoreDisconnected
+	}
 	if !journal.isCompleteSince(after) {
 		return lagoonlanding.ChangeList{}, nil, lagoonlanding.ErrCompacted
 	}
--- a/mesh/syncer/syncer.go
+++ b/mesh/syncer/syncer.go
@@ -76,6 +76,8 @@
 	lastFailed time.Time
 	// directViews are the names of the views that receive changes from the store itself.
 	directViews map[string]bool
+	// era is the latest era of the store that an answer of the store has shown.
+	era uint64
 	// seeds are daemons of the zone that were registered when this one started.
 	seeds []lagoonlanding.Backend
 
--- a/mesh/syncer/view.go
+++ b/mesh/syncer/view.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -230,10 +231,17 @@
 	if source.isStore() {
 		go view.cancelWhenStoreFails(limited, cancel, view.sourceSince)
 	}
-	changes, err := source.feed.Watch(limited, view.journal.Prefix(), view.journal.Revision())
+	after := view.journal.Revision()
+	changes, err := source.feed.Watch(limited, view.journal.Prefix(), after)
+	if err != nil && ctx.Err() == nil && source.isStore() && view.syncer.currentEra() > lagoonlanding.EraOf(after) {
+		return fmt.Errorf("%w: %w", lagoonlanding.ErrCompacted, err)
+	}
 	if err != nil {
 		return err
 	}
+	if lagoonlanding.EraOf(changes.Revision()) < lagoonlanding.EraOf(after) {
+		return errEarlierEra
+	}
 	view.journal.Apply(changes)
 	view.apply(changes)
 	return nil
@@ -242,7 +250,7 @@
 // cancelWhenStoreFails cancels a watch of the store when the store no longer answers other calls: the watch may be dead too.
 func (view *view) cancelWhenStoreFails(ctx context.Context, cancel context.CancelFunc, since time.Time) {
 	for ctx.Err() == nil {
-		if !view.syncer.isStoreAnswering(since) {
+		if !view.syncer.isStoreAnswering(since) || view.syncer.currentEra() > lagoonlanding.EraOf(view.journal.Revision()) {
 			cancel()
 			return
 		}
@@ -262,6 +270,9 @@
 	if err != nil {
 		return err
 	}
+	if lagoonlanding.EraOf(listing.Revision()) < lagoonlanding.EraOf(view.journal.Revision()) {
+		return errEarlierEra
+	}
 	if source.isStore() {
 		view.syncer.recordAnswer(requested)
 	}
@@ -288,7 +299,7 @@
 
 // newDirectiveView returns the view of the directives that operators write.
 func newDirectiveView(syncer *Syncer) *view {
-	directivehandler := &directiveHandler{syncer: syncer, zones: map[string]string{}}
+	directivehandler := &directiveHandler{syncer: syncer, zones: map[string]evacuation{}}
 	return &view{
 		syncer: syncer, name: "directives", journal: syncer.config.DirectiveJournal, avoidedUntil: map[string]time.Time{},
 		replace: func(_ time.Time, listing lagoonlanding.Listing, removals []lagoonlanding.Change) {
@@ -312,16 +323,29 @@
 type directiveHandler struct {
 	syncer *Syncer
 	// zones maps the keys of evacuation entries to their zones, since a removal has no value to decode.
-	zones map[string]string
+	zones map[string]evacuation
+}
+
+// evacuation is an evacuated zone with the revision of its entry.
+type evacuation struct {
+	zone     string
+	revision uint64
 }
 
 // apply passes one changed or removed entry to the control state.
 func (directivehandler *directiveHandler) apply(change lagoonlanding.Change) {
 	key := change.Entry().Key()
 	if change.IsRemoved() {
-		if zone, ok := directivehandler.zones[key]; ok {
+		if evacuation, ok := directivehandler.zones[key]; ok {
 			delete(directivehandler.zones, key)
-			directivehandler.syncer.do(func(state *coordinator.Coordinator, _ time.Time) { state.RestoreZone(zone) })
+			isLost := lagoonlanding.EraOf(evacuation.revision) < lagoonlanding.EraOf(change.Entry().Revision())
+			directivehandler.syncer.do(func(state *coordinator.Coordinator, now time.Time) {
+				if isLost {
+					state.LoseZone(now, evacuation.zone)
+				} else {
+					state.RestoreZone(evacuation.zone)
+				}
+			})
 		}
 		return
 	}
@@ -331,7 +355,7 @@
 		return
 	}
 	if directive.EvacuatedZone() != "" {
-		directivehandler.zones[key] = directive.EvacuatedZone()
+		directivehandler.zones[key] = evacuation{zone: directive.EvacuatedZone(), revision: change.Entry().Revision()}
 	}
 	directivehandler.syncer.do(func(state *coordinator.Coordinator, now time.Time) { state.ApplyDirective(now, directive) })
 }
--- a/mesh/transmitter/feed.go
+++ b/mesh/transmitter/feed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 
 	"lagoonlanding.example/lagoonlanding"
@@ -30,6 +31,8 @@
 type feedResponse struct {
 	Changes  []feedEntry `json:"c,omitempty"`
 	Revision uint64      `json:"r"`
+	// Era is the era of the store in which the daemon follows it; daemons of earlier releases don't state it.
+	Era uint64 `json:"e,omitempty"`
 }
 
 // feed reads the changes that one daemon relays.
@@ -58,6 +61,9 @@
 // Watch waits for changes under the prefix after the revision, and returns them.
 func (feed *feed) Watch(ctx context.Context, prefix string, after uint64) (lagoonlanding.ChangeList, error) {
 	response, err := feed.call(ctx, feedRequest{Prefix: prefix, After: after})
+	if err == nil && response.Era < lagoonlanding.EraOf(after) {
+		return lagoonlanding.ChangeList{}, fmt.Errorf("%w: daemon follows era %d of the store", lagoonlanding.ErrStoreDisconnected, response.Era)
+	}
 	var changes []lagoonlanding.Change
 	for _, change := range response.Changes {
 		changes = append(changes, lagoonlanding.NewChange(lagoonlanding.NewEntry(change.Key, change.Value, change.Revision), change.Removed))
@@ -97,7 +103,7 @@
 		return response, err
 	}
 	list, err := feed.Watch(ctx, query.Prefix, query.After)
-	response := feedResponse{Revision: list.Revision()}
+	response := feedResponse{Revision: list.Revision(), Era: lagoonlanding.EraOf(list.Revision())}
 	for _, change := range list.Changes() {
 		entry := change.Entry()
 		response.Changes = append(response.Changes, feedEntry{Key: entry.Key(), Value: entry.Value(), Revision: entry.Revision(), Removed: change.IsRemoved()})
