Simulate restores of the store among all other faults

The simulation of ownership keeps copies of its store and restores one that is up to eight seconds old: entries, leases and revisions go back, and late writes of the earlier era are carried out by the store's own numbers. Without a restore its random sequence is unchanged.

Assigning unsettled allotments, or not waiting for the longest assignment, fails the test.

--- a/mesh/coordinator/ownership_test.go
+++ b/mesh/coordinator/ownership_test.go
@@ -29,6 +29,8 @@
 
 // simStore simulates a store whose changes reach each daemon with a delay.
 type simStore struct {
+	// era counts the restores, see restore_test.go; revision is the store's own one, without the era.
+	era       uint64
 	revision  uint64
 	entries   map[string]lagoonlanding.Entry
 	leases    map[string]lagoonlanding.LeaseID
@@ -40,10 +42,10 @@
 
 func (store *simStore) put(key string, value []byte, lease lagoonlanding.LeaseID) uint64 {
 	store.revision++
-	entry := lagoonlanding.NewEntry(key, value, store.revision)
+	entry := lagoonlanding.NewEntry(key, value, store.currentRevision())
 	store.entries[key], store.leases[key] = entry, lease
 	store.log = append(store.log, lagoonlanding.NewChange(entry, false))
-	return store.revision
+	return store.currentRevision()
 }
 
 func (store *simStore) remove(key string) {
@@ -53,7 +55,7 @@
 	store.revision++
 	delete(store.entries, key)
 	delete(store.leases, key)
-	store.log = append(store.log, lagoonlanding.NewChange(lagoonlanding.NewEntry(key, nil, store.revision), true))
+	store.log = append(store.log, lagoonlanding.NewChange(lagoonlanding.NewEntry(key, nil, store.currentRevision()), true))
 }
 
 func (store *simStore) expireLeases(now time.Time) {
@@ -70,13 +72,13 @@
 	}
 }
 
-// commit carries out a transaction if its preconditions hold and its leases exist.
+// commit carries out a transaction if its preconditions hold and its leases exist, by the store's own revisions and leases.
 func (store *simStore) commit(transaction lagoonlanding.Transaction) (uint64, error) {
 	var current []lagoonlanding.Entry
 	isExpected := true
 	for _, precondition := range transaction.Preconditions() {
 		entry, exists := store.entries[precondition.Key()]
-		isExpected = isExpected && entry.Revision() == precondition.Revision()
+		isExpected = isExpected && lagoonlanding.StoreRevision(entry.Revision()) == lagoonlanding.StoreRevision(precondition.Revision())
 		if exists {
 			current = append(current, entry)
 		}
@@ -85,13 +87,13 @@
 		return 0, lagoonlanding.NewConflictError(current)
 	}
 	for _, put := range transaction.Puts() {
-		if _, ok := store.expiries[put.Lease()]; put.Lease() != 0 && !ok {
+		if _, ok := store.expiries[store.currentLease(put.Lease())]; put.Lease() != 0 && !ok {
 			return 0, lagoonlanding.ErrLeaseEnded
 		}
 	}
 	// The zone entries of registrations are left out: no daemon of the simulation reads them.
 	put := transaction.Puts()[0]
-	return store.put(put.Key(), put.Value(), put.Lease()), nil
+	return store.put(put.Key(), put.Value(), store.currentLease(put.Lease())), nil
 }
 
 // simLateWrite is a write without an answer that the store carries out later.
@@ -167,6 +169,9 @@
 	late []simLateWrite
 	// allotmentWrites counts the allotments that were written.
 	allotmentWrites int
+	// copies are those of the store from which it may be restored, and restoreAt is when it is, zero for never.
+	copies    []simCopy
+	restoreAt time.Time
 }
 
 type simToken struct {
@@ -255,7 +260,7 @@
 	for _, entry := range sim.store.entries {
 		entries = append(entries, entry)
 	}
-	return lagoonlanding.NewListing(entries, sim.store.revision)
+	return lagoonlanding.NewListing(entries, sim.store.currentRevision())
 }
 
 // applyChanges delivers store changes to the daemon, some of them late.
@@ -264,7 +269,7 @@
 		daemon.coordinator.SetConnected(sim.now, false)
 		return
 	}
-	if daemon.applied < 0 {
+	if daemon.applied < 0 && (sim.store.era == 0 || sim.random.Float64() >= float64(daemon.lag)/float64(time.Second)) {
 		daemon.coordinator.Replace(sim.now, sim.now, sim.listing())
 		daemon.applied = len(sim.store.log)
 		return
@@ -276,7 +281,10 @@
 	if sim.random.Float64() < float64(lag)/float64(time.Second) {
 		return
 	}
-	revision := sim.store.revision
+	if daemon.applied < 0 {
+		return
+	}
+	revision := sim.store.currentRevision()
 	daemon.coordinator.Apply(sim.now, lagoonlanding.NewChangeList(sim.store.log[daemon.applied:], revision))
 	daemon.coordinator.SetConnected(sim.now, true)
 	daemon.applied = len(sim.store.log)
@@ -293,10 +301,12 @@
 		daemon.coordinator.RenewalDone(sim.now, true, lagoonlanding.ErrUnknown)
 		return
 	}
+	sim.showEra(daemon)
 	if session.Lease() == 0 {
 		sim.store.lastLease++
-		sim.store.expiries[sim.store.lastLease] = sim.now.Add(simLease)
-		daemon.coordinator.LeaseGranted(sim.store.lastLease)
+		granted := sim.store.currentLease(sim.store.lastLease)
+		sim.store.expiries[granted] = sim.now.Add(simLease)
+		daemon.coordinator.LeaseGranted(granted)
 		return
 	}
 	if _, ok := sim.store.expiries[session.Lease()]; !ok {
@@ -326,7 +336,8 @@
 		daemon.coordinator.WriteDone(sim.now, write, 0, lagoonlanding.ErrUnknown)
 		return
 	}
-	revision, err := sim.store.commit(write.Transaction())
+	sim.showEra(daemon)
+	revision, err := sim.store.commitInEra(write.Transaction())
 	if err == nil && outcome < 0.1 {
 		revision, err = 0, lagoonlanding.ErrUnknown
 	}
@@ -516,6 +527,7 @@
 // advance simulates one step of all daemons.
 func (sim *sim) advance() {
 	sim.now = sim.now.Add(simStep)
+	sim.restoreStore()
 	if !sim.store.down {
 		sim.store.expireLeases(sim.now)
 		sim.commitLate()
--- /dev/null
+++ b/mesh/coordinator/restore_test.go
@@ -0,0 +1,199 @@
+package coordinator
+
+import (
+	"fmt"
+	"maps"
+	"strings"
+	"testing"
+	"time"
+
+	"lagoonlanding.example/lagoonlanding"
+)
+
+// simCopy is a copy of the store.
+type simCopy struct {
+	at    time.Time
+	store simStore
+}
+
+// currentRevision returns the revision of the store with its era.
+func (store *simStore) currentRevision() uint64 {
+	revision, _ := lagoonlanding.RevisionInEra(store.era, store.revision) // The simulation stays below the bounds.
+	return revision
+}
+
+// currentLease returns the lease that the store has in its era under the same ID of its own.
+func (store *simStore) currentLease(lease lagoonlanding.LeaseID) lagoonlanding.LeaseID {
+	return lagoonlanding.LeaseInEra(store.era, lease&lagoonlanding.MaxStoreNumber)
+}
+
+// commitInEra carries out a transaction as the store's client does, which sends none that depends on an earlier era.
+func (store *simStore) commitInEra(transaction lagoonlanding.Transaction) (uint64, error) {
+	for _, precondition := range transaction.Preconditions() {
+		if precondition.Revision() != 0 && lagoonlanding.EraOf(precondition.Revision()) != store.era {
+			return 0, lagoonlanding.NewConflictError(nil)
+		}
+	}
+	for _, put := range transaction.Puts() {
+		if put.Lease() != store.currentLease(put.Lease()) {
+			return 0, lagoonlanding.ErrLeaseEnded
+		}
+	}
+	return store.commit(transaction)
+}
+
+// clone returns a store with the same entries and leases in another era.
+func (store *simStore) clone(era uint64) simStore {
+	cloned := simStore{
+		era: era, revision: store.revision, lastLease: store.lastLease, entries: map[string]lagoonlanding.Entry{},
+		leases: map[string]lagoonlanding.LeaseID{}, expiries: map[lagoonlanding.LeaseID]time.Time{},
+	}
+	for key, entry := range store.entries {
+		revision, _ := lagoonlanding.RevisionInEra(era, lagoonlanding.StoreRevision(entry.Revision()))
+		cloned.entries[key] = lagoonlanding.NewEntry(key, entry.Value(), revision)
+	}
+	for key, lease := range store.leases {
+		cloned.leases[key] = cloned.currentLease(lease)
+	}
+	for lease, expiry := range store.expiries {
+		cloned.expiries[cloned.currentLease(lease)] = expiry
+	}
+	return cloned
+}
+
+// showEra shows a daemon the era of the store, as every answer of the store does that reaches its client.
+func (sim *sim) showEra(daemon *simDaemon) {
+	if sim.isDirect(daemon) {
+		daemon.coordinator.BeginEra(sim.now, sim.store.era)
+	}
+}
+
+// maxCopyAge is the greatest age of a copy from which the store is restored.
+const maxCopyAge = 8 * time.Second
+
+// beginDrill makes the store unavailable and has it restored from a copy some seconds old shortly after.
+func (sim *sim) beginDrill() {
+	sim.store.down = true
+	sim.restoreAt = sim.now.Add(time.Duration(300+sim.random.IntN(2000)) * time.Millisecond)
+}
+
+// restoreStore keeps copies of the store, and restores it if that is due.
+func (sim *sim) restoreStore() {
+	if sim.copies == nil {
+		return
+	}
+	if last := sim.copies[len(sim.copies)-1]; !sim.store.down && sim.now.Sub(last.at) >= time.Second {
+		sim.copies = append(sim.copies, simCopy{at: sim.now, store: sim.store.clone(sim.store.era)})
+	}
+	for len(sim.copies) > 1 && sim.now.Sub(sim.copies[0].at) > maxCopyAge {
+		sim.copies = sim.copies[1:]
+	}
+	if sim.restoreAt.IsZero() || sim.now.Before(sim.restoreAt) {
+		return
+	}
+	sim.restoreAt = time.Time{}
+	restored := sim.copies[sim.random.IntN(len(sim.copies))].store.clone(sim.store.era + 1)
+	for lease := range maps.Keys(restored.expiries) {
+		restored.expiries[lease] = sim.now.Add(simLease)
+	}
+	*sim.store = restored
+	for _, daemon := range sim.daemons {
+		daemon.applied = -1
+	}
+}
+
+// newDrillSim returns a simulation in which the store can be restored.
+func newDrillSim(t *testing.T, seed uint64) *sim {
+	sim := newSim(t, seed)
+	sim.copies = []simCopy{{at: sim.now, store: sim.store.clone(0)}}
+	return sim
+}
+
+// Guards against two owners of a key, or tokens that don't increase, after the store has lost allotments, registrations and leases, together with all
+// other faults. One drill in four follows the one before within seconds.
+func TestNoKeyHasTwoOwnersAfterRestores(t *testing.T) {
+	for seed := range uint64(40) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			sim := newDrillSim(t, seed+5000)
+			drillAt := sim.now.Add(10 * time.Second)
+			for end := sim.now.Add(simDuration + 30*time.Second); sim.now.Before(end); {
+				if sim.now.After(drillAt) {
+					sim.beginDrill()
+					drillAt = sim.now.Add(time.Duration(15+sim.random.IntN(15)) * time.Second)
+					if sim.random.IntN(4) == 0 {
+						drillAt = sim.now.Add(time.Duration(3+sim.random.IntN(5)) * time.Second)
+					}
+				}
+				if sim.now.Sub(time.Unix(1000, 0)) > 6*time.Second {
+					sim.maybeInjectFault()
+				}
+				sim.advance()
+			}
+			if sim.store.era < 3 {
+				t.Errorf("only %d restores", sim.store.era)
+			}
+		})
+	}
+}
+
+// Guards against keys without an owner, or allotments that stay unsettled, after restores among faults. The bound is that of every other fault plus
+// the wait for the longest assignment of the earlier era.
+func TestAllKeysAreOwnedAgainAfterRestores(t *testing.T) {
+	const longestAssignment = 7700 * time.Millisecond
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			sim := newDrillSim(t, seed+7000)
+			for range 200 {
+				sim.advance()
+			}
+			for round := range 8 {
+				sim.beginDrill()
+				for range sim.random.IntN(3) {
+					sim.injectFault()
+				}
+				for end := sim.now.Add(4 * time.Second); sim.now.Before(end) || sim.hasActiveFault(); {
+					sim.advance()
+				}
+				sim.store.down = false
+				faultsEnded := sim.now
+				for sim.ownedStripes() < 256 {
+					if sim.advance(); sim.now.Sub(faultsEnded) > maxRecoveryTime+longestAssignment {
+						t.Fatalf("round %d: %d of 256 stripes are owned %v after the last fault", round, sim.ownedStripes(), sim.now.Sub(faultsEnded))
+					}
+				}
+			}
+		})
+	}
+}
+
+// Guards against an interruption of service by a drill alone: the store loses moves of keys that all daemons know, and each daemon keeps its keys.
+func TestKeysStayOwnedDuringRestore(t *testing.T) {
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			sim := newDrillSim(t, seed+9000)
+			for range 300 {
+				sim.advance()
+			}
+			token := sim.tokens[0].token
+			sim.beginDrill()
+			least, writes := 256, sim.allotmentWrites
+			for range 400 {
+				sim.advance()
+				least = min(least, sim.ownedStripes())
+			}
+			stored := ""
+			for key := range sim.store.entries {
+				if strings.HasPrefix(key, allotmentPrefix) {
+					stored = key
+				}
+			}
+			if least < 256 || stored == "" || sim.tokens[0].token <= 1<<32 || token >= 1<<32 {
+				t.Errorf("%d stripes were owned at the least, the token rose from %d to %d, and the store holds %q", least, token, sim.tokens[0].token, stored)
+			}
+			t.Logf("%d allotments were written, %d stripes were owned at the least", sim.allotmentWrites-writes, least)
+		})
+	}
+}
