--- a/adapters/keeper/table.go
+++ b/adapters/keeper/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 
@@ -19,6 +20,11 @@
 	return &Table{entries: make(map[string]lagoonlanding.Entry)}
 }
 
+// Clone returns a copy of the table, from which it can be restored.
+func (table *Table) Clone() *Table {
+	return &Table{entries: maps.Clone(table.entries), revision: table.revision}
+}
+
 // Revision returns the revision of the latest write.
 func (table *Table) Revision() uint64 { return table.revision }
 
