Keep the newest configuration when a restored store lists an older one

A daemon that follows the store, or relays it, replaces an older configuration in a listing of a restored store by the newest one that it knows. Otherwise a daemon that starts before the operator has written the newest one again would apply the older one from its relay.

--- a/mesh/coordinator/era.go
+++ b/mesh/coordinator/era.go
@@ -35,7 +35,9 @@
 	if coordinator.suspectsRevision != 0 {
 		coordinator.suspectsPending, coordinator.suspectsRevision = true, 0
 	}
-	coordinator.config.Fleet.BeginRestore(now)
+	if coordinator.viewRevision > 0 {
+		coordinator.config.Fleet.BeginRestore(now)
+	}
 	clear(coordinator.planNeededSince)
 	coordinator.publish()
 }
--- a/mesh/syncer/era.go
+++ b/mesh/syncer/era.go
@@ -26,3 +26,27 @@
 	defer syncer.mutex.Unlock()
 	return syncer.era
 }
+
+// amend returns a listing of a restored store with the newest configuration that this daemon knows, as of the listing, if the store has an older one
+// or none. Daemons that follow this one, also those that start, therefore do not apply an older configuration while the operator writes the newest one
+// again.
+func (directivehandler *directiveHandler) amend(listing lagoonlanding.Listing) lagoonlanding.Listing {
+	newest := directivehandler.newest
+	if lagoonlanding.EraOf(listing.Revision()) == 0 || newest.Key() == "" {
+		return listing
+	}
+	amended := []lagoonlanding.Entry{}
+	for _, entry := range listing.Entries() {
+		if entry.Key() != newest.Key() {
+			amended = append(amended, entry)
+			continue
+		}
+		directive, err := directivehandler.syncer.config.Directives.Decode(entry)
+		if err == nil && directive.Routing() != nil && directive.Routing().Version() >= directivehandler.version {
+			return listing
+		}
+	}
+	directivehandler.syncer.config.Log.WithField("key", newest.Key()).WithField("version", directivehandler.version).WithField("revision", listing.Revision()).
+		Warn("The store has an older configuration than the one in force. Keeping that one.")
+	return lagoonlanding.NewListing(append(amended, lagoonlanding.NewEntry(newest.Key(), newest.Value(), listing.Revision())), listing.Revision())
+}
--- a/mesh/syncer/view.go
+++ b/mesh/syncer/view.go
@@ -51,6 +51,8 @@
 	journal *relayer.Journal
 	// replace passes on a full listing, requested from the store at the given time, or with a zero time if it came from another daemon.
 	replace func(requested time.Time, listing lagoonlanding.Listing, removals []lagoonlanding.Change)
+	// amend returns a listing in which newer known entries replace those that a restore of the store has brought back; nil for none.
+	amend func(listing lagoonlanding.Listing) lagoonlanding.Listing
 	// apply passes on changes.
 	apply func(changes lagoonlanding.ChangeList)
 	// setConnected passes on whether changes are being received.
@@ -276,6 +278,9 @@
 	if source.isStore() {
 		view.syncer.recordAnswer(requested)
 	}
+	if view.amend != nil {
+		listing = view.amend(listing)
+	}
 	removals := view.journal.Replace(listing)
 	view.replace(requested, listing, removals)
 	return nil
@@ -301,7 +306,7 @@
 func newDirectiveView(syncer *Syncer) *view {
 	directivehandler := &directiveHandler{syncer: syncer, zones: map[string]evacuation{}}
 	return &view{
-		syncer: syncer, name: "directives", journal: syncer.config.DirectiveJournal, avoidedUntil: map[string]time.Time{},
+		syncer: syncer, name: "directives", journal: syncer.config.DirectiveJournal, avoidedUntil: map[string]time.Time{}, amend: directivehandler.amend,
 		replace: func(_ time.Time, listing lagoonlanding.Listing, removals []lagoonlanding.Change) {
 			for _, entry := range listing.Entries() {
 				directivehandler.apply(lagoonlanding.NewChange(entry, false))
@@ -324,6 +329,9 @@
 	syncer *Syncer
 	// zones maps the keys of evacuation entries to their zones, since a removal has no value to decode.
 	zones map[string]evacuation
+	// newest is the entry of the newest configuration, and version its version; without a key before the first.
+	newest  lagoonlanding.Entry
+	version int64
 }
 
 // evacuation is an evacuated zone with the revision of its entry.
@@ -354,6 +362,9 @@
 		directivehandler.syncer.config.Log.WithField("key", strings.ToValidUTF8(key, "?")).WithError(err).Warn("Invalid directive ignored.")
 		return
 	}
+	if routing := directive.Routing(); routing != nil && (directivehandler.newest.Key() == "" || routing.Version() > directivehandler.version) {
+		directivehandler.newest, directivehandler.version = change.Entry(), routing.Version()
+	}
 	if directive.EvacuatedZone() != "" {
 		directivehandler.zones[key] = evacuation{zone: directive.EvacuatedZone(), revision: change.Entry().Revision()}
 	}
