Draw restores of the store in the fault soak

The restores have a random stream of their own, so the other faults of a seed stay the same, and none is drawn by default.

--- a/Makefile
+++ b/Makefile
@@ -57,10 +57,11 @@
 	@cd trials/soak && go build -o $(CURDIR)/bin/soak .
 	@for seed in $(SEEDS); do bin/soak -seed $$seed -steps $(STEPS) || exit 1; done
 
-# faultsoak runs PLAYS consecutive seeds from SEED on with real processes: make faultsoak SEED=1 PLAYS=50
+# faultsoak runs PLAYS consecutive seeds from SEED on with real processes, with DRILLS restores of the store in each: make faultsoak SEED=1 PLAYS=50
 PLAYS ?= 1
+DRILLS ?= 0
 faultsoak: build
-	@bin/faultsoak -seed $(SEED) -seeds $(PLAYS)
+	@bin/faultsoak -seed $(SEED) -seeds $(PLAYS) -drills $(DRILLS)
 
 # measure runs the experiments on the request path and draws charts of the results under out/.
 measure:
--- a/trials/faultsoak/main.go
+++ b/trials/faultsoak/main.go
@@ -24,7 +24,7 @@
 	binaries, logs string
 	seed, seeds    uint64
 	daemons        int
-	faults         int
+	faults, drills int
 }
 
 func main() {
@@ -50,6 +50,7 @@
 	flags.Uint64Var(&parsed.seeds, "seeds", 1, "number of seeds to run, one after the other")
 	flags.IntVar(&parsed.daemons, "daemons", 8, "number of daemons; half of them have backend servers of a sharded service")
 	flags.IntVar(&parsed.faults, "faults", 14, "number of faults per run")
+	flags.IntVar(&parsed.drills, "drills", 0, "number of restores of the store per run; the other faults of a seed don't depend on it")
 	err := ff.Parse(flags, args, ff.WithEnvVarPrefix("FAULTSOAK"))
 	if err == nil && parsed.daemons < 4 {
 		err = fmt.Errorf("%d daemons are too few: each of the two services needs two", parsed.daemons)
@@ -63,7 +64,7 @@
 	for seed := options.seed; seed < options.seed+options.seeds && ctx.Err() == nil; seed++ {
 		startTime := time.Now()
 		report, err := runner.Run(ctx, runner.Config{
-			Seed: seed, Binaries: options.binaries, Logs: fmt.Sprintf("%s/%d", options.logs, seed), Daemons: options.daemons, Faults: options.faults,
+			Seed: seed, Binaries: options.binaries, Logs: fmt.Sprintf("%s/%d", options.logs, seed), Daemons: options.daemons, Faults: options.faults, Drills: options.drills,
 		})
 		if err != nil {
 			fmt.Printf("seed %d: %v\n", seed, err)
--- a/trials/faultsoak/runner/faults.go
+++ b/trials/faultsoak/runner/faults.go
@@ -38,10 +38,13 @@
 	mutex  sync.Mutex
 	cuts   map[link]int
 	delays map[string]time.Duration
+	// operator serializes the writes of evacuations; evacuations counts the faults that evacuate a zone, by key.
+	operator    sync.Mutex
+	evacuations map[string]int
 }
 
 func newInjector(fleet *fleet) *injector {
-	injector := &injector{fleet: fleet, cuts: map[link]int{}, delays: map[string]time.Duration{}}
+	injector := &injector{fleet: fleet, cuts: map[link]int{}, delays: map[string]time.Duration{}, evacuations: map[string]int{}}
 	fleet.network.Cut(injector.isCut)
 	fleet.network.SetDelay(injector.delay)
 	return injector
@@ -300,11 +303,9 @@
 // evacuate evacuates the availability zone of a daemon for the duration of the fault.
 func (injector *injector) evacuate(ctx context.Context, fault fault) {
 	key := fmt.Sprintf("op/evacuate/z%d", fault.targets[0].zone)
-	if err := injector.fleet.store.Put(key, "{}"); err != nil {
-		injector.fleet.checker.Report("STORE: %v", err)
-	}
+	injector.changeEvacuation(key, 1)
 	pause(ctx, fault.duration)
-	injector.fleet.store.Remove(key)
+	injector.changeEvacuation(key, -1)
 }
 
 func (injector *injector) publish(context.Context, fault) {
--- a/trials/faultsoak/runner/fleet.go
+++ b/trials/faultsoak/runner/fleet.go
@@ -119,6 +119,18 @@
 	fleet.publishing.Lock()
 	defer fleet.publishing.Unlock()
 	fleet.version++
+	return fleet.putConfiguration()
+}
+
+// publishAgain writes the newest configuration again, as the operator does after a restore of the store.
+func (fleet *fleet) publishAgain() error {
+	fleet.publishing.Lock()
+	defer fleet.publishing.Unlock()
+	return fleet.putConfiguration()
+}
+
+// putConfiguration writes the newest configuration; the caller holds the mutex.
+func (fleet *fleet) putConfiguration() error {
 	return fleet.store.Put("op/config", fmt.Sprintf(configurationTemplate, fleet.version, fleet.version))
 }
 
--- a/trials/faultsoak/runner/run.go
+++ b/trials/faultsoak/runner/run.go
@@ -32,6 +32,8 @@
 	Binaries, Logs string
 	// Daemons is the size of the fleet and Faults the number of faults.
 	Daemons, Faults int
+	// Drills is the number of restores of the store.
+	Drills int
 }
 
 // Report is the result of a run.
@@ -93,6 +95,7 @@
 	faults := injector.drawFaults(random, fleet.config.Faults, faultWindow)
 	faults = append(faults, injector.drawTroubles(rand.New(rand.NewPCG(fleet.config.Seed, troubleStream)), fleet.config.Faults/4, faultWindow)...)
 	faults = append(faults, injector.drawSilences(rand.New(rand.NewPCG(fleet.config.Seed, silenceStream)), fleet.config.Faults/4, faultWindow)...)
+	faults = append(faults, injector.drawDrills(rand.New(rand.NewPCG(fleet.config.Seed, drillStream)), fleet.config.Drills, faultWindow)...)
 	clientCtx, stop := context.WithCancel(ctx)
 	var clients, running sync.WaitGroup
 	for number := range clientCount {
