--- a/mesh/coordinator/restore_test.go
+++ b/mesh/coordinator/restore_test.go
@@ -197,3 +197,47 @@
 		})
 	}
 }
+
+// Guards against departures and evacuations that are discarded because a restored store lacks them.
+func TestDeparturesAndEvacuationsOutlastARestore(t *testing.T) {
+	now := time.Unix(1000, 0)
+	coordinator, store := newCoordinator(now, &recordingGate{}, false), newLeasedStore(now)
+	coordinator.LeaseGranted(1)
+	announce(coordinator, now, "server", 1, 4)
+	commitAll(t, coordinator, store, now)
+	coordinator.ApplyDirective(now, lagoonlanding.NewEvacuationDirective("kept"))
+	coordinator.ApplyDirective(now, lagoonlanding.NewEvacuationDirective("ended"))
+	copied := store.clone(1)
+	coordinator.Deregister(now, "server", 0)
+	commitAll(t, coordinator, store, now)
+	*store = copied
+	coordinator.BeginEra(now, 1)
+	if coordinator.departure.IsRecorded() || !coordinator.isDraining() {
+		t.Error("the departure is not written again")
+	}
+	coordinator.LeaseGranted(store.currentLease(1))
+	coordinator.LoseZone(now, "kept")
+	coordinator.ApplyDirective(now.Add(9*time.Second), lagoonlanding.NewEvacuationDirective("kept"))
+	for range 3 {
+		write, _, ok := coordinator.NextWrite(now)
+		if !ok {
+			break
+		}
+		if write.LeaseTerm() > 0 {
+			write = write.WithLease(store.currentLease(1))
+		}
+		revision, err := store.commitInEra(write.Transaction())
+		coordinator.WriteDone(now, write, revision, err)
+	}
+	if _, ok := store.entries[coordinator.departureKey()]; !ok || !coordinator.departure.IsRecorded() {
+		t.Errorf("the store holds the departure: %v", ok)
+	}
+	for after, want := range map[time.Duration]bool{10 * time.Second: true, 10001 * time.Millisecond: false} {
+		coordinator.ApplyDirective(now, lagoonlanding.NewEvacuationDirective("ended"))
+		coordinator.LoseZone(now, "ended")
+		coordinator.endRestore(now.Add(after))
+		if !coordinator.isEvacuated("kept") || coordinator.isEvacuated("ended") != want {
+			t.Errorf("after %v the evacuated zones are %v", after, coordinator.evacuated)
+		}
+	}
+}
