--- a/mesh/allocator/codec.go
+++ b/mesh/allocator/codec.go
@@ -132,6 +132,9 @@
 			Owner: ids[columns.owner], Prior: ids[columns.prior], Token: columns.token, Handover: encoded.Handovers[len(stripes)],
 		}))
 	}
+	if err := encoded.checkEra(); err != nil {
+		return nil, fmt.Errorf("decode allotment %s: %w", entry.Key(), err)
+	}
 	if !columns.isComplete() {
 		return nil, fmt.Errorf("decode allotment %s: columns differ in length", entry.Key())
 	}
--- a/mesh/allocator/era.go
+++ b/mesh/allocator/era.go
@@ -1,11 +1,32 @@
 package allocator
 
-import "lagoonlanding.example/lagoonlanding"
+import (
+	"fmt"
+
+	"lagoonlanding.example/lagoonlanding"
+)
 
 // eraVersionBits is the number of low bits of a version that count the writes within an era of the store; the bits above hold the era. Fencing
 // tokens, which are versions, therefore increase across eras and stay below 2^53 for all eras up to lagoonlanding.MaxStoreEra.
 const eraVersionBits = 32
 
+// maxVersion bounds versions, since fencing tokens must stay below it.
+const maxVersion = 1 << 53
+
+// checkEra checks the version, and the fields that depend on the era of the store.
+func (encodedallotment encodedAllotment) checkEra() error {
+	era := encodedallotment.Version >> eraVersionBits
+	switch {
+	case encodedallotment.Version >= maxVersion:
+		return fmt.Errorf("version %d is not below %d", encodedallotment.Version, uint64(maxVersion))
+	case encodedallotment.Base > encodedallotment.Version:
+		return fmt.Errorf("base %d exceeds the version %d", encodedallotment.Base, encodedallotment.Version)
+	case encodedallotment.Settled > era:
+		return fmt.Errorf("settled era %d exceeds the era %d", encodedallotment.Settled, era)
+	}
+	return nil
+}
+
 // InitialAllotment returns the allotment of a service in which no key has an owner, before the first write in an era of the store. It counts as
 // settled: its first write must wait until every assignment of an earlier era has expired.
 func InitialAllotment(service string, era uint64) *Allotment {
--- a/mesh/allocator/era_test.go
+++ b/mesh/allocator/era_test.go
@@ -1,6 +1,7 @@
 package allocator
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -50,3 +51,20 @@
 		t.Errorf("got %+v, %v", decoded, err)
 	}
 }
+
+// Guards against an entry that lifts the wait of a later era, or whose tokens no server accepts.
+func TestInvalidErasOfAnAllotmentAreRejected(t *testing.T) {
+	for name, config := range map[string]AllotmentConfig{
+		"settled": {Service: "s", Version: 1<<32 + 1, Settled: 2},
+		"base":    {Service: "s", Version: 5, Base: 6},
+		"version": {Service: "s", Version: 1 << 53},
+	} {
+		value, err := Codec{}.Encode(NewAllotment(config))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := (Codec{}).Decode(lagoonlanding.NewEntry("allotments/s", value, 1)); err == nil || !strings.Contains(err.Error(), name) {
+			t.Errorf("%s: got %v", name, err)
+		}
+	}
+}
--- a/mesh/coordinator/era.go
+++ b/mesh/coordinator/era.go
@@ -28,7 +28,7 @@
 		return
 	}
 	coordinator.config.Log.WithField("era", era).WithField("known", coordinator.era).WithField("fleet-revision", coordinator.viewRevision).
-		Warn("Store is in a later era. Writing the daemon's entries again.")
+		Info("Store is in a later era. Writing the daemon's entries again.")
 	coordinator.era, coordinator.settledAt = era, coordinator.config.Fleet.AssignmentsExpireAt(now)
 	coordinator.session.BeginEra()
 	coordinator.writtenRegistration, coordinator.registrationSentAt = lagoonlanding.Backend{}, time.Time{}
--- a/mesh/coordinator/snapshot.go
+++ b/mesh/coordinator/snapshot.go
@@ -54,13 +54,16 @@
 func (snapshot *Snapshot) Candidates(service string) []lagoonlanding.Backend {
 	var candidates []lagoonlanding.Backend
 	for _, backend := range snapshot.services[service] {
-		if backend.State() == lagoonlanding.BackendReady && !snapshot.config.Evacuated[backend.AvailabilityZone()] {
+		if backend.State() == lagoonlanding.BackendReady && !snapshot.IsEvacuated(backend.AvailabilityZone()) {
 			candidates = append(candidates, backend)
 		}
 	}
 	return candidates
 }
 
+// IsEvacuated reports whether a zone is evacuated.
+func (snapshot *Snapshot) IsEvacuated(zone string) bool { return snapshot.config.Evacuated[zone] }
+
 // Owner returns the backend server that serves a key: the prior owner until it is known to have released the key, then the new one.
 //
 // A backend server in an evacuated zone serves its keys until they have moved; its own daemon enforces the deadline.
