--- a/mesh/coordinator/session.go
+++ b/mesh/coordinator/session.go
@@ -53,6 +53,10 @@
 // A revision is accepted only if the allotments are known as of the registration or later: an unchanged entry was never absent, so no
 // other daemon has taken the keys since.
 func (coordinator *Coordinator) Verify(sent time.Time, revision uint64) {
+	if revision != 0 && lagoonlanding.EraOf(revision) < coordinator.era {
+		// The answer was made before the store was restored, or by a daemon of an earlier release.
+		return
+	}
 	if revision == 0 || coordinator.viewRevision >= coordinator.session.Revision() {
 		coordinator.session.Verify(sent, revision)
 	}
--- a/mesh/syncer/era.go
+++ b/mesh/syncer/era.go
@@ -27,6 +27,22 @@
 	return syncer.era
 }
 
+// isOfEarlierEra reports whether the answer to a call that another daemon made contains a revision or lease of an earlier era than known. A daemon of an
+// earlier release knows no eras; what it returns could equal a number of this daemon from before a restore.
+func (syncer *Syncer) isOfEarlierEra(answer any) bool {
+	known := max(syncer.currentEra(), lagoonlanding.EraOf(syncer.config.Coordinator.Snapshot().Revision()))
+	switch answer := answer.(type) {
+	case lagoonlanding.Entry:
+		return answer.Revision() > 0 && lagoonlanding.EraOf(answer.Revision()) < known
+	case uint64:
+		return answer > 0 && lagoonlanding.EraOf(answer) < known
+	case lagoonlanding.LeaseID:
+		_, isCurrent := lagoonlanding.StoreLease(known, answer)
+		return known > 0 && answer > 0 && !isCurrent
+	}
+	return false
+}
+
 // amend returns a listing of a restored store with the newest configuration that this daemon knows, as of the listing, if the store has an older one
 // or none. Daemons that follow this one, also those that start, therefore do not apply an older configuration while the operator writes the newest one
 // again.
--- a/mesh/syncer/proxy.go
+++ b/mesh/syncer/proxy.go
@@ -96,6 +96,9 @@
 		limited, cancel := context.WithTimeout(ctx, proxyCallTimeout)
 		proxied, failure := ask(limited, syncer.config.Stores.Store(peer.PeerAddress()))
 		cancel()
+		if failure == nil && syncer.isOfEarlierEra(proxied) {
+			failure = errEarlierEra
+		}
 		if isAnswer(failure) {
 			if syncer.proxyState.activate(syncer.config.Clock.Now(), peer) {
 				syncer.config.Log.WithField("dependency", "store").WithField("through", peer.ID().Daemon()).WithError(err).
