--- a/mesh/syncer/era_test.go
+++ b/mesh/syncer/era_test.go
@@ -35,6 +35,23 @@
 	return 1, nil
 }
 
+// Guards against a revision from a daemon of an earlier release that equals a known one of an earlier era.
+func TestNumbersOfAnEarlierEraFromAnotherDaemonAreRejected(t *testing.T) {
+	syncer := newSyncer(newFakeStore(true))
+	syncer.era = 2
+	for _, check := range []struct {
+		answer any
+		want   bool
+	}{
+		{uint64(9), true}, {uint64(2<<42 | 9), false}, {lagoonlanding.NewEntry("k", nil, 1<<42|9), true}, {lagoonlanding.LeaseID(9), true},
+		{lagoonlanding.LeaseID(2<<42 | 9), false}, {lagoonlanding.LeaseID(-1 << 50), false}, {struct{}{}, false},
+	} {
+		if syncer.isOfEarlierEra(check.answer) != check.want {
+			t.Errorf("%v is of an earlier era: %v", check.answer, !check.want)
+		}
+	}
+}
+
 // Guards against a watch that waits on in an earlier era, and against followers that get an older configuration than the one in force.
 func TestViewsFollowTheStoreIntoALaterEra(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
