Ask other relays for the newest configuration when a daemon starts in a later era

A daemon that starts and reads the store itself right after a restore would apply the older configuration of the copy.

--- a/mesh/syncer/era.go
+++ b/mesh/syncer/era.go
@@ -1,6 +1,7 @@
 package syncer
 
 import (
+	"context"
 	"fmt"
 	"time"
 
@@ -8,6 +9,13 @@
 	"lagoonlanding.example/lagoonlanding/mesh/coordinator"
 )
 
+const (
+	// fleetTimeout bounds the wait of a starting daemon for the fleet's entries, from which it knows the daemons that relay changes.
+	fleetTimeout = 700 * time.Millisecond
+	// maxAskedRelays bounds the daemons that it then asks for the newest configuration.
+	maxAskedRelays = 2
+)
+
 // errEarlierEra means that a source has not received the changes of the era of the store that this daemon knows.
 var errEarlierEra = fmt.Errorf("%w: the source is in an earlier era", lagoonlanding.ErrStoreDisconnected)
 
@@ -46,9 +54,15 @@
 // amend returns a listing of a restored store with the newest configuration that this daemon knows, as of the listing, if the store has an older one
 // or none. Daemons that follow this one, also those that start, therefore do not apply an older configuration while the operator writes the newest one
 // again.
-func (directivehandler *directiveHandler) amend(listing lagoonlanding.Listing) lagoonlanding.Listing {
+func (directivehandler *directiveHandler) amend(ctx context.Context, source source, listing lagoonlanding.Listing) lagoonlanding.Listing {
+	if lagoonlanding.EraOf(listing.Revision()) == 0 {
+		return listing
+	}
+	if source.isStore() && directivehandler.newest.Key() == "" {
+		directivehandler.askRelays(ctx)
+	}
 	newest := directivehandler.newest
-	if lagoonlanding.EraOf(listing.Revision()) == 0 || newest.Key() == "" {
+	if newest.Key() == "" {
 		return listing
 	}
 	amended := []lagoonlanding.Entry{}
@@ -66,3 +80,41 @@
 		Warn("The store has an older configuration than the one in force. Keeping that one.")
 	return lagoonlanding.NewListing(append(amended, lagoonlanding.NewEntry(newest.Key(), newest.Value(), listing.Revision())), listing.Revision())
 }
+
+// askRelays learns the newest configuration that other relays know, for a daemon that starts and reads the store itself: the store may have been
+// restored a moment ago, and have an older one.
+func (directivehandler *directiveHandler) askRelays(ctx context.Context) {
+	syncer := directivehandler.syncer
+	for end := syncer.config.Clock.Now().Add(fleetTimeout); syncer.config.Coordinator.Snapshot().Revision() == 0 && syncer.config.Clock.Now().Before(end); {
+		syncer.sleep(ctx, registrationPollInterval)
+	}
+	asked := 0
+	for _, relay := range syncer.config.Coordinator.Snapshot().Relays() {
+		if relay.ID().Daemon() == syncer.config.Daemon || asked >= maxAskedRelays || syncer.config.Peers == nil {
+			continue
+		}
+		asked++
+		limited, cancel := context.WithTimeout(ctx, peerProbeTimeout)
+		listing, err := syncer.config.Peers.Feed(relay.PeerAddress()).List(limited, syncer.config.DirectiveJournal.Prefix())
+		cancel()
+		log := syncer.config.Log.WithField("daemon", relay.ID().Daemon())
+		if err != nil {
+			log.WithError(err).Debug("Daemon did not tell the configuration that it knows.")
+			continue
+		}
+		for _, entry := range listing.Entries() {
+			if directive, err := syncer.config.Directives.Decode(entry); err == nil && directivehandler.observeRouting(entry, directive.Routing()) {
+				log.WithField("version", directivehandler.version).Info("Newest configuration was learned from another daemon.")
+			}
+		}
+	}
+}
+
+// observeRouting records the entry of a configuration, nil for none, if it is the newest one, and reports whether it is.
+func (directivehandler *directiveHandler) observeRouting(entry lagoonlanding.Entry, routing *lagoonlanding.Routing) bool {
+	if routing == nil || directivehandler.newest.Key() != "" && routing.Version() <= directivehandler.version {
+		return false
+	}
+	directivehandler.newest, directivehandler.version = entry, routing.Version()
+	return true
+}
--- a/mesh/syncer/era_test.go
+++ b/mesh/syncer/era_test.go
@@ -8,6 +8,9 @@
 	"time"
 
 	"lagoonlanding.example/lagoonlanding"
+	"lagoonlanding.example/lagoonlanding/mesh/coordinator"
+	"lagoonlanding.example/lagoonlanding/mesh/registrar"
+	"lagoonlanding.example/lagoonlanding/mesh/relayer"
 )
 
 // restoredStore is a store whose configuration goes back from version 5 to 2 when it is restored; its watches never end by themselves.
@@ -16,7 +19,15 @@
 	era *atomic.Uint64
 }
 
-func (store restoredStore) List(context.Context, string) (lagoonlanding.Listing, error) {
+func (store restoredStore) List(_ context.Context, prefix string) (lagoonlanding.Listing, error) {
+	if prefix == coordinator.FleetPrefix {
+		relay := lagoonlanding.BackendConfig{
+			ID: lagoonlanding.NewBackendID("relay", "", 0), PeerAddress: "10.0.0.1:1", AvailabilityZone: "z", State: lagoonlanding.BackendAbsent,
+		}
+		value, _ := registrar.Codec{}.Encode(lagoonlanding.NewBackend(relay))
+		revision := store.era.Load()<<42 | 4
+		return lagoonlanding.NewListing([]lagoonlanding.Entry{lagoonlanding.NewEntry(prefix+"daemons/relay", value, revision)}, revision), nil
+	}
 	version, revision := byte(5), uint64(9)
 	if era := store.era.Load(); era > 0 {
 		version, revision = 2, era<<42|4
@@ -75,3 +86,31 @@
 		}
 	})
 }
+
+// relays are the feeds of daemons that all relay the same journal.
+type relays struct{ *relayer.Journal }
+
+func (relays relays) Feed(string) lagoonlanding.PeerFeed { return relays.Journal }
+
+// Guards against a daemon that starts after a restore and applies an older configuration than other zones have.
+func TestStartingDaemonAppliesNoOlderConfigurationThanOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := restoredStore{newFakeStore(false), &atomic.Uint64{}}
+		store.era.Store(1)
+		known := relays{relayer.NewJournal("orders/")}
+		known.SetConnected(true)
+		known.Replace(lagoonlanding.NewListing([]lagoonlanding.Entry{lagoonlanding.NewEntry("orders/one", []byte{5}, 1<<42|3)}, 1<<42|3))
+		syncer := newSyncer(store)
+		syncer.config.Peers = known
+		run(t, syncer)
+		for range 30 {
+			time.Sleep(100 * time.Millisecond)
+			if routing := syncer.config.Coordinator.Snapshot().Routing(); routing != nil && routing.Version() != 5 {
+				t.Fatalf("version %d is in force", routing.Version())
+			}
+		}
+		if syncer.config.Coordinator.Snapshot().Routing() == nil {
+			t.Error("no configuration is in force")
+		}
+	})
+}
--- a/mesh/syncer/view.go
+++ b/mesh/syncer/view.go
@@ -52,7 +52,7 @@
 	// replace passes on a full listing, requested from the store at the given time, or with a zero time if it came from another daemon.
 	replace func(requested time.Time, listing lagoonlanding.Listing, removals []lagoonlanding.Change)
 	// amend returns a listing in which newer known entries replace those that a restore of the store has brought back; nil for none.
-	amend func(listing lagoonlanding.Listing) lagoonlanding.Listing
+	amend func(ctx context.Context, source source, listing lagoonlanding.Listing) lagoonlanding.Listing
 	// apply passes on changes.
 	apply func(changes lagoonlanding.ChangeList)
 	// setConnected passes on whether changes are being received.
@@ -279,7 +279,7 @@
 		view.syncer.recordAnswer(requested)
 	}
 	if view.amend != nil {
-		listing = view.amend(listing)
+		listing = view.amend(limited, source, listing)
 	}
 	removals := view.journal.Replace(listing)
 	view.replace(requested, listing, removals)
@@ -362,9 +362,7 @@
 		directivehandler.syncer.config.Log.WithField("key", strings.ToValidUTF8(key, "?")).WithError(err).Warn("Invalid directive ignored.")
 		return
 	}
-	if routing := directive.Routing(); routing != nil && (directivehandler.newest.Key() == "" || routing.Version() > directivehandler.version) {
-		directivehandler.newest, directivehandler.version = change.Entry(), routing.Version()
-	}
+	directivehandler.observeRouting(change.Entry(), directive.Routing())
 	if directive.EvacuatedZone() != "" {
 		directivehandler.zones[key] = evacuation{zone: directive.EvacuatedZone(), revision: change.Entry().Revision()}
 	}
