--- a/mesh/coordinator/era.go
+++ b/mesh/coordinator/era.go
@@ -54,9 +54,6 @@
 	return lagoonlanding.EraOf(revision)
 }
 
-// Era returns the era of the store, zero before the first restore.
-func (coordinator *Coordinator) Era() uint64 { return coordinator.era }
-
 // endRestore applies what was deferred until the entries that a restore has lost had been written again.
 func (coordinator *Coordinator) endRestore(now time.Time) {
 	for zone, at := range coordinator.restoreAt {
