--- a/mesh/syncer/view.go
+++ b/mesh/syncer/view.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -50,6 +51,8 @@
 	journal *relayer.Journal
 	// replace passes on a full listing, requested from the store at the given time, or with a zero time if it came from another daemon.
 	replace func(requested time.Time, listing lagoonlanding.Listing, removals []lagoonlanding.Change)
+	// amend returns a listing in which newer known entries replace those that a restore of the store has brought back; nil for none.
+	amend func(ctx context.Context, source source, listing lagoonlanding.Listing) lagoonlanding.Listing
 	// apply passes on changes.
 	apply func(changes lagoonlanding.ChangeList)
 	// setConnected passes on whether changes are being received.
@@ -230,10 +233,17 @@
 	if source.isStore() {
 		go view.cancelWhenStoreFails(limited, cancel, view.sourceSince)
 	}
-	changes, err := source.feed.Watch(limited, view.journal.Prefix(), view.journal.Revision())
+	after := view.journal.Revision()
+	changes, err := source.feed.Watch(limited, view.journal.Prefix(), after)
+	if err != nil && ctx.Err() == nil && source.isStore() && view.syncer.currentEra() > lagoonlanding.EraOf(after) {
+		return fmt.Errorf("%w: %w", lagoonlanding.ErrCompacted, err)
+	}
 	if err != nil {
 		return err
 	}
+	if lagoonlanding.EraOf(changes.Revision()) < lagoonlanding.EraOf(after) {
+		return errEarlierEra
+	}
 	view.journal.Apply(changes)
 	view.apply(changes)
 	return nil
@@ -242,7 +252,7 @@
 // cancelWhenStoreFails cancels a watch of the store when the store no longer answers other calls: the watch may be dead too.
 func (view *view) cancelWhenStoreFails(ctx context.Context, cancel context.CancelFunc, since time.Time) {
 	for ctx.Err() == nil {
-		if !view.syncer.isStoreAnswering(since) {
+		if !view.syncer.isStoreAnswering(since) || view.syncer.currentEra() > lagoonlanding.EraOf(view.journal.Revision()) {
 			cancel()
 			return
 		}
@@ -262,9 +272,15 @@
 	if err != nil {
 		return err
 	}
+	if lagoonlanding.EraOf(listing.Revision()) < lagoonlanding.EraOf(view.journal.Revision()) {
+		return errEarlierEra
+	}
 	if source.isStore() {
 		view.syncer.recordAnswer(requested)
 	}
+	if view.amend != nil {
+		listing = view.amend(limited, source, listing)
+	}
 	removals := view.journal.Replace(listing)
 	view.replace(requested, listing, removals)
 	return nil
@@ -288,9 +304,9 @@
 
 // newDirectiveView returns the view of the directives that operators write.
 func newDirectiveView(syncer *Syncer) *view {
-	directivehandler := &directiveHandler{syncer: syncer, zones: map[string]string{}}
+	directivehandler := &directiveHandler{syncer: syncer, zones: map[string]evacuation{}}
 	return &view{
-		syncer: syncer, name: "directives", journal: syncer.config.DirectiveJournal, avoidedUntil: map[string]time.Time{},
+		syncer: syncer, name: "directives", journal: syncer.config.DirectiveJournal, avoidedUntil: map[string]time.Time{}, amend: directivehandler.amend,
 		replace: func(_ time.Time, listing lagoonlanding.Listing, removals []lagoonlanding.Change) {
 			for _, entry := range listing.Entries() {
 				directivehandler.apply(lagoonlanding.NewChange(entry, false))
@@ -312,16 +328,32 @@
 type directiveHandler struct {
 	syncer *Syncer
 	// zones maps the keys of evacuation entries to their zones, since a removal has no value to decode.
-	zones map[string]string
+	zones map[string]evacuation
+	// newest is the entry of the newest configuration, and version its version; without a key before the first.
+	newest  lagoonlanding.Entry
+	version int64
+}
+
+// evacuation is an evacuated zone with the revision of its entry.
+type evacuation struct {
+	zone     string
+	revision uint64
 }
 
 // apply passes one changed or removed entry to the control state.
 func (directivehandler *directiveHandler) apply(change lagoonlanding.Change) {
 	key := change.Entry().Key()
 	if change.IsRemoved() {
-		if zone, ok := directivehandler.zones[key]; ok {
+		if evacuation, ok := directivehandler.zones[key]; ok {
 			delete(directivehandler.zones, key)
-			directivehandler.syncer.do(func(state *coordinator.Coordinator, _ time.Time) { state.RestoreZone(zone) })
+			isLost := lagoonlanding.EraOf(evacuation.revision) < lagoonlanding.EraOf(change.Entry().Revision())
+			directivehandler.syncer.do(func(state *coordinator.Coordinator, now time.Time) {
+				if isLost {
+					state.LoseZone(now, evacuation.zone)
+				} else {
+					state.RestoreZone(evacuation.zone)
+				}
+			})
 		}
 		return
 	}
@@ -330,8 +362,9 @@
 		directivehandler.syncer.config.Log.WithField("key", strings.ToValidUTF8(key, "?")).WithError(err).Warn("Invalid directive ignored.")
 		return
 	}
+	directivehandler.observeRouting(change.Entry(), directive.Routing())
 	if directive.EvacuatedZone() != "" {
-		directivehandler.zones[key] = directive.EvacuatedZone()
+		directivehandler.zones[key] = evacuation{zone: directive.EvacuatedZone(), revision: change.Entry().Revision()}
 	}
 	directivehandler.syncer.do(func(state *coordinator.Coordinator, now time.Time) { state.ApplyDirective(now, directive) })
 }
