Read workspaces and API keys from the configuration

Quotas and identities by API key need the workspaces of the configuration. The routing holds them with digests of their keys, the task carries the workspace's name in both codecs, and the client's headers that describe a task to another daemon are removed before it is sent on, since a client could otherwise name a workspace.

--- a/mesh/transmitter/codec.go
+++ b/mesh/transmitter/codec.go
@@ -25,6 +25,8 @@
 	headerService  = "Lagoonlanding-S"
 	headerCaller   = "Lagoonlanding-C"
 	headerRoute    = "Lagoonlanding-P"
+	// headerWorkspace contains the workspace of a task in its compact form; it is missing if there is none, and an earlier release ignores it.
+	headerWorkspace = "Lagoonlanding-W"
 	// headerCompactResult contains the result of a task in its compact form.
 	headerCompactResult = "Lagoonlanding-R"
 )
@@ -41,6 +43,8 @@
 	Priority    int    `json:"p"`
 	Repeated    bool   `json:"a,omitempty"`
 	AtMostOnce  bool   `json:"n,omitempty"`
+	// Workspace is missing in the tasks of an earlier release.
+	Workspace string `json:"w,omitempty"`
 }
 
 var _ lagoonlanding.Message[lagoonlanding.TaskConfig] = taskMetadata{}
@@ -49,7 +53,7 @@
 	return taskMetadata{
 		ID: task.ID(), DeadlineMS: task.Deadline().Sub(now).Milliseconds(), ObjectiveMS: task.Objective().Sub(now).Milliseconds(),
 		ShardKey: task.ShardKey(), Caller: task.Caller(), Service: task.Service(), Route: task.Route(), Priority: task.Priority(),
-		Repeated: task.IsRepeated(), AtMostOnce: task.IsAtMostOnce(),
+		Repeated: task.IsRepeated(), AtMostOnce: task.IsAtMostOnce(), Workspace: task.Workspace(),
 	}
 }
 
@@ -62,10 +66,20 @@
 		ID: taskmetadata.ID, Received: now, Deadline: now.Add(time.Duration(taskmetadata.DeadlineMS) * time.Millisecond),
 		Objective: now.Add(time.Duration(taskmetadata.ObjectiveMS) * time.Millisecond), ShardKey: taskmetadata.ShardKey, Caller: taskmetadata.Caller,
 		Service: taskmetadata.Service, Route: taskmetadata.Route, Priority: taskmetadata.Priority, Repeated: taskmetadata.Repeated,
-		AtMostOnce: taskmetadata.AtMostOnce,
+		AtMostOnce: taskmetadata.AtMostOnce, Workspace: taskmetadata.Workspace,
 	}, nil
 }
 
+// taskHeaders are the header fields that describe a task to another daemon.
+var taskHeaders = []string{headerTask, headerCompactTask, headerID, headerShardKey, headerService, headerCaller, headerRoute, headerWorkspace}
+
+// removeTaskHeaders removes the header fields that describe a task: a client that sends them must not pass for a daemon.
+func removeTaskHeaders(header http.Header) {
+	for _, name := range taskHeaders {
+		delete(header, name)
+	}
+}
+
 // resultMetadata holds the fields of a result apart from the backend server's answer.
 type resultMetadata struct {
 	Outcome       lagoonlanding.Outcome `json:"o"`
--- a/mesh/transmitter/compact.go
+++ b/mesh/transmitter/compact.go
@@ -41,11 +41,15 @@
 	}
 	header[headerCompactTask] = []string{fmt.Sprint(metadata.DeadlineMS, metadata.ObjectiveMS, metadata.Priority, flags)}
 	id, key := referenceTo(header, metadata.ID), referenceTo(header, strconv.Itoa(metadata.ShardKey))
+	workspace := referenceTo(header, metadata.Workspace)
 	for name, value := range map[string]string{
 		headerID: id, headerShardKey: key, headerService: metadata.Service, headerCaller: metadata.Caller, headerRoute: metadata.Route,
 	} {
 		header[name] = []string{value}
 	}
+	if metadata.Workspace != "" {
+		header[headerWorkspace] = []string{workspace}
+	}
 }
 
 // referenceTo returns a reference to the header field with the value, or the value itself if there is none.
@@ -80,8 +84,9 @@
 	metadata := taskMetadata{
 		ID: resolve(header, headerID), DeadlineMS: numbers[0], ObjectiveMS: numbers[1], Priority: int(numbers[2]), Repeated: numbers[3]&flagRepeated != 0,
 		AtMostOnce: numbers[3]&flagAtMostOnce != 0, ShardKey: key, Service: header.Get(headerService), Caller: header.Get(headerCaller), Route: header.Get(headerRoute),
+		Workspace: resolve(header, headerWorkspace),
 	}
-	for _, name := range []string{headerCompactTask, headerID, headerShardKey, headerService, headerCaller, headerRoute} {
+	for _, name := range []string{headerCompactTask, headerID, headerShardKey, headerService, headerCaller, headerRoute, headerWorkspace} {
 		header.Del(name)
 	}
 	return metadata.Value(now)
--- a/mesh/transmitter/transmitter.go
+++ b/mesh/transmitter/transmitter.go
@@ -44,6 +44,7 @@
 // Send sends the task to the daemon beside the backend server.
 func (transmitter *Transmitter) Send(ctx context.Context, backend lagoonlanding.Backend, task lagoonlanding.Task) lagoonlanding.Result {
 	request := connector.NewRequest(backend.PeerAddress(), task)
+	removeTaskHeaders(request.Header)
 	metadata := newTaskMetadata(transmitter.config.Clock.Now(), task)
 	pool := transmitter.config.Pool
 	if transmitter.config.Framed != nil && backend.AcceptsFrames() {
--- a/reply.go
+++ b/reply.go
@@ -69,6 +69,7 @@
 	ReasonLinkBudget       Reason = "link-budget"
 	ReasonShuttingDown     Reason = "shutting-down"
 	ReasonVersion          Reason = "unsupported-version"
+	ReasonUnknownKey       Reason = "unknown-key"
 )
 
 // ReplyConfig holds the fields of a Reply.
--- a/routing.go
+++ b/routing.go
@@ -40,6 +40,8 @@
 	MaxAttempts int
 	// Regions restricts the regions in which requests may be served; empty means all regions.
 	Regions []string
+	// Anonymous means that requests need no API key.
+	Anonymous bool
 }
 
 // PathRoute routes the requests of a host and path prefix to services.
@@ -89,6 +91,9 @@
 	return len(pathroute.config.Regions) == 0 || slices.Contains(pathroute.config.Regions, region)
 }
 
+// AllowsAnonymous reports whether requests need no API key.
+func (pathroute PathRoute) AllowsAnonymous() bool { return pathroute.config.Anonymous }
+
 // ServicePolicyConfig holds the fields of a ServicePolicy.
 type ServicePolicyConfig struct {
 	// Name is the name of the service.
@@ -136,6 +141,10 @@
 	Services []ServicePolicy
 	// HeaderLimit and BodyLimit bound the size of a request in bytes; zero means no limit.
 	HeaderLimit, BodyLimit int64
+	// Identifies means that requests are identified by API keys, which belong to Workspaces.
+	Identifies bool
+	// Workspaces are all workspaces.
+	Workspaces []Workspace
 }
 
 // Routing is one published version of the routing table, with service policies and size limits.
@@ -143,11 +152,16 @@
 	config   RoutingConfig
 	hosts    map[string][]PathRoute
 	services map[string]ServicePolicy
+	keys     map[KeyDigest]Workspace
+	// workspaces maps the workspaces by name.
+	workspaces map[string]Workspace
 }
 
 // NewRouting returns a version with the given configuration, indexed for lookups.
 func NewRouting(config RoutingConfig) *Routing {
-	routing := &Routing{config: config, hosts: map[string][]PathRoute{}, services: map[string]ServicePolicy{}}
+	routing := &Routing{
+		config: config, hosts: map[string][]PathRoute{}, services: map[string]ServicePolicy{}, keys: map[KeyDigest]Workspace{}, workspaces: map[string]Workspace{},
+	}
 	for _, route := range config.Routes {
 		routing.hosts[route.Host()] = append(routing.hosts[route.Host()], route)
 	}
@@ -157,6 +171,12 @@
 	for _, service := range config.Services {
 		routing.services[service.Name()] = service
 	}
+	for _, workspace := range config.Workspaces {
+		routing.workspaces[workspace.Name()] = workspace
+		for _, key := range workspace.config.Keys {
+			routing.keys[key] = workspace
+		}
+	}
 	return routing
 }
 
@@ -187,3 +207,21 @@
 
 // Services returns the policies of all services.
 func (routing *Routing) Services() []ServicePolicy { return routing.config.Services }
+
+// Identifies reports whether requests are identified by API keys.
+func (routing *Routing) Identifies() bool { return routing.config.Identifies }
+
+// KeyOwner returns the workspace to which the API key with the digest belongs.
+func (routing *Routing) KeyOwner(key KeyDigest) (Workspace, bool) {
+	workspace, ok := routing.keys[key]
+	return workspace, ok && key != KeyDigest{}
+}
+
+// Workspace returns the workspace with the name.
+func (routing *Routing) Workspace(name string) (Workspace, bool) {
+	workspace, ok := routing.workspaces[name]
+	return workspace, ok
+}
+
+// Workspaces returns all workspaces.
+func (routing *Routing) Workspaces() []Workspace { return routing.config.Workspaces }
--- a/task.go
+++ b/task.go
@@ -41,6 +41,10 @@
 	Repeated bool
 	// AtMostOnce means that the task must not run twice.
 	AtMostOnce bool
+	// Key is the digest of the API key that the client sent; it stays in the daemon that received the request.
+	Key KeyDigest
+	// Workspace is the name of the workspace to which the API key belongs, empty if there is none.
+	Workspace string
 }
 
 // Task is a client's request to a service of the mesh, with a streamed body.
@@ -102,6 +106,12 @@
 // IsAtMostOnce reports whether the task must not run twice.
 func (task Task) IsAtMostOnce() bool { return task.config.AtMostOnce }
 
+// Key returns the digest of the API key that the client sent, the zero value in other daemons.
+func (task Task) Key() KeyDigest { return task.config.Key }
+
+// Workspace returns the name of the workspace to which the API key belongs, empty if there is none.
+func (task Task) Workspace() string { return task.config.Workspace }
+
 // With returns a copy with the given changes to its configuration.
 func (task Task) With(change func(config *TaskConfig)) Task {
 	change(&task.config)
