Count requests of workspaces against quotas that the daemons share

Each daemon holds credits under a lease from the reporter of its zone, which leases them from one arbiter. Only the arbiter creates credits, while a majority of the daemons supports it, so no window contains more requests than the capacity and what the rate adds. Keys are looked up again before each further try, and credits of requests that did not run are returned.

--- a/lagoonmesh/daemon.go
+++ b/lagoonmesh/daemon.go
@@ -18,6 +18,7 @@
 	"lagoonlanding.example/lagoonlanding/mesh/chooser"
 	"lagoonlanding.example/lagoonlanding/mesh/connector"
 	"lagoonlanding.example/lagoonlanding/mesh/coordinator"
+	"lagoonlanding.example/lagoonlanding/mesh/distributor"
 	"lagoonlanding.example/lagoonlanding/mesh/drainer"
 	"lagoonlanding.example/lagoonlanding/mesh/forwarder"
 	"lagoonlanding.example/lagoonlanding/mesh/gatekeeper"
@@ -25,6 +26,7 @@
 	"lagoonlanding.example/lagoonlanding/mesh/registrar"
 	"lagoonlanding.example/lagoonlanding/mesh/relayer"
 	"lagoonlanding.example/lagoonlanding/mesh/syncer"
+	"lagoonlanding.example/lagoonlanding/mesh/throttler"
 	"lagoonlanding.example/lagoonlanding/mesh/transmitter"
 	"lagoonlanding.example/lagoonlanding/platform"
 	"lagoonlanding.example/lagoonlanding/requests/quarantiner"
@@ -55,6 +57,8 @@
 	drain       *drainer.Drain
 	fleet       *relayer.Journal
 	directives  *relayer.Journal
+	throttler   *throttler.Throttler
+	distributor *distributor.Distributor
 }
 
 func newDaemon(settings platform.Settings, settingsPath string, log *logrus.Logger, droppedLines func() uint64) *daemon {
@@ -82,6 +86,7 @@
 	})
 	daemon.quarantine = quarantiner.NewQuarantine(quarantiner.Config{Random: newRandom()})
 	daemon.buildControl(gate)
+	daemon.buildQuota()
 	daemon.buildTraffic(gate)
 	return daemon
 }
@@ -135,7 +140,7 @@
 func (daemon *daemon) buildTraffic(gate *gatekeeper.Gate) {
 	daemon.acceptor = acceptor.New(acceptor.Config{
 		Service: daemon.settings.Service(), Address: daemon.settings.BackendAddress(), Gate: gate,
-		Runner:    platform.NewUpstream(daemon.backend, daemon.clock, daemon.logFor("upstream")),
+		Runner:    platform.NewUpstream(daemon.backend, daemon.clock, daemon.logFor("upstream")).WithRouting(daemon.routing),
 		Ownership: daemon.coordinator.Ownership, OnProcessEnded: daemon.syncer.ProcessEnded, OnLeaving: daemon.syncer.BackendLeaving,
 		Quarantine: daemon.quarantine, OnCrashRecorded: daemon.syncer.CrashRecorded,
 		Shutdown: daemon.drain, Clock: daemon.clock, Log: daemon.logFor("backend"),
@@ -148,6 +153,7 @@
 			Share: retryBudgetShare * daemon.settings.RetryBudgetRatio(defaultRetryBudgetRatio), Slack: retryBudgetShare * daemon.settings.RetryBudgetSlack(0),
 			Daemons: func() int { return len(daemon.coordinator.Snapshot().Peers()) },
 		}),
+		Quota: daemon.throttler, SetWorkspace: platform.SetWorkspace,
 		Snapshot: daemon.coordinator.Snapshot, Meter: daemon.recorder, Shutdown: daemon.drain, Clock: daemon.clock, Log: daemon.logFor("requests"), RandomFloat64: rand.Float64,
 	})
 }
@@ -175,6 +181,7 @@
 	var workers sync.WaitGroup
 	workers.Go(func() { daemon.syncer.Run(background) })
 	workers.Go(func() { daemon.reload(background) })
+	workers.Go(func() { daemon.distributor.Run(background) })
 	workers.Go(func() { daemon.sweep(background) })
 	servers.serve()
 	<-ctx.Done()
--- /dev/null
+++ b/lagoonmesh/quota.go
@@ -0,0 +1,40 @@
+package main
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"lagoonlanding.example/lagoonlanding"
+	"lagoonlanding.example/lagoonlanding/mesh/apportioner"
+	"lagoonlanding.example/lagoonlanding/mesh/distributor"
+	"lagoonlanding.example/lagoonlanding/mesh/throttler"
+	"lagoonlanding.example/lagoonlanding/mesh/transmitter"
+)
+
+const (
+	// daemonQuotaTerm is how long a daemon may use its share of a quota after its last answered report: three reports may be lost.
+	daemonQuotaTerm = 1800 * time.Millisecond
+	// zoneQuotaTerm is that time for a zone: a daemon's lease ends within that of its zone.
+	zoneQuotaTerm = 2400 * time.Millisecond
+	// arbiterVoteTerm is how long a daemon supports no other arbiter: a stamp takes up to 1.2 s from the arbiter to a daemon and back.
+	arbiterVoteTerm = 2500 * time.Millisecond
+	// quotaMargin exceeds the time after which a report counts as lost.
+	quotaMargin = 400 * time.Millisecond
+)
+
+// routing returns the configuration in force, nil before the first.
+func (daemon *daemon) routing() *lagoonlanding.Routing {
+	return daemon.coordinator.Snapshot().Routing()
+}
+
+func (daemon *daemon) buildQuota() {
+	rules := daemon.settings.QuotaRules()
+	daemon.throttler = throttler.New(throttler.Config{
+		Rules: rules, StartedAt: daemon.clock.Now(), Daemons: func() int { return len(daemon.coordinator.Snapshot().Peers()) }, Meter: daemon.recorder,
+	})
+	daemon.distributor = distributor.New(distributor.Config{
+		Daemon: daemon.settings.Daemon(), Instance: rand.Uint64(), Zone: daemon.settings.AvailabilityZone(), Throttler: daemon.throttler,
+		Peers: transmitter.NewPeers(daemon.control), Snapshot: daemon.coordinator.Snapshot, Rules: rules, Clock: daemon.clock, Log: daemon.logFor("quotas"),
+		Terms: apportioner.Terms{Daemon: daemonQuotaTerm, Zone: zoneQuotaTerm, Vote: arbiterVoteTerm, Margin: quotaMargin},
+	})
+}
--- a/lagoonmesh/servers.go
+++ b/lagoonmesh/servers.go
@@ -28,12 +28,11 @@
 
 func (daemon *daemon) listen() (*servers, error) {
 	started := &servers{}
-	routing := func() *lagoonlanding.Routing { return daemon.coordinator.Snapshot().Routing() }
 	clients := platform.NewClientServer(platform.ClientServerConfig{
-		Handler: daemon.forwarder, Routing: routing, Shutdown: daemon.drain, Clock: daemon.clock, Log: daemon.logFor("clients"),
+		Handler: daemon.forwarder, Routing: daemon.routing, Shutdown: daemon.drain, Clock: daemon.clock, Log: daemon.logFor("clients"),
 	})
 	peers := transmitter.NewServer(transmitter.ServerConfig{
-		Handler: daemon.acceptor, Clock: daemon.clock, Log: daemon.logFor("peers"), Store: daemon.syncer.ProxyStore(),
+		Handler: daemon.acceptor, Clock: daemon.clock, Log: daemon.logFor("peers"), Store: daemon.syncer.ProxyStore(), Quota: daemon.distributor,
 		Feeds: map[string]lagoonlanding.PeerFeed{daemon.fleet.Prefix(): daemon.fleet, daemon.directives.Prefix(): daemon.directives},
 	})
 	announcements := platform.NewAnnouncementServer(daemon.syncer, daemon.clock, daemon.logFor("announcements"))
--- /dev/null
+++ b/mesh/apportioner/pool.go
@@ -0,0 +1,281 @@
+package apportioner
+
+import (
+	"slices"
+	"time"
+
+	"lagoonlanding.example/lagoonlanding"
+)
+
+// PoolConfig holds the settings of a Pool.
+type PoolConfig struct {
+	// SpreadShare is the fraction of the credits that nobody wants which is divided among the holders beforehand.
+	SpreadShare float64
+}
+
+// Pool divides credits among holders; it belongs to one goroutine.
+type Pool struct {
+	config   PoolConfig
+	holders  map[holderID]*holder
+	accounts map[string]*account
+}
+
+// holderID identifies one process of a daemon.
+type holderID struct {
+	daemon   string
+	instance uint64
+}
+
+// holder is a daemon, or the reporter of a zone, that holds credits of the pool.
+type holder struct {
+	sequence uint64
+	// since is when the pool last learned of credits that it has not granted itself.
+	since time.Time
+	// until is when the leases of its credits have ended, whatever it received.
+	until time.Time
+	// votes are what its last report said.
+	votes []lagoonlanding.QuotaVote
+}
+
+// account holds the credits of one workspace.
+type account struct {
+	free  int
+	lines map[holderID]line
+}
+
+// line is what a holder has and needs of a workspace.
+type line struct {
+	outstanding, wanted int
+}
+
+// NewPool returns a pool without credits.
+func NewPool(config PoolConfig) *Pool {
+	return &Pool{config: config, holders: map[holderID]*holder{}, accounts: map[string]*account{}}
+}
+
+// Free returns the number of credits of the workspace that no holder has.
+func (pool *Pool) Free(workspace string) int {
+	if account, ok := pool.accounts[workspace]; ok {
+		return account.free
+	}
+	return 0
+}
+
+// Outstanding returns the number of credits of the workspace that may exist, in the pool and at its holders.
+func (pool *Pool) Outstanding(workspace string) int {
+	account, ok := pool.accounts[workspace]
+	if !ok {
+		return 0
+	}
+	return account.total()
+}
+
+// Add adds credits of the workspace that no holder has, or removes them if the number is negative.
+func (pool *Pool) Add(workspace string, credits int) {
+	account := pool.account(workspace)
+	account.free = max(account.free+credits, 0)
+}
+
+// Discard removes all credits that no holder has.
+func (pool *Pool) Discard() {
+	for _, account := range pool.accounts {
+		account.free = 0
+	}
+}
+
+// Lines returns the credits that may exist and those that the holders want, by workspace.
+func (pool *Pool) Lines() map[string]lagoonlanding.QuotaLine {
+	lines := map[string]lagoonlanding.QuotaLine{}
+	for name, account := range pool.accounts {
+		if outstanding, wanted := account.total(), account.wanted(); outstanding > 0 || wanted > 0 {
+			lines[name] = lagoonlanding.NewQuotaLine(name, outstanding, wanted)
+		}
+	}
+	return lines
+}
+
+// Expire removes the holders whose leases have ended.
+func (pool *Pool) Expire(now time.Time) {
+	for id, holder := range pool.holders {
+		if !now.After(holder.until) {
+			continue
+		}
+		delete(pool.holders, id)
+		for _, account := range pool.accounts {
+			delete(account.lines, id)
+		}
+	}
+}
+
+// Forget removes the accounts of workspaces that are not in the configuration any more.
+func (pool *Pool) Forget(isKnown func(workspace string) bool) {
+	for name := range pool.accounts {
+		if !isKnown(name) {
+			delete(pool.accounts, name)
+		}
+	}
+}
+
+// Record records a report; it returns false if the holder must send a complete one.
+func (pool *Pool) Record(now, until time.Time, report lagoonlanding.QuotaReport) bool {
+	id := holderID{daemon: report.Daemon(), instance: report.Instance()}
+	known, ok := pool.holders[id]
+	switch {
+	case ok && report.Sequence() <= known.sequence:
+		// A delayed report, whose sender does not wait for the answer any more.
+		return false
+	case !report.IsComplete() && (!ok || report.Sequence() != known.sequence+1):
+		return false
+	case !ok:
+		known = &holder{}
+		pool.holders[id] = known
+	}
+	if until.After(known.until) {
+		known.until = until
+	}
+	known.sequence, known.votes = report.Sequence(), report.Votes()
+	mentioned := map[string]bool{}
+	for _, reported := range report.Lines() {
+		mentioned[reported.Workspace()] = true
+		account := pool.account(reported.Workspace())
+		if reported.Outstanding() > account.lines[id].outstanding {
+			known.since = now
+		}
+		account.set(id, line{outstanding: reported.Outstanding(), wanted: reported.Wanted()})
+	}
+	if report.IsComplete() {
+		for name, account := range pool.accounts {
+			if !mentioned[name] {
+				delete(account.lines, id)
+			}
+		}
+	}
+	return true
+}
+
+// Since returns when the pool last learned of credits of the holder that it has not granted itself.
+func (pool *Pool) Since(report lagoonlanding.QuotaReport) time.Time {
+	if holder, ok := pool.holders[holderID{daemon: report.Daemon(), instance: report.Instance()}]; ok {
+		return holder.since
+	}
+	return time.Time{}
+}
+
+// Grant decides how many credits the sender of a recorded report receives or gives up.
+func (pool *Pool) Grant(report lagoonlanding.QuotaReport) []lagoonlanding.QuotaGrant {
+	id := holderID{daemon: report.Daemon(), instance: report.Instance()}
+	var grants []lagoonlanding.QuotaGrant
+	for name, account := range pool.accounts {
+		if change := account.grant(id, len(pool.holders), pool.config.SpreadShare); change != 0 {
+			grants = append(grants, lagoonlanding.NewQuotaGrant(name, change))
+		}
+	}
+	return grants
+}
+
+// Votes returns the votes of the holders for the arbiter, by stamp; each holder counts once for the daemons that it reports.
+func (pool *Pool) Votes(arbiter string) []lagoonlanding.QuotaVote {
+	counts := map[int64]int{}
+	for _, holder := range pool.holders {
+		for _, vote := range holder.votes {
+			if vote.Arbiter() == arbiter {
+				counts[vote.Stamp()] += vote.Daemons()
+			}
+		}
+	}
+	var votes []lagoonlanding.QuotaVote
+	for stamp, count := range counts {
+		votes = append(votes, lagoonlanding.NewQuotaVote(arbiter, stamp, count))
+	}
+	return votes
+}
+
+// Holders returns the number of holders whose leases have not ended.
+func (pool *Pool) Holders() int { return len(pool.holders) }
+
+func (pool *Pool) account(workspace string) *account {
+	known, ok := pool.accounts[workspace]
+	if !ok {
+		known = &account{lines: map[holderID]line{}}
+		pool.accounts[workspace] = known
+	}
+	return known
+}
+
+func (account *account) set(id holderID, line line) {
+	if line.outstanding == 0 && line.wanted == 0 {
+		delete(account.lines, id)
+		return
+	}
+	account.lines[id] = line
+}
+
+// total returns the number of credits that may exist.
+func (account *account) total() int {
+	sum := account.free
+	for _, line := range account.lines {
+		sum += line.outstanding
+	}
+	return sum
+}
+
+func (account *account) wanted() int {
+	sum := 0
+	for _, line := range account.lines {
+		sum += line.wanted
+	}
+	return sum
+}
+
+// tolerance is how far a holder may exceed its share before it gives credits up: the remainder, and a quarter of the share.
+const tolerance = 4
+
+// grant moves credits between the pool and a holder according to its share, and returns the change for the holder.
+func (account *account) grant(id holderID, holders int, spreadShare float64) int {
+	current := account.lines[id]
+	total, wanted := account.total(), account.wanted()
+	share := current.wanted
+	if wanted > total {
+		share = min(share, account.level(total))
+	} else {
+		spread := float64(total-wanted) * spreadShare
+		extra := int(spread / float64(max(holders, 1)))
+		if extra == 0 && current.outstanding == 0 && share == 0 && 2*account.free > total-wanted {
+			// Too few credits for all holders: those that report first receive one, until half of them are left.
+			extra = 1
+		}
+		share += extra
+	}
+	change := 0
+	switch {
+	case current.outstanding < share:
+		change = min(share-current.outstanding, account.free)
+		account.free -= change
+		current.outstanding += change
+		account.set(id, current)
+	case current.outstanding > share+share/tolerance+1 || (wanted > total && current.outstanding > share):
+		// The credits stay counted at the holder until it reports that it has given them up.
+		change = share - current.outstanding
+	}
+	return change
+}
+
+// level returns the max-min fair share of the total: no holder that wants more gets less than another. A remainder is rounded up, since grants
+// are limited by the free credits.
+func (account *account) level(total int) int {
+	wants := make([]int, 0, len(account.lines))
+	for _, line := range account.lines {
+		if line.wanted > 0 {
+			wants = append(wants, line.wanted)
+		}
+	}
+	slices.Sort(wants)
+	for index, want := range wants {
+		left := len(wants) - index
+		if want*left > total {
+			return (total + left - 1) / left
+		}
+		total -= want
+	}
+	return total
+}
--- a/mesh/coordinator/snapshot.go
+++ b/mesh/coordinator/snapshot.go
@@ -95,3 +95,8 @@
 	_, ok := snapshot.daemons[daemon]
 	return ok
 }
+
+// ZoneOf returns the availability zone of a daemon, empty if it is not in the fleet.
+func (snapshot *Snapshot) ZoneOf(daemon string) string {
+	return snapshot.daemons[daemon].AvailabilityZone()
+}
--- /dev/null
+++ b/mesh/distributor/fleet_test.go
@@ -0,0 +1,252 @@
+package distributor
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"lagoonlanding.example/lagoonlanding"
+	"lagoonlanding.example/lagoonlanding/mesh/apportioner"
+	"lagoonlanding.example/lagoonlanding/mesh/coordinator"
+	"lagoonlanding.example/lagoonlanding/mesh/throttler"
+	"lagoonlanding.example/lagoonlanding/runtime/timekeeper"
+)
+
+const (
+	zones        = 4
+	zoneDaemons  = 17
+	window       = 5 * time.Second
+	sendInterval = 5 * time.Millisecond
+)
+
+var testRules = lagoonlanding.NewQuotaRules(lagoonlanding.QuotaRulesConfig{WindowSeconds: window.Seconds(), Overage: 0.1, Slack: 20})
+
+var errCut = errors.New("the network is cut")
+
+// testFleet is a fleet of daemons in virtual time; every request that gets a credit arrives at a backend server.
+type testFleet struct {
+	t          *testing.T
+	random     *rand.Rand
+	routing    *lagoonlanding.Routing
+	daemons    []*testDaemon
+	workspaces []lagoonlanding.Workspace
+
+	mutex    sync.Mutex
+	messages int
+	// arrivals and refusals are the times of requests by workspace.
+	arrivals, refusals map[string][]time.Time
+}
+
+type testDaemon struct {
+	name      string
+	fleet     *testFleet
+	throttler *throttler.Throttler
+	*Distributor
+	stop func()
+	// side is the part of the network that the daemon is in.
+	side int
+}
+
+// Report passes a report to another daemon after a delay; reports across a cut are not answered, and some of them arrive late.
+func (testdaemon *testDaemon) Report(ctx context.Context, address string, report lagoonlanding.QuotaReport) (lagoonlanding.QuotaAnswer, error) {
+	fleet := testdaemon.fleet
+	fleet.mutex.Lock()
+	fleet.messages++
+	index := slices.IndexFunc(fleet.daemons, func(daemon *testDaemon) bool { return daemon.name == address })
+	other := fleet.daemons[index]
+	isCut, delay := other.side != testdaemon.side, time.Duration(1+fleet.random.IntN(12))*time.Millisecond
+	if fleet.random.IntN(200) == 0 {
+		delay = 900 * time.Millisecond
+	}
+	fleet.mutex.Unlock()
+	if isCut {
+		<-ctx.Done()
+		return lagoonlanding.QuotaAnswer{}, errCut
+	}
+	time.Sleep(delay)
+	answer := other.OnReport(report)
+	time.Sleep(time.Millisecond)
+	return answer, ctx.Err()
+}
+
+func newTestFleet(t *testing.T, seed uint64, rates []float64) *testFleet {
+	fleet := &testFleet{t: t, random: rand.New(rand.NewPCG(seed, seed)), arrivals: map[string][]time.Time{}, refusals: map[string][]time.Time{}}
+	for index, rate := range rates {
+		fleet.workspaces = append(fleet.workspaces, lagoonlanding.NewWorkspace(lagoonlanding.WorkspaceConfig{
+			Name: fmt.Sprintf("w%02d", index), Rate: rate, Burst: rate,
+		}))
+	}
+	fleet.route(fleet.workspaces)
+	var backends []lagoonlanding.Backend
+	for index := range zones * zoneDaemons {
+		name := fmt.Sprintf("d%02d", index)
+		backends = append(backends, lagoonlanding.NewBackend(lagoonlanding.BackendConfig{
+			ID: lagoonlanding.NewBackendID(name, "b", 1), PeerAddress: name, AvailabilityZone: zoneOf(index),
+		}))
+	}
+	snapshot := func() *coordinator.Snapshot {
+		fleet.mutex.Lock()
+		defer fleet.mutex.Unlock()
+		return coordinator.NewSnapshot(coordinator.SnapshotConfig{Routing: fleet.routing, Backends: backends})
+	}
+	for index, backend := range backends {
+		daemon := &testDaemon{name: backend.ID().Daemon(), fleet: fleet}
+		fleet.daemons = append(fleet.daemons, daemon)
+		daemon.start(snapshot, zoneOf(index))
+	}
+	return fleet
+}
+
+func zoneOf(index int) string { return fmt.Sprint("z", index%zones) }
+
+func (fleet *testFleet) route(workspaces []lagoonlanding.Workspace) {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	fleet.workspaces = workspaces
+	fleet.routing = lagoonlanding.NewRouting(lagoonlanding.RoutingConfig{Identifies: true, Workspaces: workspaces})
+}
+
+// start starts a process of the daemon.
+func (testdaemon *testDaemon) start(snapshot func() *coordinator.Snapshot, zone string) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	clock := timekeeper.Clock{}
+	testdaemon.throttler = throttler.New(throttler.Config{Rules: testRules, StartedAt: clock.Now(), Daemons: func() int { return zones * zoneDaemons }})
+	testdaemon.Distributor = New(Config{
+		Daemon: testdaemon.name, Instance: rand.Uint64(), Zone: zone, Throttler: testdaemon.throttler, Peers: testdaemon, Snapshot: snapshot, Rules: testRules,
+		Terms: apportioner.Terms{Daemon: 1800 * time.Millisecond, Zone: 2400 * time.Millisecond, Vote: 2500 * time.Millisecond, Margin: 400 * time.Millisecond},
+		Clock: clock, Log: logrus.NewEntry(log),
+	})
+	ctx, cancel := context.WithCancel(testdaemon.fleet.t.Context())
+	testdaemon.stop = cancel
+	go testdaemon.Run(ctx)
+}
+
+func (testdaemon *testDaemon) restart() {
+	testdaemon.stop()
+	<-testdaemon.closed
+	testdaemon.start(testdaemon.config.Snapshot, testdaemon.config.Zone)
+}
+
+// send sends requests of all workspaces for a time; rate returns the requests per second of a workspace at a daemon.
+func (fleet *testFleet) send(duration time.Duration, rate func(workspace lagoonlanding.Workspace, daemon int, elapsed time.Duration) float64) {
+	began := time.Now()
+	for time.Since(began) < duration {
+		for _, workspace := range fleet.workspaces {
+			for index, daemon := range fleet.daemons {
+				if fleet.random.Float64() < rate(workspace, index, time.Since(began))*sendInterval.Seconds() {
+					fleet.take(workspace, daemon)
+				}
+			}
+		}
+		time.Sleep(sendInterval)
+	}
+}
+
+// take sends one request: one in ten is refused by all daemons without having run, the others arrive after up to a second.
+func (fleet *testFleet) take(workspace lagoonlanding.Workspace, daemon *testDaemon) {
+	now := time.Now()
+	credit, retryAt, ok := daemon.throttler.Take(now, workspace)
+	switch {
+	case !ok && !retryAt.After(now):
+		fleet.t.Errorf("%s: retry at %v", workspace.Name(), retryAt.Sub(now))
+		fallthrough
+	case !ok:
+		fleet.refusals[workspace.Name()] = append(fleet.refusals[workspace.Name()], now)
+	case fleet.random.IntN(10) == 0:
+		time.AfterFunc(time.Duration(fleet.random.IntN(1000))*time.Millisecond, func() { credit.Return(time.Now()) })
+	default:
+		arrives := time.Duration(fleet.random.IntN(50)) * time.Millisecond
+		if fleet.random.IntN(20) == 0 {
+			arrives = time.Duration(fleet.random.IntN(1000)) * time.Millisecond
+		}
+		fleet.arrivals[workspace.Name()] = append(fleet.arrivals[workspace.Name()], now.Add(arrives))
+		time.AfterFunc(arrives+200*time.Millisecond, func() { credit.Spend(time.Now()) })
+	}
+}
+
+// check fails if a window contains more arrivals than the limit.
+func (fleet *testFleet) check(from time.Time) {
+	fleet.t.Helper()
+	for _, workspace := range fleet.workspaces {
+		arrivals := fleet.arrivals[workspace.Name()]
+		slices.SortFunc(arrivals, time.Time.Compare)
+		first := 0
+		most := 0
+		for last, at := range arrivals {
+			for at.Sub(arrivals[first]) >= window {
+				first++
+			}
+			if arrivals[first].After(from) {
+				most = max(most, last-first+1)
+			}
+		}
+		if float64(most) > testRules.Limit(workspace) {
+			fleet.t.Errorf("%s with %v/s: %d arrivals in a window, want at most %.1f", workspace.Name(), workspace.Rate(), most, testRules.Limit(workspace))
+		}
+	}
+}
+
+// refused returns the share of a workspace's requests that were refused since a time.
+func (fleet *testFleet) refused(workspace string, since time.Time) float64 {
+	count := func(times []time.Time) (count int) {
+		for _, at := range times {
+			if at.After(since) {
+				count++
+			}
+		}
+		return count
+	}
+	refused, arrived := count(fleet.refusals[workspace]), count(fleet.arrivals[workspace])
+	return float64(refused) / float64(max(refused+arrived, 1))
+}
+
+// usual is the rates of the workspaces of a fleet that is in service now.
+var usual = []float64{236, 136, 98, 78, 40, 20, 20, 16, 10, 8, 5, 2}
+
+// evenly sends the usual demand, which a rate permits 1.6 times, evenly to all daemons.
+func evenly(workspace lagoonlanding.Workspace, _ int, _ time.Duration) float64 {
+	return workspace.Rate() / 1.6 / (zones * zoneDaemons)
+}
+
+func TestUsualDemandIsNotRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newTestFleet(t, 1, usual)
+		fleet.send(12*time.Second, evenly)
+		since, messages := time.Now(), fleet.messages
+		fleet.send(30*time.Second, evenly)
+		t.Logf("%.2f messages per daemon and second", float64(fleet.messages-messages)/30/zones/zoneDaemons)
+		fleet.check(time.Time{})
+		for _, workspace := range fleet.workspaces {
+			t.Logf("%s with %v/s: %.3f refused", workspace.Name(), workspace.Rate(), fleet.refused(workspace.Name(), since))
+		}
+	})
+}
+
+func TestDemandThatMovesBetweenZonesIsFollowed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := newTestFleet(t, 2, usual)
+		moving := func(workspace lagoonlanding.Workspace, daemon int, elapsed time.Duration) float64 {
+			if int(elapsed/(4*time.Second))%zones != daemon%zones {
+				return 0
+			}
+			return workspace.Rate() / 1.6 / zoneDaemons
+		}
+		fleet.send(12*time.Second, evenly)
+		since := time.Now()
+		fleet.send(40*time.Second, moving)
+		fleet.check(time.Time{})
+		for _, workspace := range fleet.workspaces {
+			t.Logf("%s with %v/s: %.3f refused", workspace.Name(), workspace.Rate(), fleet.refused(workspace.Name(), since))
+		}
+	})
+}
--- a/mesh/forwarder/delivery.go
+++ b/mesh/forwarder/delivery.go
@@ -32,7 +32,7 @@
 
 // isEligible reports whether the request may be sent to the backend server.
 func (delivery *delivery) isEligible(candidate lagoonlanding.Backend) bool {
-	return delivery.route.Allows(candidate.Region()) && delivery.isNew(candidate) && delivery.refusals[candidate.Region()] < maxRefusals
+	return delivery.allows(candidate.Region()) && delivery.isNew(candidate) && delivery.refusals[candidate.Region()] < maxRefusals
 }
 
 // isNew reports whether the request has not been sent to the daemon since the last wait, and has never reached its backend server.
@@ -45,7 +45,7 @@
 	snapshot := forwarder.config.Snapshot()
 	if delivery.task.ShardKey() != lagoonlanding.NoShardKey {
 		owner, ok := snapshot.Owner(delivery.task.Service(), delivery.task.ShardKey())
-		return owner, ok && delivery.route.Allows(owner.Region()) && delivery.isNew(owner)
+		return owner, ok && delivery.allows(owner.Region()) && delivery.isNew(owner)
 	}
 	var candidates []lagoonlanding.Backend
 	for _, candidate := range snapshot.Candidates(delivery.task.Service()) {
--- a/mesh/forwarder/forwarder.go
+++ b/mesh/forwarder/forwarder.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"lagoonlanding.example/lagoonlanding"
+	"lagoonlanding.example/lagoonlanding/mesh/authenticator"
 	"lagoonlanding.example/lagoonlanding/mesh/chooser"
 	"lagoonlanding.example/lagoonlanding/mesh/coordinator"
 )
@@ -39,6 +41,10 @@
 	Chooser *chooser.Chooser
 	// Budgets limit retries.
 	Budgets *Budgets
+	// Quota counts the requests of workspaces; nil means that there are no quotas.
+	Quota lagoonlanding.Quota
+	// SetWorkspace replaces what identifies the client in the header of a request by the name of its workspace; nil changes nothing.
+	SetWorkspace func(header http.Header, workspace string)
 	// Snapshot returns the current snapshot of the control state.
 	Snapshot func() *coordinator.Snapshot
 	// Meter records metrics of requests.
@@ -82,6 +88,9 @@
 	result   lagoonlanding.Result
 	// waitUntil is the time until which the request waits for the owner of a moving shard.
 	waitUntil time.Time
+	// workspace is that of the request, and credit permits its next try; nil if the last try has spent it or the workspace has no quota.
+	workspace lagoonlanding.Workspace
+	credit    lagoonlanding.Credit
 }
 
 // Handle sends the request to a backend server, with retries, and returns the result.
@@ -95,6 +104,7 @@
 	for forwarder.try(ctx, delivery) {
 	}
 	delivery.correctOutcome()
+	forwarder.returnCredit(delivery)
 	forwarder.log(delivery.task, delivery.lastBackend, delivery.tries, delivery.result)
 	result := delivery.result
 	if result.Outcome() != lagoonlanding.OutcomeAnswered {
@@ -117,8 +127,16 @@
 	if !ok {
 		return nil, lagoonlanding.NotRun(lagoonlanding.ReasonNoRoute, time.Time{})
 	}
+	workspace, ok := authenticator.Identify(routing, route, task.Key())
+	if !ok {
+		return nil, lagoonlanding.NotRun(lagoonlanding.ReasonUnknownKey, time.Time{})
+	}
+	task = forwarder.identified(task, routing, workspace)
 	task = task.With(func(config *lagoonlanding.TaskConfig) {
 		config.Caller, config.Route, config.Priority = forwarder.config.Service, route.Name(), route.Priority()
+		if !workspace.IsZero() {
+			config.Priority = workspace.Priority()
+		}
 		config.Service = forwarder.drawService(route)
 		config.Objective, config.AtMostOnce = route.Objective(task.Received()), !route.IsIdempotent()
 		if at := route.TimeoutAt(task.Received()); !at.IsZero() && at.Before(task.Deadline()) {
@@ -132,11 +150,15 @@
 	if !ok {
 		return nil, forwarder.shuttingDown()
 	}
+	credit, retryAt, ok := forwarder.takeCredit(workspace)
+	if !ok {
+		return nil, lagoonlanding.NotRun(lagoonlanding.ReasonTenantLimit, retryAt)
+	}
 	forwarder.config.Budgets.Earn(task.Service())
 	wait := time.Duration(float64(task.Objective().Sub(task.Received())) * ownerWaitShare)
 	return &delivery{
 		task: task, route: route, tried: map[string]bool{}, received: map[lagoonlanding.BackendID]bool{}, refusals: map[string]int{},
-		waitUntil: now.Add(wait),
+		waitUntil: now.Add(wait), workspace: workspace, credit: credit,
 	}, lagoonlanding.Result{}
 }
 
@@ -170,12 +192,17 @@
 		delivery.result = forwarder.shuttingDown()
 		return false
 	}
+	if !forwarder.identifyAgain(delivery) {
+		delivery.result = lagoonlanding.NotRun(lagoonlanding.ReasonUnknownKey, time.Time{})
+		return false
+	}
 	delivery.tries++
 	delivery.tried[backend.ID().Daemon()], delivery.lastBackend = true, backend.ID()
 	delivery.result = forwarder.send(ctx, backend, delivery.task)
 	if delivery.result.IsDelivered() {
 		delivery.attempts++
 		delivery.received[backend.ID()] = true
+		forwarder.spendCredit(delivery)
 	}
 	delivery.recordRefusal(backend, forwarder.config.Region)
 	return forwarder.shouldRetry(ctx, delivery)
@@ -226,7 +253,11 @@
 			return false
 		}
 	}
-	if !forwarder.config.Budgets.Spend(delivery.task.Service()) {
+	credit, _, ok := forwarder.takeCredit(delivery.workspace)
+	if !ok {
+		return false
+	}
+	if delivery.credit = credit; !forwarder.config.Budgets.Spend(delivery.task.Service()) {
 		return false
 	}
 	if result.Outcome() == lagoonlanding.OutcomeAnswered {
@@ -272,6 +303,9 @@
 	if result.Reason() != lagoonlanding.ReasonNone {
 		fields["reason"] = result.Reason()
 	}
+	if task.Workspace() != "" {
+		fields["workspace"] = task.Workspace()
+	}
 	if task.ShardKey() != lagoonlanding.NoShardKey {
 		fields["shard-key"] = task.ShardKey()
 	}
--- a/mesh/recorder/recorder.go
+++ b/mesh/recorder/recorder.go
@@ -40,6 +40,8 @@
 
 	mutex  sync.Mutex
 	routes map[string]bool
+	// workspaces are those with a label of their own.
+	workspaces map[string]bool
 }
 
 var (
@@ -55,7 +57,7 @@
 	scope, _ := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "lagoonmesh", CachedReporter: reporter, Separator: prometheus.DefaultSeparator, OmitCardinalityMetrics: true,
 	}, reportInterval)
-	return &Recorder{config: config, scope: scope, handler: reporter.HTTPHandler(), routes: map[string]bool{}}
+	return &Recorder{config: config, scope: scope, handler: reporter.HTTPHandler(), routes: map[string]bool{}, workspaces: map[string]bool{}}
 }
 
 // Handler returns the HTTP handler that serves the metrics.
--- a/mesh/transmitter/peers.go
+++ b/mesh/transmitter/peers.go
@@ -13,6 +13,7 @@
 var (
 	_ lagoonlanding.PeerFeeds  = (*Peers)(nil)
 	_ lagoonlanding.PeerStores = (*Peers)(nil)
+	_ lagoonlanding.QuotaPeers = (*Peers)(nil)
 )
 
 // peer is another daemon that this one calls.
--- a/mesh/transmitter/server.go
+++ b/mesh/transmitter/server.go
@@ -19,6 +19,8 @@
 	Feeds map[string]lagoonlanding.PeerFeed
 	// Store executes the calls of daemons that are disconnected from the store.
 	Store lagoonlanding.LeaseStore
+	// Quota handles the reports of other daemons about quotas; nil if there are none.
+	Quota lagoonlanding.QuotaHandler
 	// Clock returns the current time.
 	Clock lagoonlanding.Clock
 	// Log receives one line per message that cannot be decoded.
@@ -45,6 +47,9 @@
 		case storePath:
 			server.serveStore(writer, request)
 			return
+		case quotaPath:
+			server.serveQuota(writer, request)
+			return
 		}
 	}
 	now := server.config.Clock.Now()
--- a/workspace.go
+++ b/workspace.go
@@ -89,6 +89,9 @@
 // reserveShare is the fraction of the permitted overage that daemons may use without a share; the rest is leased by demand.
 const reserveShare = 0.9
 
+// overageShare is the fraction of the permitted overage that is used at all; the rest covers requests that take longer than usual to arrive.
+const overageShare = 0.95
+
 // Reserve returns how many requests of the workspace each of the daemons may send in one window without a share.
 func (quotarules QuotaRules) Reserve(workspace Workspace, daemons int) int {
 	if daemons <= 0 {
@@ -100,12 +103,13 @@
 // Capacity returns how many credits of the workspace may exist at the same time in a fleet of the given size: with those that its rate adds in
 // a window, and with the reserves of all daemons, they do not exceed the limit.
 func (quotarules QuotaRules) Capacity(workspace Workspace, daemons int) int {
-	permitted := workspace.Burst() + quotarules.overage(workspace)
+	permitted := workspace.Burst() + overageShare*quotarules.overage(workspace)
 	if quotarules.Reserve(workspace, max(daemons*4/5, 1)) > 0 {
 		// Daemons that know a somewhat smaller fleet still use a reserve.
 		permitted -= reserveShare * quotarules.overage(workspace)
 	}
-	return max(int(math.Floor(permitted)), 1)
+	// A window may begin with up to one credit that has been earned but not created.
+	return max(int(math.Floor(permitted))-1, 1)
 }
 
 // overage returns the number of requests that a window may contain beyond the quota.
