--- a/lagoonmesh/daemon.go
+++ b/lagoonmesh/daemon.go
@@ -153,7 +153,7 @@
 			Share: retryBudgetShare * daemon.settings.RetryBudgetRatio(defaultRetryBudgetRatio), Slack: retryBudgetShare * daemon.settings.RetryBudgetSlack(0),
 			Daemons: func() int { return len(daemon.coordinator.Snapshot().Peers()) },
 		}),
-		Quota: daemon.throttler, SetWorkspace: platform.SetWorkspace,
+		Quota: daemon.distributor, SetWorkspace: platform.SetWorkspace,
 		Snapshot: daemon.coordinator.Snapshot, Meter: daemon.recorder, Shutdown: daemon.drain, Clock: daemon.clock, Log: daemon.logFor("requests"), RandomFloat64: rand.Float64,
 	})
 }
--- a/lagoonmesh/quota.go
+++ b/lagoonmesh/quota.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"math/rand/v2"
 	"time"
 
@@ -38,3 +39,17 @@
 		Terms: apportioner.Terms{Daemon: daemonQuotaTerm, Zone: zoneQuotaTerm, Vote: arbiterVoteTerm, Margin: quotaMargin},
 	})
 }
+
+// peerTasks handles the tasks of other daemons.
+type peerTasks struct {
+	acceptor  lagoonlanding.TaskHandler
+	forwarder lagoonlanding.TaskHandler
+}
+
+// Handle runs a task, or forwards a task that was relayed to this daemon because it has credits of the workspace.
+func (peertasks peerTasks) Handle(ctx context.Context, task lagoonlanding.Task) lagoonlanding.Result {
+	if task.IsRelayed() {
+		return peertasks.forwarder.Handle(ctx, task)
+	}
+	return peertasks.acceptor.Handle(ctx, task)
+}
--- a/lagoonmesh/servers.go
+++ b/lagoonmesh/servers.go
@@ -32,7 +32,7 @@
 		Handler: daemon.forwarder, Routing: daemon.routing, Shutdown: daemon.drain, Clock: daemon.clock, Log: daemon.logFor("clients"),
 	})
 	peers := transmitter.NewServer(transmitter.ServerConfig{
-		Handler: daemon.acceptor, Clock: daemon.clock, Log: daemon.logFor("peers"), Store: daemon.syncer.ProxyStore(), Quota: daemon.distributor,
+		Handler: peerTasks{acceptor: daemon.acceptor, forwarder: daemon.forwarder}, Clock: daemon.clock, Log: daemon.logFor("peers"), Store: daemon.syncer.ProxyStore(), Quota: daemon.distributor,
 		Feeds: map[string]lagoonlanding.PeerFeed{daemon.fleet.Prefix(): daemon.fleet, daemon.directives.Prefix(): daemon.directives},
 	})
 	announcements := platform.NewAnnouncementServer(daemon.syncer, daemon.clock, daemon.logFor("announcements"))
--- a/mesh/apportioner/arbiter.go
+++ b/mesh/apportioner/arbiter.go
@@ -46,7 +46,7 @@
 // NewArbiter returns an arbiter that nobody supports.
 func NewArbiter(name string, terms Terms) *Arbiter {
 	return &Arbiter{
-		name: name, pool: NewPool(PoolConfig{SpreadShare: 1}), terms: terms, votes: map[string]reporterVotes{}, minted: map[string]*mint{},
+		name: name, pool: NewPool(PoolConfig{SpreadShare: 1, RoundsUp: true}), terms: terms, votes: map[string]reporterVotes{}, minted: map[string]*mint{},
 		removed: map[string]time.Time{},
 	}
 }
--- a/mesh/apportioner/changes.go
+++ b/mesh/apportioner/changes.go
@@ -49,5 +49,12 @@
 	}
 }
 
+// Changed records that the credits of a workspace have changed without a report.
+func (changes *Changes) Changed(workspace string) {
+	if changes.acknowledged != nil {
+		changes.acknowledged[workspace] = lagoonlanding.NewQuotaLine(workspace, -1, 0)
+	}
+}
+
 // Failed records that the last report was not answered.
 func (changes *Changes) Failed() { changes.acknowledged = nil }
--- a/mesh/apportioner/pool.go
+++ b/mesh/apportioner/pool.go
@@ -1,6 +1,8 @@
 package apportioner
 
 import (
+	"math"
+	"math/bits"
 	"slices"
 	"time"
 
@@ -11,6 +13,8 @@
 type PoolConfig struct {
 	// SpreadShare is the fraction of the credits that nobody wants which is divided among the holders beforehand.
 	SpreadShare float64
+	// RoundsUp means that a holder gets a whole credit for a fraction; otherwise, what remains is left in the pool, to which requests are relayed.
+	RoundsUp bool
 }
 
 // Pool divides credits among holders; it belongs to one goroutine.
@@ -35,6 +39,8 @@
 	until time.Time
 	// votes are what its last report said.
 	votes []lagoonlanding.QuotaVote
+	// told are the spare credits that it was told of by workspace.
+	told map[string]int
 }
 
 // account holds the credits of one workspace.
@@ -45,7 +51,8 @@
 
 // line is what a holder has and needs of a workspace.
 type line struct {
-	outstanding, wanted int
+	outstanding int
+	wanted      float64
 }
 
 // NewPool returns a pool without credits.
@@ -127,7 +134,7 @@
 	case !report.IsComplete() && (!ok || report.Sequence() != known.sequence+1):
 		return false
 	case !ok:
-		known = &holder{}
+		known = &holder{told: map[string]int{}}
 		pool.holders[id] = known
 	}
 	if until.After(known.until) {
@@ -144,6 +151,7 @@
 		account.set(id, line{outstanding: reported.Outstanding(), wanted: reported.Wanted()})
 	}
 	if report.IsComplete() {
+		clear(known.told)
 		for name, account := range pool.accounts {
 			if !mentioned[name] {
 				delete(account.lines, id)
@@ -161,18 +169,47 @@
 	return time.Time{}
 }
 
-// Grant decides how many credits the sender of a recorded report receives or gives up.
+// Grant decides how many credits the sender of a recorded report receives or gives up, and tells it how many are left in the pool.
 func (pool *Pool) Grant(report lagoonlanding.QuotaReport) []lagoonlanding.QuotaGrant {
 	id := holderID{daemon: report.Daemon(), instance: report.Instance()}
+	told := pool.holders[id].told
 	var grants []lagoonlanding.QuotaGrant
 	for name, account := range pool.accounts {
-		if change := account.grant(id, len(pool.holders), pool.config.SpreadShare); change != 0 {
-			grants = append(grants, lagoonlanding.NewQuotaGrant(name, change))
+		change := account.grant(id, len(pool.holders), pool.config)
+		spare := 0
+		if account.free > 0 && !pool.config.RoundsUp {
+			// Rounded to a power of two, so that it seldom changes.
+			spare = 1 << (bits.Len(uint(account.free)) - 1)
+		}
+		if change != 0 || spare != told[name] {
+			grants = append(grants, lagoonlanding.NewQuotaGrant(name, change, spare))
+		}
+		if told[name] = spare; spare == 0 {
+			delete(told, name)
 		}
 	}
 	return grants
 }
 
+// Untold records that the sender of a recorded report forgets the spare credits that it was told of.
+func (pool *Pool) Untold(report lagoonlanding.QuotaReport) {
+	clear(pool.holders[holderID{daemon: report.Daemon(), instance: report.Instance()}].told)
+}
+
+// Draw moves a credit from the pool to a holder; it returns false if none is left.
+func (pool *Pool) Draw(daemon string, instance uint64, workspace string) bool {
+	id := holderID{daemon: daemon, instance: instance}
+	account, ok := pool.accounts[workspace]
+	if _, isKnown := pool.holders[id]; !ok || !isKnown || account.free == 0 {
+		return false
+	}
+	account.free--
+	line := account.lines[id]
+	line.outstanding++
+	account.lines[id] = line
+	return true
+}
+
 // Votes returns the votes of the holders for the arbiter, by stamp; each holder counts once for the daemons that it reports.
 func (pool *Pool) Votes(arbiter string) []lagoonlanding.QuotaVote {
 	counts := map[int64]int{}
@@ -219,33 +256,22 @@
 	return sum
 }
 
-func (account *account) wanted() int {
-	sum := 0
+func (account *account) wanted() float64 {
+	sum := 0.0
 	for _, line := range account.lines {
 		sum += line.wanted
 	}
 	return sum
 }
 
-// tolerance is how far a holder may exceed its share before it gives credits up: the remainder, and a quarter of the share.
+// tolerance is the part of its share by which a holder may exceed it before it gives credits up.
 const tolerance = 4
 
 // grant moves credits between the pool and a holder according to its share, and returns the change for the holder.
-func (account *account) grant(id holderID, holders int, spreadShare float64) int {
+func (account *account) grant(id holderID, holders int, config PoolConfig) int {
 	current := account.lines[id]
-	total, wanted := account.total(), account.wanted()
-	share := current.wanted
-	if wanted > total {
-		share = min(share, account.level(total))
-	} else {
-		spread := float64(total-wanted) * spreadShare
-		extra := int(spread / float64(max(holders, 1)))
-		if extra == 0 && current.outstanding == 0 && share == 0 && 2*account.free > total-wanted {
-			// Too few credits for all holders: those that report first receive one, until half of them are left.
-			extra = 1
-		}
-		share += extra
-	}
+	share := account.share(current, holders, config)
+	isScarce := account.wanted() > float64(account.total())
 	change := 0
 	switch {
 	case current.outstanding < share:
@@ -253,17 +279,35 @@
 		account.free -= change
 		current.outstanding += change
 		account.set(id, current)
-	case current.outstanding > share+share/tolerance+1 || (wanted > total && current.outstanding > share):
+	case current.outstanding > share+share/tolerance+1 || (isScarce && current.outstanding > share):
 		// The credits stay counted at the holder until it reports that it has given them up.
 		change = share - current.outstanding
 	}
 	return change
 }
 
-// level returns the max-min fair share of the total: no holder that wants more gets less than another. A remainder is rounded up, since grants
-// are limited by the free credits.
-func (account *account) level(total int) int {
-	wants := make([]int, 0, len(account.lines))
+// share returns how many credits a holder should have: what it wants and a part of what nobody wants, or else its max-min fair share.
+func (account *account) share(current line, holders int, config PoolConfig) int {
+	total, wanted := float64(account.total()), account.wanted()
+	share := current.wanted
+	if wanted > total {
+		share = min(share, account.level(total))
+	} else {
+		share += (total - wanted) * config.SpreadShare / float64(max(holders, 1))
+	}
+	if config.RoundsUp {
+		return int(math.Ceil(share))
+	}
+	if share < 1 && 2*float64(account.free) > total-wanted {
+		// Too few credits for all holders: those that report first receive one, until half of them are left.
+		return 1
+	}
+	return int(share)
+}
+
+// level returns the max-min fair share of the total: no holder that wants more gets less than another.
+func (account *account) level(total float64) float64 {
+	wants := make([]float64, 0, len(account.lines))
 	for _, line := range account.lines {
 		if line.wanted > 0 {
 			wants = append(wants, line.wanted)
@@ -271,9 +315,8 @@
 	}
 	slices.Sort(wants)
 	for index, want := range wants {
-		left := len(wants) - index
-		if want*left > total {
-			return (total + left - 1) / left
+		if left := float64(len(wants) - index); want*left > total {
+			return total / left
 		}
 		total -= want
 	}
--- a/mesh/apportioner/zone.go
+++ b/mesh/apportioner/zone.go
@@ -49,6 +49,7 @@
 	term := min(zone.terms.Daemon, zone.until.Sub(now))
 	if term <= zone.terms.Margin || !zone.pool.Since(report).Before(zone.answered) {
 		// The arbiter does not count the daemon's credits as this zone's yet, so their leases must not be extended.
+		zone.pool.Untold(report)
 		return lagoonlanding.NewQuotaAnswer(config), len(report.Lines()) > 0
 	}
 	config.Term, config.Grants = term, zone.pool.Grant(report)
@@ -65,7 +66,13 @@
 		return false
 	}
 	line := account.lines[holderID{daemon: report.Daemon(), instance: report.Instance()}]
-	return line.outstanding < line.wanted
+	return float64(line.outstanding+account.free) < line.wanted
+}
+
+// Draw moves a credit from the zone to one of its daemons; it returns false if none is left.
+func (zone *Zone) Draw(now time.Time, daemon string, instance uint64, workspace string) bool {
+	zone.expire(now)
+	return zone.pool.Draw(daemon, instance, workspace)
 }
 
 // Lines returns what the zone reports to the arbiter.
--- a/mesh/coordinator/snapshot.go
+++ b/mesh/coordinator/snapshot.go
@@ -96,6 +96,12 @@
 	return ok
 }
 
+// Daemon returns the daemon with the name.
+func (snapshot *Snapshot) Daemon(name string) (lagoonlanding.Backend, bool) {
+	backend, ok := snapshot.daemons[name]
+	return backend, ok
+}
+
 // ZoneOf returns the availability zone of a daemon, empty if it is not in the fleet.
 func (snapshot *Snapshot) ZoneOf(daemon string) string {
 	return snapshot.daemons[daemon].AvailabilityZone()
--- a/mesh/distributor/distributor.go
+++ b/mesh/distributor/distributor.go
@@ -96,6 +96,36 @@
 	return <-answers
 }
 
+var _ lagoonlanding.Quota = (*Distributor)(nil)
+
+// Take returns a credit for one try, or when there will be room; any goroutine may call it.
+func (distributor *Distributor) Take(now time.Time, workspace lagoonlanding.Workspace) (lagoonlanding.Credit, time.Time, bool) {
+	return distributor.config.Throttler.Take(now, workspace)
+}
+
+// Relay returns the daemon to which a request without a credit is relayed; any goroutine may call it.
+func (distributor *Distributor) Relay(workspace lagoonlanding.Workspace) (string, bool) {
+	return distributor.config.Throttler.Relay(workspace)
+}
+
+// TakeRelayed takes a credit of the zone for a request that was relayed to its reporter; any goroutine may call it.
+func (distributor *Distributor) TakeRelayed(now time.Time, workspace lagoonlanding.Workspace) (lagoonlanding.Credit, time.Time, bool) {
+	drawn := make(chan struct{})
+	isPosted := distributor.post(func(now time.Time) {
+		defer close(drawn)
+		// The daemon itself is one of the zone's holders, and its next report states the credit.
+		link := &distributor.daemonLink
+		if !link.isWaiting && link.recipient == distributor.config.Daemon && distributor.zone.Draw(now, distributor.config.Daemon, distributor.config.Instance, workspace.Name()) {
+			link.changes.Changed(workspace.Name())
+			distributor.config.Throttler.Deposit(workspace.Name())
+		}
+	})
+	if isPosted {
+		<-drawn
+	}
+	return distributor.config.Throttler.TakeRelayed(now, workspace)
+}
+
 // post passes an event to the goroutine of Run; it returns false if that has ended.
 func (distributor *Distributor) post(event func(now time.Time)) bool {
 	select {
@@ -179,7 +209,7 @@
 	lines := distributor.config.Throttler.Lines(now, distributor.config.Terms.Margin)
 	distributor.send(ctx, now, &distributor.daemonLink, recipient, lines, config, func(answer lagoonlanding.QuotaAnswer) {
 		distributor.voter.Propose(answer.Arbiter(), answer.Stamp())
-		distributor.config.Throttler.Apply(distributor.config.Clock.Now(), now, answer)
+		distributor.config.Throttler.Apply(distributor.config.Clock.Now(), now, recipient.ID().Daemon(), answer)
 	})
 }
 
@@ -250,6 +280,9 @@
 // failed records a report without an answer.
 func (distributor *Distributor) failed(now time.Time, link *link) {
 	link.changes.Failed()
+	if link == &distributor.daemonLink {
+		distributor.config.Throttler.Unanswered()
+	}
 	if link.failures++; link.failures >= maxFailures {
 		distributor.avoided[link.recipient] = now.Add(avoidTerm)
 	}
--- a/mesh/distributor/fleet_test.go
+++ b/mesh/distributor/fleet_test.go
@@ -42,6 +42,7 @@
 
 	mutex    sync.Mutex
 	messages int
+	relays   int
 	// arrivals and refusals are the times of requests by workspace.
 	arrivals, refusals map[string][]time.Time
 }
@@ -155,7 +156,16 @@
 // take sends one request: one in ten is refused by all daemons without having run, the others arrive after up to a second.
 func (fleet *testFleet) take(workspace lagoonlanding.Workspace, daemon *testDaemon) {
 	now := time.Now()
-	credit, retryAt, ok := daemon.throttler.Take(now, workspace)
+	credit, retryAt, ok := daemon.Take(now, workspace)
+	if !ok {
+		if name, isRelayed := daemon.Relay(workspace); isRelayed {
+			fleet.relays++
+			index := slices.IndexFunc(fleet.daemons, func(daemon *testDaemon) bool { return daemon.name == name })
+			if other := fleet.daemons[index]; other.side == daemon.side {
+				credit, retryAt, ok = other.TakeRelayed(now, workspace)
+			}
+		}
+	}
 	switch {
 	case !ok && !retryAt.After(now):
 		fleet.t.Errorf("%s: retry at %v", workspace.Name(), retryAt.Sub(now))
@@ -174,6 +184,14 @@
 	}
 }
 
+// end stops all daemons.
+func (fleet *testFleet) end() {
+	for _, daemon := range fleet.daemons {
+		daemon.stop()
+	}
+	time.Sleep(5 * time.Second)
+}
+
 // check fails if a window contains more arrivals than the limit.
 func (fleet *testFleet) check(from time.Time) {
 	fleet.t.Helper()
@@ -221,10 +239,11 @@
 func TestUsualDemandIsNotRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		fleet := newTestFleet(t, 1, usual)
+		defer fleet.end()
 		fleet.send(12*time.Second, evenly)
-		since, messages := time.Now(), fleet.messages
+		since, messages, relays := time.Now(), fleet.messages, fleet.relays
 		fleet.send(30*time.Second, evenly)
-		t.Logf("%.2f messages per daemon and second", float64(fleet.messages-messages)/30/zones/zoneDaemons)
+		t.Logf("%.2f messages per daemon and second, %.1f relayed requests per second", float64(fleet.messages-messages)/30/zones/zoneDaemons, float64(fleet.relays-relays)/30)
 		fleet.check(time.Time{})
 		for _, workspace := range fleet.workspaces {
 			t.Logf("%s with %v/s: %.3f refused", workspace.Name(), workspace.Rate(), fleet.refused(workspace.Name(), since))
@@ -235,6 +254,7 @@
 func TestDemandThatMovesBetweenZonesIsFollowed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		fleet := newTestFleet(t, 2, usual)
+		defer fleet.end()
 		moving := func(workspace lagoonlanding.Workspace, daemon int, elapsed time.Duration) float64 {
 			if int(elapsed/(4*time.Second))%zones != daemon%zones {
 				return 0
--- a/mesh/forwarder/forwarder.go
+++ b/mesh/forwarder/forwarder.go
@@ -8,7 +8,6 @@
 	"github.com/sirupsen/logrus"
 
 	"lagoonlanding.example/lagoonlanding"
-	"lagoonlanding.example/lagoonlanding/mesh/authenticator"
 	"lagoonlanding.example/lagoonlanding/mesh/chooser"
 	"lagoonlanding.example/lagoonlanding/mesh/coordinator"
 )
@@ -91,6 +90,8 @@
 	// workspace is that of the request, and credit permits its next try; nil if the last try has spent it or the workspace has no quota.
 	workspace lagoonlanding.Workspace
 	credit    lagoonlanding.Credit
+	// relayTo is the daemon that handles the request because this one has no credit, the zero value if this one does.
+	relayTo lagoonlanding.Backend
 }
 
 // Handle sends the request to a backend server, with retries, and returns the result.
@@ -101,7 +102,11 @@
 		return refusal
 	}
 	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(delivery.task.Deadline().Sub(task.Received())))
-	for forwarder.try(ctx, delivery) {
+	if delivery.relayTo.ID().IsZero() {
+		for forwarder.try(ctx, delivery) {
+		}
+	} else {
+		forwarder.relay(ctx, delivery)
 	}
 	delivery.correctOutcome()
 	forwarder.returnCredit(delivery)
@@ -127,13 +132,16 @@
 	if !ok {
 		return nil, lagoonlanding.NotRun(lagoonlanding.ReasonNoRoute, time.Time{})
 	}
-	workspace, ok := authenticator.Identify(routing, route, task.Key())
+	workspace, ok := forwarder.identify(routing, route, task)
 	if !ok {
 		return nil, lagoonlanding.NotRun(lagoonlanding.ReasonUnknownKey, time.Time{})
 	}
 	task = forwarder.identified(task, routing, workspace)
 	task = task.With(func(config *lagoonlanding.TaskConfig) {
-		config.Caller, config.Route, config.Priority = forwarder.config.Service, route.Name(), route.Priority()
+		config.Route, config.Priority = route.Name(), route.Priority()
+		if !task.IsRelayed() {
+			config.Caller = forwarder.config.Service
+		}
 		if !workspace.IsZero() {
 			config.Priority = workspace.Priority()
 		}
@@ -150,15 +158,15 @@
 	if !ok {
 		return nil, forwarder.shuttingDown()
 	}
-	credit, retryAt, ok := forwarder.takeCredit(workspace)
-	if !ok {
-		return nil, lagoonlanding.NotRun(lagoonlanding.ReasonTenantLimit, retryAt)
+	credit, relayTo, refusal := forwarder.firstCredit(task, workspace)
+	if refusal.Outcome() != 0 {
+		return nil, refusal
 	}
 	forwarder.config.Budgets.Earn(task.Service())
 	wait := time.Duration(float64(task.Objective().Sub(task.Received())) * ownerWaitShare)
 	return &delivery{
 		task: task, route: route, tried: map[string]bool{}, received: map[lagoonlanding.BackendID]bool{}, refusals: map[string]int{},
-		waitUntil: now.Add(wait), workspace: workspace, credit: credit,
+		waitUntil: now.Add(wait), workspace: workspace, credit: credit, relayTo: relayTo,
 	}, lagoonlanding.Result{}
 }
 
@@ -192,8 +200,8 @@
 		delivery.result = forwarder.shuttingDown()
 		return false
 	}
-	if !forwarder.identifyAgain(delivery) {
-		delivery.result = lagoonlanding.NotRun(lagoonlanding.ReasonUnknownKey, time.Time{})
+	if refusal := forwarder.identifyAgain(delivery); refusal.Outcome() != 0 {
+		delivery.result = refusal
 		return false
 	}
 	delivery.tries++
@@ -304,7 +312,7 @@
 		fields["reason"] = result.Reason()
 	}
 	if task.Workspace() != "" {
-		fields["workspace"] = task.Workspace()
+		fields["workspace"], fields["relayed"] = task.Workspace(), task.IsRelayed()
 	}
 	if task.ShardKey() != lagoonlanding.NoShardKey {
 		fields["shard-key"] = task.ShardKey()
--- a/mesh/forwarder/workspace.go
+++ b/mesh/forwarder/workspace.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"context"
 	"time"
 
 	"lagoonlanding.example/lagoonlanding"
@@ -21,19 +22,74 @@
 	})
 }
 
-// identifyAgain returns false if the key of the request has been removed since its last try; on a route that needs no key, the request then
-// belongs to no workspace.
-func (forwarder *Forwarder) identifyAgain(delivery *delivery) bool {
+// identify returns the workspace of a request; that of a relayed request is the one that the relaying daemon has identified.
+func (forwarder *Forwarder) identify(routing *lagoonlanding.Routing, route lagoonlanding.PathRoute, task lagoonlanding.Task) (lagoonlanding.Workspace, bool) {
+	if task.IsRelayed() {
+		return routing.Workspace(task.Workspace())
+	}
+	return authenticator.Identify(routing, route, task.Key())
+}
+
+// identifyAgain refuses a request whose key has been removed since its last try; on a route that needs no key, the request then belongs to no
+// workspace.
+func (forwarder *Forwarder) identifyAgain(delivery *delivery) lagoonlanding.Result {
 	routing := forwarder.config.Snapshot().Routing()
-	workspace, ok := authenticator.Identify(routing, delivery.route, delivery.task.Key())
+	workspace, ok := forwarder.identify(routing, delivery.route, delivery.task)
 	if !ok {
-		return false
+		return lagoonlanding.NotRun(lagoonlanding.ReasonUnknownKey, time.Time{})
+	}
+	if !routing.Identifies() || workspace.Name() == delivery.workspace.Name() {
+		return lagoonlanding.Result{}
+	}
+	forwarder.returnCredit(delivery)
+	delivery.task, delivery.workspace = forwarder.identified(delivery.task, routing, workspace), workspace
+	credit, retryAt, ok := forwarder.takeCredit(workspace)
+	if delivery.credit = credit; !ok {
+		return lagoonlanding.NotRun(lagoonlanding.ReasonTenantLimit, retryAt)
+	}
+	return lagoonlanding.Result{}
+}
+
+// firstCredit returns the credit for the first try of a request, or the daemon that handles it instead, or a refusal.
+func (forwarder *Forwarder) firstCredit(task lagoonlanding.Task, workspace lagoonlanding.Workspace) (lagoonlanding.Credit, lagoonlanding.Backend, lagoonlanding.Result) {
+	take := forwarder.takeCredit
+	if task.IsRelayed() {
+		take = forwarder.takeRelayed
+	}
+	credit, retryAt, ok := take(workspace)
+	if ok {
+		return credit, lagoonlanding.Backend{}, lagoonlanding.Result{}
+	}
+	if task.IsRelayed() {
+		return nil, lagoonlanding.Backend{}, lagoonlanding.NotRun(lagoonlanding.ReasonTenantLimit, retryAt)
 	}
-	if routing.Identifies() && workspace.Name() != delivery.workspace.Name() {
-		forwarder.returnCredit(delivery)
-		delivery.task, delivery.workspace = forwarder.identified(delivery.task, routing, workspace), workspace
+	if name, ok := forwarder.config.Quota.Relay(workspace); ok {
+		if backend, ok := forwarder.config.Snapshot().Daemon(name); ok {
+			return nil, backend, lagoonlanding.Result{}
+		}
+	}
+	return nil, lagoonlanding.Backend{}, lagoonlanding.NotRun(lagoonlanding.ReasonTenantLimit, retryAt)
+}
+
+// takeRelayed returns the credit for a request that another daemon has relayed.
+func (forwarder *Forwarder) takeRelayed(workspace lagoonlanding.Workspace) (lagoonlanding.Credit, time.Time, bool) {
+	if forwarder.config.Quota == nil || !workspace.IsLimited() {
+		return nil, time.Time{}, true
+	}
+	return forwarder.config.Quota.TakeRelayed(forwarder.config.Clock.Now(), workspace)
+}
+
+// relay lets another daemon handle the request, which has a credit for it; its result is final.
+func (forwarder *Forwarder) relay(ctx context.Context, delivery *delivery) {
+	delivery.tries, delivery.lastBackend = 1, delivery.relayTo.ID()
+	delivery.task = delivery.task.With(func(config *lagoonlanding.TaskConfig) { config.Relayed = true })
+	delivery.result = forwarder.config.Sender.Send(ctx, delivery.relayTo, delivery.task)
+	switch delivery.result.Reason() {
+	case lagoonlanding.ReasonUnreachable, lagoonlanding.ReasonNoUpstream:
+		if delivery.result.Outcome() == lagoonlanding.OutcomeNotRun && !delivery.result.IsDelivered() {
+			delivery.result = lagoonlanding.NotRun(lagoonlanding.ReasonTenantLimit, forwarder.config.Clock.Now().Add(defaultRetryDelay))
+		}
 	}
-	return true
 }
 
 // allows reports whether the request may be served in the region.
--- a/mesh/throttler/throttler.go
+++ b/mesh/throttler/throttler.go
@@ -10,11 +10,11 @@
 
 const (
 	// demandHalfLife is the time in which the measured demand of a workspace halves: demand that moves between zones is followed within a second.
-	demandHalfLife = 400 * time.Millisecond
-	// horizon is the time for which a daemon wants credits: two reports, and the delay of their answers.
-	horizon = 1200 * time.Millisecond
-	// idleTerm is how long a daemon wants a credit for a workspace that sends nothing.
-	idleTerm = time.Minute
+	demandHalfLife = time.Second
+	// horizon is the time for which a daemon wants credits: a report, and what its demand varies.
+	horizon = 800 * time.Millisecond
+	// wantedStep is the precision of what a daemon wants, so that a report seldom changes.
+	wantedStep = 0.25
 	// maxInFlight is how long a request counts as one that may still be refused without having run.
 	maxInFlight = 1500 * time.Millisecond
 	// minRetryDelay is the shortest delay after which a refused request may find room: a report and its answer.
@@ -43,6 +43,8 @@
 	buckets map[string]*bucket
 	// until is when the lease of the credits ends.
 	until time.Time
+	// reporter is the daemon that answered the last report, empty if that was not answered.
+	reporter string
 }
 
 var _ lagoonlanding.Quota = (*Throttler)(nil)
@@ -59,6 +61,7 @@
 const (
 	decisionLeased  = "leased"
 	decisionReserve = "reserve"
+	decisionRelayed = "relayed"
 	decisionRefused = "refused"
 )
 
@@ -66,22 +69,71 @@
 func (throttler *Throttler) Take(now time.Time, workspace lagoonlanding.Workspace) (lagoonlanding.Credit, time.Time, bool) {
 	throttler.mutex.Lock()
 	defer throttler.mutex.Unlock()
-	bucket := throttler.bucket(workspace.Name())
-	bucket.demand.observe(now)
-	bucket.lastDemand = now
-	if now.Before(throttler.until) && bucket.held > 0 {
-		bucket.held--
-		throttler.signal(now, bucket)
-		throttler.record(workspace, decisionLeased)
-		return bucket.newCredit(throttler, now, false), time.Time{}, true
+	bucket := throttler.observe(now, workspace)
+	if credit := throttler.takeHeld(now, bucket, workspace); credit != nil {
+		return credit, time.Time{}, true
 	}
-	throttler.signal(now, bucket)
 	if reserve := throttler.reserve(now, workspace); reserve > 0 && bucket.reserveUsed(now, throttler.window()) < reserve {
 		throttler.record(workspace, decisionReserve)
 		return bucket.newCredit(throttler, now, true), time.Time{}, true
 	}
+	return nil, throttler.retryAt(now, bucket, workspace), false
+}
+
+// TakeRelayed is Take for a request that another daemon has relayed: it uses none of the daemon's reserve, and is not a demand of this daemon.
+func (throttler *Throttler) TakeRelayed(now time.Time, workspace lagoonlanding.Workspace) (lagoonlanding.Credit, time.Time, bool) {
+	throttler.mutex.Lock()
+	defer throttler.mutex.Unlock()
+	bucket := throttler.bucket(workspace.Name())
+	if credit := throttler.takeHeld(now, bucket, workspace); credit != nil {
+		return credit, time.Time{}, true
+	}
 	throttler.record(workspace, decisionRefused)
-	return nil, bucket.retryAt(now, workspace.Rate()/float64(max(throttler.config.Daemons(), 1))), false
+	return nil, throttler.retryAt(now, bucket, workspace), false
+}
+
+// Deposit adds a credit of the zone's pool for a relayed request.
+func (throttler *Throttler) Deposit(workspace string) {
+	throttler.mutex.Lock()
+	defer throttler.mutex.Unlock()
+	throttler.bucket(workspace).held++
+}
+
+// Relay returns the reporter of the zone if that has credits left, by what it told last; otherwise the request is refused.
+func (throttler *Throttler) Relay(workspace lagoonlanding.Workspace) (string, bool) {
+	throttler.mutex.Lock()
+	defer throttler.mutex.Unlock()
+	bucket := throttler.bucket(workspace.Name())
+	if throttler.reporter == "" || bucket.spare == 0 {
+		throttler.record(workspace, decisionRefused)
+		return "", false
+	}
+	bucket.spare--
+	throttler.record(workspace, decisionRelayed)
+	return throttler.reporter, true
+}
+
+// observe counts a request of a workspace.
+func (throttler *Throttler) observe(now time.Time, workspace lagoonlanding.Workspace) *bucket {
+	bucket := throttler.bucket(workspace.Name())
+	bucket.demand.observe(now)
+	throttler.signal(now, bucket)
+	return bucket
+}
+
+// takeHeld returns a credit that the daemon holds, nil if there is none.
+func (throttler *Throttler) takeHeld(now time.Time, bucket *bucket, workspace lagoonlanding.Workspace) lagoonlanding.Credit {
+	if !now.Before(throttler.until) || bucket.held == 0 {
+		return nil
+	}
+	bucket.held--
+	throttler.record(workspace, decisionLeased)
+	return bucket.newCredit(throttler, now, false)
+}
+
+// retryAt returns when there will be room for a request that is refused or relayed now.
+func (throttler *Throttler) retryAt(now time.Time, bucket *bucket, workspace lagoonlanding.Workspace) time.Time {
+	return bucket.retryAt(now, workspace.Rate()/float64(max(throttler.config.Daemons(), 1)))
 }
 
 // reserve returns how many requests of a workspace the daemon may send in one window without a lease.
@@ -108,31 +160,54 @@
 		}
 		inFlight := bucket.countInFlight(now)
 		bucket.reported = bucket.wanted(now)
-		wanted := inFlight + bucket.reported
+		wanted := float64(inFlight) + bucket.reported
 		if bucket.held+inFlight > 0 || wanted > 0 {
 			lines[name] = lagoonlanding.NewQuotaLine(name, bucket.held+inFlight, wanted)
-		} else if bucket.reserveUsed(now, throttler.window()) == 0 {
+		} else if bucket.told == 0 && bucket.reserveUsed(now, throttler.window()) == 0 {
 			delete(throttler.buckets, name)
 		}
 	}
 	return lines
 }
 
-// Apply applies the answer to the report that was sent at the given time.
-func (throttler *Throttler) Apply(now, sent time.Time, answer lagoonlanding.QuotaAnswer) {
+// Apply applies the reporter's answer to the report that was sent at the given time.
+func (throttler *Throttler) Apply(now, sent time.Time, reporter string, answer lagoonlanding.QuotaAnswer) {
 	throttler.mutex.Lock()
 	defer throttler.mutex.Unlock()
-	if answer.IsReset() {
+	if answer.IsReset() || !answer.ValidUntil(sent).After(sent) {
+		throttler.forgetReporter()
 		return
 	}
-	if until := answer.ValidUntil(sent); until.After(throttler.until) && until.After(sent) {
+	if until := answer.ValidUntil(sent); until.After(throttler.until) {
 		throttler.until = until
 	}
+	if throttler.reporter != reporter {
+		throttler.forgetReporter()
+		throttler.reporter = reporter
+	}
 	for _, grant := range answer.Grants() {
 		bucket := throttler.bucket(grant.Workspace())
 		bucket.held = max(bucket.held+grant.Change(), 0)
+		bucket.told = grant.Spare()
 		bucket.recordGrant(now, max(grant.Change(), 0))
 	}
+	for _, bucket := range throttler.buckets {
+		bucket.spare = bucket.told
+	}
+}
+
+// Unanswered records that the last report was not answered: no requests are relayed until one is.
+func (throttler *Throttler) Unanswered() {
+	throttler.mutex.Lock()
+	defer throttler.mutex.Unlock()
+	throttler.forgetReporter()
+}
+
+func (throttler *Throttler) forgetReporter() {
+	throttler.reporter = ""
+	for _, bucket := range throttler.buckets {
+		bucket.told, bucket.spare = 0, 0
+	}
 }
 
 func (throttler *Throttler) bucket(workspace string) *bucket {
@@ -147,7 +222,7 @@
 // signal asks for an early report when a bucket is empty and needs clearly more than the last report said. A workspace that is refused all the
 // time causes no further reports.
 func (throttler *Throttler) signal(now time.Time, bucket *bucket) {
-	if bucket.held > 0 || bucket.wanted(now) <= bucket.reported+bucket.reported/4+1 {
+	if bucket.held > 1 || bucket.wanted(now) <= bucket.reported*5/4+1 {
 		return
 	}
 	select {
@@ -166,24 +241,22 @@
 type bucket struct {
 	held int
 	// reported is what the bucket wanted at the last report.
-	reported int
-	// inFlight are the credits of requests that have not ended, in the order in which they were taken.
+	reported float64
+	// told is how many requests the reporter of the zone said that it could take, and spare how many of them are left until the next answer.
+	told, spare int
+	// inFlight are the credits of requests that have not ended.
 	inFlight []*credit
 	// reserved are the credits of the reserve that count in the current window.
-	reserved   []*credit
-	demand     rate
-	granted    rate
-	lastDemand time.Time
+	reserved []*credit
+	demand   rate
+	granted  rate
 	// nextRetry is when the last refused request was told to return.
 	nextRetry time.Time
 }
 
-// wanted returns the credits that the bucket needs for the requests of the next reports.
-func (bucket *bucket) wanted(now time.Time) int {
-	if bucket.lastDemand.IsZero() || now.Sub(bucket.lastDemand) > idleTerm {
-		return 0
-	}
-	return int(math.Ceil(bucket.demand.perSecond(now)*horizon.Seconds())) + 1
+// wanted returns the credits that the bucket expects to use until the next reports have been answered.
+func (bucket *bucket) wanted(now time.Time) float64 {
+	return math.Round(bucket.demand.perSecond(now)*horizon.Seconds()/wantedStep) * wantedStep
 }
 
 // giveUp discards all credits; those of requests that have not ended can no longer be returned.
--- a/mesh/transmitter/codec.go
+++ b/mesh/transmitter/codec.go
@@ -43,8 +43,9 @@
 	Priority    int    `json:"p"`
 	Repeated    bool   `json:"a,omitempty"`
 	AtMostOnce  bool   `json:"n,omitempty"`
-	// Workspace is missing in the tasks of an earlier release.
+	// Workspace and Relayed are missing in the tasks of an earlier release; relayed tasks are sent only to daemons that answer quota reports.
 	Workspace string `json:"w,omitempty"`
+	Relayed   bool   `json:"f,omitempty"`
 }
 
 var _ lagoonlanding.Message[lagoonlanding.TaskConfig] = taskMetadata{}
@@ -53,7 +54,7 @@
 	return taskMetadata{
 		ID: task.ID(), DeadlineMS: task.Deadline().Sub(now).Milliseconds(), ObjectiveMS: task.Objective().Sub(now).Milliseconds(),
 		ShardKey: task.ShardKey(), Caller: task.Caller(), Service: task.Service(), Route: task.Route(), Priority: task.Priority(),
-		Repeated: task.IsRepeated(), AtMostOnce: task.IsAtMostOnce(), Workspace: task.Workspace(),
+		Repeated: task.IsRepeated(), AtMostOnce: task.IsAtMostOnce(), Workspace: task.Workspace(), Relayed: task.IsRelayed(),
 	}
 }
 
@@ -66,7 +67,7 @@
 		ID: taskmetadata.ID, Received: now, Deadline: now.Add(time.Duration(taskmetadata.DeadlineMS) * time.Millisecond),
 		Objective: now.Add(time.Duration(taskmetadata.ObjectiveMS) * time.Millisecond), ShardKey: taskmetadata.ShardKey, Caller: taskmetadata.Caller,
 		Service: taskmetadata.Service, Route: taskmetadata.Route, Priority: taskmetadata.Priority, Repeated: taskmetadata.Repeated,
-		AtMostOnce: taskmetadata.AtMostOnce, Workspace: taskmetadata.Workspace,
+		AtMostOnce: taskmetadata.AtMostOnce, Workspace: taskmetadata.Workspace, Relayed: taskmetadata.Relayed,
 	}, nil
 }
 
--- a/mesh/transmitter/compact.go
+++ b/mesh/transmitter/compact.go
@@ -20,6 +20,8 @@
 	flagAtMostOnce = 1 << 1
 	// flagAcceptsLevel means that the sender can decode results with a slowdown and an admission level.
 	flagAcceptsLevel = 1 << 2
+	// flagRelayed means that the receiver handles the task like a client's request.
+	flagRelayed = 1 << 3
 )
 
 // The numbers of a compact result, without and with the slowdown and the admission level.
@@ -39,6 +41,9 @@
 	if metadata.AtMostOnce {
 		flags |= flagAtMostOnce
 	}
+	if metadata.Relayed {
+		flags |= flagRelayed
+	}
 	header[headerCompactTask] = []string{fmt.Sprint(metadata.DeadlineMS, metadata.ObjectiveMS, metadata.Priority, flags)}
 	id, key := referenceTo(header, metadata.ID), referenceTo(header, strconv.Itoa(metadata.ShardKey))
 	workspace := referenceTo(header, metadata.Workspace)
@@ -84,7 +89,7 @@
 	metadata := taskMetadata{
 		ID: resolve(header, headerID), DeadlineMS: numbers[0], ObjectiveMS: numbers[1], Priority: int(numbers[2]), Repeated: numbers[3]&flagRepeated != 0,
 		AtMostOnce: numbers[3]&flagAtMostOnce != 0, ShardKey: key, Service: header.Get(headerService), Caller: header.Get(headerCaller), Route: header.Get(headerRoute),
-		Workspace: resolve(header, headerWorkspace),
+		Workspace: resolve(header, headerWorkspace), Relayed: numbers[3]&flagRelayed != 0,
 	}
 	for _, name := range []string{headerCompactTask, headerID, headerShardKey, headerService, headerCaller, headerRoute, headerWorkspace} {
 		header.Del(name)
--- a/mesh/transmitter/quota.go
+++ b/mesh/transmitter/quota.go
@@ -32,9 +32,9 @@
 
 // quotaLine is the JSON form of a line: the credits that exist and those that are wanted.
 type quotaLine struct {
-	Workspace   string `json:"w"`
-	Outstanding int    `json:"o,omitempty"`
-	Wanted      int    `json:"n,omitempty"`
+	Workspace   string  `json:"w"`
+	Outstanding int     `json:"o,omitempty"`
+	Wanted      float64 `json:"n,omitempty"`
 }
 
 // quotaVote is the JSON form of a vote.
@@ -56,7 +56,8 @@
 // quotaGrant is the JSON form of a grant.
 type quotaGrant struct {
 	Workspace string `json:"w"`
-	Change    int    `json:"n"`
+	Change    int    `json:"n,omitempty"`
+	Spare     int    `json:"s,omitempty"`
 }
 
 var (
@@ -86,8 +87,8 @@
 		return lagoonlanding.QuotaReport{}, errors.New("quota report: d is empty")
 	}
 	for _, line := range quotareport.Lines {
-		if line.Workspace == "" || line.Outstanding < 0 || line.Outstanding > maxQuotaCredits || line.Wanted < 0 || line.Wanted > maxQuotaCredits {
-			return lagoonlanding.QuotaReport{}, fmt.Errorf("quota report: l has workspace %q with %d and %d credits, want 0 to %d", line.Workspace, line.Outstanding, line.Wanted, maxQuotaCredits)
+		if line.Workspace == "" || line.Outstanding < 0 || line.Outstanding > maxQuotaCredits || !(line.Wanted >= 0 && line.Wanted <= maxQuotaCredits) {
+			return lagoonlanding.QuotaReport{}, fmt.Errorf("quota report: l has workspace %q with %d and %g credits, want 0 to %d", line.Workspace, line.Outstanding, line.Wanted, maxQuotaCredits)
 		}
 		config.Lines = append(config.Lines, lagoonlanding.NewQuotaLine(line.Workspace, line.Outstanding, line.Wanted))
 	}
@@ -105,7 +106,7 @@
 		Reset: answer.IsReset(), TermMS: answer.ValidUntil(time.Time{}).Sub(time.Time{}).Milliseconds(), Arbiter: answer.Arbiter(), Stamp: answer.Stamp(),
 	}
 	for _, grant := range answer.Grants() {
-		encoded.Grants = append(encoded.Grants, quotaGrant{Workspace: grant.Workspace(), Change: grant.Change()})
+		encoded.Grants = append(encoded.Grants, quotaGrant{Workspace: grant.Workspace(), Change: grant.Change(), Spare: grant.Spare()})
 	}
 	return encoded
 }
@@ -119,10 +120,11 @@
 		Reset: quotaanswer.Reset, Term: time.Duration(quotaanswer.TermMS) * time.Millisecond, Arbiter: quotaanswer.Arbiter, Stamp: quotaanswer.Stamp,
 	}
 	for _, grant := range quotaanswer.Grants {
-		if grant.Workspace == "" || grant.Change < -maxQuotaCredits || grant.Change > maxQuotaCredits {
-			return lagoonlanding.QuotaAnswer{}, fmt.Errorf("quota answer: g has workspace %q with a change of %d", grant.Workspace, grant.Change)
+		if grant.Workspace == "" || grant.Change < -maxQuotaCredits || grant.Change > maxQuotaCredits || grant.Spare < 0 || grant.Spare > maxQuotaCredits {
+			return lagoonlanding.QuotaAnswer{}, fmt.Errorf("quota answer: g has workspace %q with a change of %d and %d spare credits, want up to %d",
+				grant.Workspace, grant.Change, grant.Spare, maxQuotaCredits)
 		}
-		config.Grants = append(config.Grants, lagoonlanding.NewQuotaGrant(grant.Workspace, grant.Change))
+		config.Grants = append(config.Grants, lagoonlanding.NewQuotaGrant(grant.Workspace, grant.Change, grant.Spare))
 	}
 	return lagoonlanding.NewQuotaAnswer(config), nil
 }
--- a/quota.go
+++ b/quota.go
@@ -17,16 +17,22 @@
 type Quota interface {
 	// Take returns a credit for one try, or when there will be room.
 	Take(now time.Time, workspace Workspace) (credit Credit, retryAt time.Time, ok bool)
+	// TakeRelayed is Take for a request that another daemon has relayed because it has no credit.
+	TakeRelayed(now time.Time, workspace Workspace) (credit Credit, retryAt time.Time, ok bool)
+	// Relay returns the daemon to which a request without a credit is relayed, since that daemon has credits left.
+	Relay(workspace Workspace) (daemon string, ok bool)
 }
 
 // QuotaLine is what a holder of credits reports about one workspace.
 type QuotaLine struct {
-	workspace           string
-	outstanding, wanted int
+	workspace   string
+	outstanding int
+	wanted      float64
 }
 
-// NewQuotaLine returns a line; outstanding counts the credits that the holder has or whose requests have not ended, and wanted how many it needs.
-func NewQuotaLine(workspace string, outstanding, wanted int) QuotaLine {
+// NewQuotaLine returns a line; outstanding counts the credits that the holder has or whose requests have not ended, and wanted how many it expects
+// to use until its next reports have been answered, a fraction for fewer than one.
+func NewQuotaLine(workspace string, outstanding int, wanted float64) QuotaLine {
 	return QuotaLine{workspace: workspace, outstanding: outstanding, wanted: wanted}
 }
 
@@ -36,8 +42,8 @@
 // Outstanding returns the number of credits that the holder has or whose requests have not ended.
 func (quotaline QuotaLine) Outstanding() int { return quotaline.outstanding }
 
-// Wanted returns the number of credits that the holder needs until its next reports have been answered.
-func (quotaline QuotaLine) Wanted() int { return quotaline.wanted }
+// Wanted returns the number of credits that the holder expects to use until its next reports have been answered.
+func (quotaline QuotaLine) Wanted() float64 { return quotaline.wanted }
 
 // QuotaVote counts daemons that support an arbiter since it issued a stamp.
 type QuotaVote struct {
@@ -108,15 +114,19 @@
 
 // QuotaGrant changes the number of credits that a holder has for one workspace.
 type QuotaGrant struct {
-	workspace string
-	change    int
+	workspace     string
+	change, spare int
 }
 
-// NewQuotaGrant returns a grant of credits, or with a negative change the request to give up credits.
-func NewQuotaGrant(workspace string, change int) QuotaGrant {
-	return QuotaGrant{workspace: workspace, change: change}
+// NewQuotaGrant returns a grant of credits, or with a negative change the request to give up credits; spare is how many requests the holder may
+// relay to the sender, which has as many credits left.
+func NewQuotaGrant(workspace string, change, spare int) QuotaGrant {
+	return QuotaGrant{workspace: workspace, change: change, spare: spare}
 }
 
+// Spare returns how many requests the holder may relay to the sender of the grant until its next report.
+func (quotagrant QuotaGrant) Spare() int { return quotagrant.spare }
+
 // Workspace returns the name of the workspace.
 func (quotagrant QuotaGrant) Workspace() string { return quotagrant.workspace }
 
--- a/task.go
+++ b/task.go
@@ -45,6 +45,8 @@
 	Key KeyDigest
 	// Workspace is the name of the workspace to which the API key belongs, empty if there is none.
 	Workspace string
+	// Relayed means that the receiving daemon handles the task like a client's request, since the sender has no credit for it.
+	Relayed bool
 }
 
 // Task is a client's request to a service of the mesh, with a streamed body.
@@ -112,6 +114,9 @@
 // Workspace returns the name of the workspace to which the API key belongs, empty if there is none.
 func (task Task) Workspace() string { return task.config.Workspace }
 
+// IsRelayed reports whether the receiving daemon handles the task like a client's request.
+func (task Task) IsRelayed() bool { return task.config.Relayed }
+
 // With returns a copy with the given changes to its configuration.
 func (task Task) With(change func(config *TaskConfig)) Task {
 	change(&task.config)
