--- a/mesh/apportioner/arbiter.go
+++ b/mesh/apportioner/arbiter.go
@@ -21,6 +21,9 @@
 	removed map[string]time.Time
 }
 
+// arbiterSpreadShare is the fraction of unwanted credits that the arbiter gives to zones beforehand; the rest goes to the zone whose demand rises.
+const arbiterSpreadShare = 0.75
+
 // reporterVotes are the votes that one reporter passed on.
 type reporterVotes struct {
 	zone  string
@@ -46,7 +49,7 @@
 // NewArbiter returns an arbiter that nobody supports.
 func NewArbiter(name string, terms Terms) *Arbiter {
 	return &Arbiter{
-		name: name, pool: NewPool(PoolConfig{SpreadShare: 1, RoundsUp: true}), terms: terms, votes: map[string]reporterVotes{}, minted: map[string]*mint{},
+		name: name, pool: NewPool(PoolConfig{SpreadShare: arbiterSpreadShare, RoundsUp: true}), terms: terms, votes: map[string]reporterVotes{}, minted: map[string]*mint{},
 		removed: map[string]time.Time{},
 	}
 }
@@ -137,8 +140,10 @@
 		// The limit has been lowered.
 		credits = room
 	}
-	if credits != 0 {
+	if credits > 0 {
 		arbiter.pool.Add(workspace.Name(), credits)
+	} else if credits < 0 {
+		arbiter.pool.GiveUp(workspace.Name(), -credits)
 	}
 }
 
--- a/mesh/apportioner/pool.go
+++ b/mesh/apportioner/pool.go
@@ -45,8 +45,10 @@
 
 // account holds the credits of one workspace.
 type account struct {
-	free  int
-	lines map[holderID]line
+	free int
+	// givenUp are the credits that the pool has given up since its last report.
+	givenUp int
+	lines   map[holderID]line
 }
 
 // line is what a holder has and needs of a workspace.
@@ -77,25 +79,31 @@
 	return account.total()
 }
 
-// Add adds credits of the workspace that no holder has, or removes them if the number is negative.
-func (pool *Pool) Add(workspace string, credits int) {
+// Add adds credits of the workspace that no holder has.
+func (pool *Pool) Add(workspace string, credits int) { pool.account(workspace).free += credits }
+
+// GiveUp removes credits of the workspace that no holder has, at most the given number, and reports them as given up.
+func (pool *Pool) GiveUp(workspace string, credits int) {
 	account := pool.account(workspace)
-	account.free = max(account.free+credits, 0)
+	credits = min(credits, account.free)
+	account.free -= credits
+	account.givenUp += credits
 }
 
 // Discard removes all credits that no holder has.
 func (pool *Pool) Discard() {
 	for _, account := range pool.accounts {
-		account.free = 0
+		account.free, account.givenUp = 0, 0
 	}
 }
 
-// Lines returns the credits that may exist and those that the holders want, by workspace.
+// Lines returns the credits that may exist and those that the holders want, by workspace, for a report; what has been given up is stated once.
 func (pool *Pool) Lines() map[string]lagoonlanding.QuotaLine {
 	lines := map[string]lagoonlanding.QuotaLine{}
 	for name, account := range pool.accounts {
-		if outstanding, wanted := account.total(), account.wanted(); outstanding > 0 || wanted > 0 {
-			lines[name] = lagoonlanding.NewQuotaLine(name, outstanding, wanted)
+		if outstanding, wanted := account.total(), account.wanted(); outstanding > 0 || wanted > 0 || account.givenUp > 0 {
+			lines[name] = lagoonlanding.NewQuotaLine(name, outstanding, wanted).WithGivenUp(account.givenUp)
+			account.givenUp = 0
 		}
 	}
 	return lines
@@ -148,6 +156,8 @@
 		if reported.Outstanding() > account.lines[id].outstanding {
 			known.since = now
 		}
+		// Only credits that were counted at the holder can be given to others.
+		account.free += min(reported.GivenUp(), max(account.lines[id].outstanding-reported.Outstanding(), 0))
 		account.set(id, line{outstanding: reported.Outstanding(), wanted: reported.Wanted()})
 	}
 	if report.IsComplete() {
@@ -176,11 +186,7 @@
 	var grants []lagoonlanding.QuotaGrant
 	for name, account := range pool.accounts {
 		change := account.grant(id, len(pool.holders), pool.config)
-		spare := 0
-		if account.free > 0 && !pool.config.RoundsUp {
-			// Rounded to a power of two, so that it seldom changes.
-			spare = 1 << (bits.Len(uint(account.free)) - 1)
-		}
+		spare := account.spare()
 		if change != 0 || spare != told[name] {
 			grants = append(grants, lagoonlanding.NewQuotaGrant(name, change, spare))
 		}
@@ -264,6 +270,18 @@
 	return sum
 }
 
+// spare returns how many requests a holder may relay to the pool until its next report, rounded to a power of two, so that it seldom changes. One
+// is worth a try also while the pool is empty, unless the holders want more than there is.
+func (account *account) spare() int {
+	if account.free > 0 {
+		return 1 << (bits.Len(uint(account.free)) - 1)
+	}
+	if total := account.total(); total > 0 && account.wanted() <= float64(total) {
+		return 1
+	}
+	return 0
+}
+
 // tolerance is the part of its share by which a holder may exceed it before it gives credits up.
 const tolerance = 4
 
@@ -286,6 +304,10 @@
 	return change
 }
 
+// seedFloor is the fraction of unwanted credits that stays in the pool if there are too few for all holders: a holder without one relays its
+// requests, and one that has a credit which it does not use keeps it from others.
+const seedFloor = 0.8
+
 // share returns how many credits a holder should have: what it wants and a part of what nobody wants, or else its max-min fair share.
 func (account *account) share(current line, holders int, config PoolConfig) int {
 	total, wanted := float64(account.total()), account.wanted()
@@ -298,8 +320,8 @@
 	if config.RoundsUp {
 		return int(math.Ceil(share))
 	}
-	if share < 1 && 2*float64(account.free) > total-wanted {
-		// Too few credits for all holders: those that report first receive one, until half of them are left.
+	if share < 1 && float64(account.free) > seedFloor*(total-wanted) {
+		// Too few credits for all holders: those that report first receive one.
 		return 1
 	}
 	return int(share)
--- a/mesh/apportioner/zone.go
+++ b/mesh/apportioner/zone.go
@@ -97,7 +97,11 @@
 	}
 	zone.answered = sent
 	for _, grant := range answer.Grants() {
-		zone.pool.Add(grant.Workspace(), grant.Change())
+		if grant.Change() < 0 {
+			zone.pool.GiveUp(grant.Workspace(), -grant.Change())
+		} else {
+			zone.pool.Add(grant.Workspace(), grant.Change())
+		}
 	}
 }
 
--- a/mesh/distributor/distributor.go
+++ b/mesh/distributor/distributor.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -115,10 +116,15 @@
 		defer close(drawn)
 		// The daemon itself is one of the zone's holders, and its next report states the credit.
 		link := &distributor.daemonLink
-		if !link.isWaiting && link.recipient == distributor.config.Daemon && distributor.zone.Draw(now, distributor.config.Daemon, distributor.config.Instance, workspace.Name()) {
-			link.changes.Changed(workspace.Name())
-			distributor.config.Throttler.Deposit(workspace.Name())
+		if link.isWaiting || link.recipient != distributor.config.Daemon {
+			return
+		}
+		if !distributor.zone.Draw(now, distributor.config.Daemon, distributor.config.Instance, workspace.Name()) {
+			distributor.zoneLink.isShort = true
+			return
 		}
+		link.changes.Changed(workspace.Name())
+		distributor.config.Throttler.Deposit(workspace.Name())
 	})
 	if isPosted {
 		<-drawn
@@ -255,7 +261,7 @@
 	report := lagoonlanding.NewQuotaReport(config)
 	if name == distributor.config.Daemon {
 		answer := distributor.answer(now, report)
-		link.changes.Answered(answer)
+		distributor.answered(link, answer)
 		apply(answer)
 		return
 	}
@@ -271,15 +277,22 @@
 				return
 			}
 			link.failures = 0
-			link.changes.Answered(answer)
+			distributor.answered(link, answer)
 			apply(answer)
 		})
 	}()
 }
 
+// answered records the answer of a report; credits that the holder gives up are reported early, since others wait for them.
+func (distributor *Distributor) answered(link *link, answer lagoonlanding.QuotaAnswer) {
+	link.changes.Answered(answer)
+	link.isShort = link.isShort || slices.ContainsFunc(answer.Grants(), func(grant lagoonlanding.QuotaGrant) bool { return grant.Change() < 0 })
+}
+
 // failed records a report without an answer.
 func (distributor *Distributor) failed(now time.Time, link *link) {
 	link.changes.Failed()
+	link.isShort = true
 	if link == &distributor.daemonLink {
 		distributor.config.Throttler.Unanswered()
 	}
--- a/mesh/distributor/fleet_test.go
+++ b/mesh/distributor/fleet_test.go
@@ -265,6 +265,21 @@
 		since := time.Now()
 		fleet.send(40*time.Second, moving)
 		fleet.check(time.Time{})
+		for _, workspace := range []int{0, 5, 10} {
+			name := fleet.workspaces[workspace].Name()
+			var refused, arrived [20]int
+			for _, at := range fleet.refusals[name] {
+				if at.After(since) {
+					refused[at.Sub(since)%(4*time.Second)/(200*time.Millisecond)]++
+				}
+			}
+			for _, at := range fleet.arrivals[name] {
+				if at.After(since) {
+					arrived[at.Sub(since)%(4*time.Second)/(200*time.Millisecond)]++
+				}
+			}
+			t.Log(name, refused, arrived)
+		}
 		for _, workspace := range fleet.workspaces {
 			t.Logf("%s with %v/s: %.3f refused", workspace.Name(), workspace.Rate(), fleet.refused(workspace.Name(), since))
 		}
--- a/mesh/forwarder/workspace.go
+++ b/mesh/forwarder/workspace.go
@@ -64,6 +64,12 @@
 		return nil, lagoonlanding.Backend{}, lagoonlanding.NotRun(lagoonlanding.ReasonTenantLimit, retryAt)
 	}
 	if name, ok := forwarder.config.Quota.Relay(workspace); ok {
+		if name == forwarder.config.Daemon {
+			if credit, _, ok := forwarder.takeRelayed(workspace); ok {
+				return credit, lagoonlanding.Backend{}, lagoonlanding.Result{}
+			}
+			return nil, lagoonlanding.Backend{}, lagoonlanding.NotRun(lagoonlanding.ReasonTenantLimit, retryAt)
+		}
 		if backend, ok := forwarder.config.Snapshot().Daemon(name); ok {
 			return nil, backend, lagoonlanding.Result{}
 		}
--- a/mesh/throttler/throttler.go
+++ b/mesh/throttler/throttler.go
@@ -10,7 +10,7 @@
 
 const (
 	// demandHalfLife is the time in which the measured demand of a workspace halves: demand that moves between zones is followed within a second.
-	demandHalfLife = time.Second
+	demandHalfLife = 700 * time.Millisecond
 	// horizon is the time for which a daemon wants credits: a report, and what its demand varies.
 	horizon = 800 * time.Millisecond
 	// wantedStep is the precision of what a daemon wants, so that a report seldom changes.
@@ -161,8 +161,9 @@
 		inFlight := bucket.countInFlight(now)
 		bucket.reported = bucket.wanted(now)
 		wanted := float64(inFlight) + bucket.reported
-		if bucket.held+inFlight > 0 || wanted > 0 {
-			lines[name] = lagoonlanding.NewQuotaLine(name, bucket.held+inFlight, wanted)
+		if bucket.held+inFlight > 0 || wanted > 0 || bucket.givenUp > 0 {
+			lines[name] = lagoonlanding.NewQuotaLine(name, bucket.held+inFlight, wanted).WithGivenUp(bucket.givenUp)
+			bucket.givenUp = 0
 		} else if bucket.told == 0 && bucket.reserveUsed(now, throttler.window()) == 0 {
 			delete(throttler.buckets, name)
 		}
@@ -187,7 +188,7 @@
 	}
 	for _, grant := range answer.Grants() {
 		bucket := throttler.bucket(grant.Workspace())
-		bucket.held = max(bucket.held+grant.Change(), 0)
+		bucket.change(grant.Change())
 		bucket.told = grant.Spare()
 		bucket.recordGrant(now, max(grant.Change(), 0))
 	}
@@ -240,6 +241,8 @@
 // bucket holds what one daemon has and needs for one workspace.
 type bucket struct {
 	held int
+	// givenUp are the credits that the bucket has given up since its last report.
+	givenUp int
 	// reported is what the bucket wanted at the last report.
 	reported float64
 	// told is how many requests the reporter of the zone said that it could take, and spare how many of them are left until the next answer.
@@ -259,9 +262,18 @@
 	return math.Round(bucket.demand.perSecond(now)*horizon.Seconds()/wantedStep) * wantedStep
 }
 
+// change applies a grant; credits that are taken away are reported as given up.
+func (bucket *bucket) change(credits int) {
+	if credits < 0 {
+		credits = -min(bucket.held, -credits)
+		bucket.givenUp -= credits
+	}
+	bucket.held += credits
+}
+
 // giveUp discards all credits; those of requests that have not ended can no longer be returned.
 func (bucket *bucket) giveUp() {
-	bucket.held = 0
+	bucket.held, bucket.givenUp = 0, 0
 	for _, credit := range bucket.inFlight {
 		credit.isSettled = true
 	}
--- a/mesh/transmitter/quota.go
+++ b/mesh/transmitter/quota.go
@@ -35,6 +35,7 @@
 	Workspace   string  `json:"w"`
 	Outstanding int     `json:"o,omitempty"`
 	Wanted      float64 `json:"n,omitempty"`
+	GivenUp     int     `json:"g,omitempty"`
 }
 
 // quotaVote is the JSON form of a vote.
@@ -70,7 +71,7 @@
 		Daemon: report.Daemon(), Instance: report.Instance(), Relays: report.IsRelayed(), Sequence: report.Sequence(), Complete: report.IsComplete(),
 	}
 	for _, line := range report.Lines() {
-		encoded.Lines = append(encoded.Lines, quotaLine{Workspace: line.Workspace(), Outstanding: line.Outstanding(), Wanted: line.Wanted()})
+		encoded.Lines = append(encoded.Lines, quotaLine{Workspace: line.Workspace(), Outstanding: line.Outstanding(), Wanted: line.Wanted(), GivenUp: line.GivenUp()})
 	}
 	for _, vote := range report.Votes() {
 		encoded.Votes = append(encoded.Votes, quotaVote{Arbiter: vote.Arbiter(), Stamp: vote.Stamp(), Daemons: vote.Daemons()})
@@ -87,10 +88,11 @@
 		return lagoonlanding.QuotaReport{}, errors.New("quota report: d is empty")
 	}
 	for _, line := range quotareport.Lines {
-		if line.Workspace == "" || line.Outstanding < 0 || line.Outstanding > maxQuotaCredits || !(line.Wanted >= 0 && line.Wanted <= maxQuotaCredits) {
-			return lagoonlanding.QuotaReport{}, fmt.Errorf("quota report: l has workspace %q with %d and %g credits, want 0 to %d", line.Workspace, line.Outstanding, line.Wanted, maxQuotaCredits)
+		if line.Workspace == "" || line.Outstanding < 0 || line.Outstanding > maxQuotaCredits || line.GivenUp < 0 || line.GivenUp > maxQuotaCredits || !(line.Wanted >= 0 && line.Wanted <= maxQuotaCredits) {
+			return lagoonlanding.QuotaReport{}, fmt.Errorf("quota report: l has workspace %q with %d, %g and %d credits, want 0 to %d",
+				line.Workspace, line.Outstanding, line.Wanted, line.GivenUp, maxQuotaCredits)
 		}
-		config.Lines = append(config.Lines, lagoonlanding.NewQuotaLine(line.Workspace, line.Outstanding, line.Wanted))
+		config.Lines = append(config.Lines, lagoonlanding.NewQuotaLine(line.Workspace, line.Outstanding, line.Wanted).WithGivenUp(line.GivenUp))
 	}
 	for _, vote := range quotareport.Votes {
 		if vote.Daemons < 0 || vote.Daemons > maxQuotaCredits {
--- a/quota.go
+++ b/quota.go
@@ -28,6 +28,7 @@
 	workspace   string
 	outstanding int
 	wanted      float64
+	givenUp     int
 }
 
 // NewQuotaLine returns a line; outstanding counts the credits that the holder has or whose requests have not ended, and wanted how many it expects
@@ -36,6 +37,15 @@
 	return QuotaLine{workspace: workspace, outstanding: outstanding, wanted: wanted}
 }
 
+// WithGivenUp returns a copy with the number of unused credits that the holder has given up since its last report.
+func (quotaline QuotaLine) WithGivenUp(credits int) QuotaLine {
+	quotaline.givenUp = credits
+	return quotaline
+}
+
+// GivenUp returns the number of unused credits that the holder has given up since its last report; others may use them.
+func (quotaline QuotaLine) GivenUp() int { return quotaline.givenUp }
+
 // Workspace returns the name of the workspace.
 func (quotaline QuotaLine) Workspace() string { return quotaline.workspace }
 
--- a/workspace.go
+++ b/workspace.go
@@ -87,7 +87,7 @@
 }
 
 // reserveShare is the fraction of the permitted overage that daemons may use without a share; the rest is leased by demand.
-const reserveShare = 0.9
+const reserveShare = 0.5
 
 // overageShare is the fraction of the permitted overage that is used at all; the rest covers requests that take longer than usual to arrive.
 const overageShare = 0.95
@@ -104,7 +104,7 @@
 // a window, and with the reserves of all daemons, they do not exceed the limit.
 func (quotarules QuotaRules) Capacity(workspace Workspace, daemons int) int {
 	permitted := workspace.Burst() + overageShare*quotarules.overage(workspace)
-	if quotarules.Reserve(workspace, max(daemons*4/5, 1)) > 0 {
+	if quotarules.Reserve(workspace, max(daemons*9/10, 1)) > 0 {
 		// Daemons that know a somewhat smaller fleet still use a reserve.
 		permitted -= reserveShare * quotarules.overage(workspace)
 	}
