--- a/mesh/apportioner/pool.go
+++ b/mesh/apportioner/pool.go
@@ -289,7 +289,8 @@
 func (account *account) grant(id holderID, holders int, config PoolConfig) int {
 	current := account.lines[id]
 	share := account.share(current, holders, config)
-	isScarce := account.wanted() > float64(account.total())
+	// While the pool is nearly empty, a holder keeps no credit beyond its share.
+	isScarce := float64(account.free) < lowFloor*(float64(account.total())-account.wanted()) || account.wanted() > float64(account.total())
 	change := 0
 	switch {
 	case current.outstanding < share:
@@ -308,6 +309,9 @@
 // requests, and one that has a credit which it does not use keeps it from others.
 const seedFloor = 0.8
 
+// lowFloor is the fraction of unwanted credits below which the pool takes credits back from holders that exceed their share.
+const lowFloor = 0.3
+
 // share returns how many credits a holder should have: what it wants and a part of what nobody wants, or else its max-min fair share.
 func (account *account) share(current line, holders int, config PoolConfig) int {
 	total, wanted := float64(account.total()), account.wanted()
