Begin to lease quotas sooner when a fleet starts, and test failures

Reports without a lease are repeated early for 8 s, and the first arbiter of a starting fleet creates credits at half the rate at once.

--- a/lagoonmesh/quota.go
+++ b/lagoonmesh/quota.go
@@ -14,11 +14,11 @@
 
 const (
 	// daemonQuotaTerm is how long a daemon may use its share of a quota after its last answered report: three reports may be lost.
-	daemonQuotaTerm = 1800 * time.Millisecond
+	daemonQuotaTerm = 1600 * time.Millisecond
 	// zoneQuotaTerm is that time for a zone: a daemon's lease ends within that of its zone.
-	zoneQuotaTerm = 2400 * time.Millisecond
-	// arbiterVoteTerm is how long a daemon supports no other arbiter: a stamp takes up to 1.2 s from the arbiter to a daemon and back.
-	arbiterVoteTerm = 2500 * time.Millisecond
+	zoneQuotaTerm = 2 * time.Second
+	// arbiterVoteTerm is how long a daemon supports no other arbiter: a stamp is up to 2 s old until the next one replaces it.
+	arbiterVoteTerm = 2600 * time.Millisecond
 	// quotaMargin exceeds the time after which a report counts as lost.
 	quotaMargin = 400 * time.Millisecond
 )
@@ -35,7 +35,8 @@
 	})
 	daemon.distributor = distributor.New(distributor.Config{
 		Daemon: daemon.settings.Daemon(), Instance: rand.Uint64(), Zone: daemon.settings.AvailabilityZone(), Throttler: daemon.throttler,
-		Peers: transmitter.NewPeers(daemon.control), Snapshot: daemon.coordinator.Snapshot, Rules: rules, Clock: daemon.clock, Log: daemon.logFor("quotas"),
+		FirstStart: daemon.settings.IsFirstStart(),
+		Peers:      transmitter.NewPeers(daemon.control), Snapshot: daemon.coordinator.Snapshot, Rules: rules, Clock: daemon.clock, Log: daemon.logFor("quotas"),
 		Terms: apportioner.Terms{Daemon: daemonQuotaTerm, Zone: zoneQuotaTerm, Vote: arbiterVoteTerm, Margin: quotaMargin},
 	})
 }
--- a/mesh/apportioner/arbiter.go
+++ b/mesh/apportioner/arbiter.go
@@ -16,7 +16,11 @@
 	// createFrom is when the arbiter may create credits; zero while it is not supported.
 	createFrom time.Time
 	hasCreated bool
-	minted     map[string]*mint
+	// halfUntil is until when the arbiter creates credits at half the rate.
+	halfUntil time.Time
+	// isFirst means that the whole fleet starts, so that no earlier arbiter can have granted credits.
+	isFirst bool
+	minted  map[string]*mint
 	// removed maps the workspaces that the configuration no longer has to when this was seen.
 	removed map[string]time.Time
 }
@@ -46,11 +50,11 @@
 	Rules      lagoonlanding.QuotaRules
 }
 
-// NewArbiter returns an arbiter that nobody supports.
-func NewArbiter(name string, terms Terms) *Arbiter {
+// NewArbiter returns an arbiter that nobody supports; isFirst means that the whole fleet starts for the first time.
+func NewArbiter(name string, terms Terms, isFirst bool) *Arbiter {
 	return &Arbiter{
 		name: name, pool: NewPool(PoolConfig{SpreadShare: arbiterSpreadShare, RoundsUp: true}), terms: terms, votes: map[string]reporterVotes{}, minted: map[string]*mint{},
-		removed: map[string]time.Time{},
+		removed: map[string]time.Time{}, isFirst: isFirst,
 	}
 }
 
@@ -88,6 +92,10 @@
 	if arbiter.createFrom.IsZero() {
 		// What an earlier arbiter granted may be used until the end of its leases.
 		arbiter.createFrom = now.Add(arbiter.terms.Zone)
+		if arbiter.isFirst {
+			// While a fleet starts, the first daemon by name may change, so that two arbiters create credits for a moment.
+			arbiter.halfUntil, arbiter.createFrom, arbiter.isFirst = arbiter.createFrom, now, false
+		}
 	}
 	if now.Before(arbiter.createFrom) {
 		return true
@@ -132,7 +140,11 @@
 		}
 	}
 	room := fleet.Rules.Capacity(workspace, fleet.Daemons) - arbiter.pool.Outstanding(workspace.Name())
-	known.fraction = min(known.fraction+workspace.Rate()*now.Sub(known.at).Seconds(), float64(max(room, 0)))
+	rate := workspace.Rate()
+	if now.Before(arbiter.halfUntil) {
+		rate /= 2
+	}
+	known.fraction = min(known.fraction+rate*now.Sub(known.at).Seconds(), float64(max(room, 0)))
 	known.at = now
 	credits := int(known.fraction)
 	known.fraction -= float64(credits)
--- a/mesh/distributor/distributor.go
+++ b/mesh/distributor/distributor.go
@@ -19,6 +19,8 @@
 	Daemon   string
 	Instance uint64
 	Zone     string
+	// FirstStart means that the whole fleet starts for the first time.
+	FirstStart bool
 	// Throttler holds the credits of the daemon.
 	Throttler *throttler.Throttler
 	// Peers sends reports to other daemons.
@@ -47,6 +49,8 @@
 	maxFailures = 2
 	// avoidTerm is how long a recipient that does not answer is not asked again.
 	avoidTerm = 3 * time.Second
+	// takeoverTerm is how long a link reports early while it gets no lease: the time in which another arbiter takes over.
+	takeoverTerm = 8 * time.Second
 )
 
 // Distributor exchanges reports; Run must be called once.
@@ -75,6 +79,8 @@
 	// isShort means that a report is due as soon as the early interval has passed.
 	isShort  bool
 	failures int
+	// lastValid is when the last report was sent that was answered with a lease.
+	lastValid time.Time
 }
 
 var _ lagoonlanding.QuotaHandler = (*Distributor)(nil)
@@ -83,7 +89,7 @@
 func New(config Config) *Distributor {
 	return &Distributor{
 		config: config, events: make(chan func(now time.Time)), closed: make(chan struct{}), zone: apportioner.NewZone(config.Terms),
-		arbiter: apportioner.NewArbiter(config.Daemon, config.Terms), voter: apportioner.NewVoter(config.Clock.Now(), config.Terms.Vote),
+		arbiter: apportioner.NewArbiter(config.Daemon, config.Terms, config.FirstStart), voter: apportioner.NewVoter(config.Clock.Now(), config.Terms.Vote),
 		avoided: map[string]time.Time{},
 	}
 }
@@ -261,11 +267,12 @@
 	report := lagoonlanding.NewQuotaReport(config)
 	if name == distributor.config.Daemon {
 		answer := distributor.answer(now, report)
-		distributor.answered(link, answer)
+		distributor.answered(link, now, answer)
 		apply(answer)
 		return
 	}
 	link.isWaiting = true
+	sent := now
 	go func() {
 		limited, cancel := context.WithTimeout(ctx, reportTimeout)
 		defer cancel()
@@ -277,15 +284,24 @@
 				return
 			}
 			link.failures = 0
-			distributor.answered(link, answer)
+			distributor.answered(link, sent, answer)
 			apply(answer)
 		})
 	}()
 }
 
 // answered records the answer of a report; credits that the holder gives up are reported early, since others wait for them.
-func (distributor *Distributor) answered(link *link, answer lagoonlanding.QuotaAnswer) {
+func (distributor *Distributor) answered(link *link, sent time.Time, answer lagoonlanding.QuotaAnswer) {
 	link.changes.Answered(answer)
+	if answer.ValidUntil(sent).After(sent) {
+		link.lastValid = sent
+	} else if link.lastValid.IsZero() || sent.Sub(link.lastValid) < takeoverTerm {
+		// An arbiter gets its support sooner if it is reported early.
+		link.isShort = true
+		if link.lastValid.IsZero() {
+			link.lastValid = sent
+		}
+	}
 	link.isShort = link.isShort || slices.ContainsFunc(answer.Grants(), func(grant lagoonlanding.QuotaGrant) bool { return grant.Change() < 0 })
 }
 
--- a/mesh/distributor/fleet_test.go
+++ b/mesh/distributor/fleet_test.go
@@ -124,7 +124,7 @@
 	testdaemon.throttler = throttler.New(throttler.Config{Rules: testRules, StartedAt: clock.Now(), Daemons: func() int { return zones * zoneDaemons }})
 	testdaemon.Distributor = New(Config{
 		Daemon: testdaemon.name, Instance: rand.Uint64(), Zone: zone, Throttler: testdaemon.throttler, Peers: testdaemon, Snapshot: snapshot, Rules: testRules,
-		Terms: apportioner.Terms{Daemon: 1800 * time.Millisecond, Zone: 2400 * time.Millisecond, Vote: 2500 * time.Millisecond, Margin: 400 * time.Millisecond},
+		Terms: apportioner.Terms{Daemon: 1600 * time.Millisecond, Zone: 2 * time.Second, Vote: 2600 * time.Millisecond, Margin: 400 * time.Millisecond},
 		Clock: clock, Log: logrus.NewEntry(log),
 	})
 	ctx, cancel := context.WithCancel(testdaemon.fleet.t.Context())
@@ -251,6 +251,87 @@
 	})
 }
 
+// tenfold sends ten times the usual demand of every third workspace.
+func tenfold(workspace lagoonlanding.Workspace, daemon int, elapsed time.Duration) float64 {
+	if workspace.Name()[2]%3 == 0 {
+		return 10 * evenly(workspace, daemon, elapsed)
+	}
+	return evenly(workspace, daemon, elapsed)
+}
+
+func TestNoWindowExceedsTheLimitWhateverFails(t *testing.T) {
+	cut := func(fleet *testFleet, isCut func(index int) bool) {
+		fleet.mutex.Lock()
+		defer fleet.mutex.Unlock()
+		for index, daemon := range fleet.daemons {
+			if daemon.side = 0; isCut(index) {
+				daemon.side = 1
+			}
+		}
+	}
+	for name, fail := range map[string]func(fleet *testFleet){
+		"nothing": func(*testFleet) {},
+		"the arbiter restarts": func(fleet *testFleet) {
+			for range 4 {
+				fleet.daemons[0].restart()
+				fleet.send(1500*time.Millisecond, tenfold)
+			}
+		},
+		"the arbiter is lost": func(fleet *testFleet) {
+			cut(fleet, func(index int) bool { return index == 0 })
+			fleet.send(12*time.Second, tenfold)
+			cut(fleet, func(int) bool { return false })
+		},
+		"the reporters of two zones are lost": func(fleet *testFleet) {
+			cut(fleet, func(index int) bool { return index == 1 || index == 2 })
+			fleet.send(8*time.Second, tenfold)
+			cut(fleet, func(int) bool { return false })
+		},
+		"all reporters restart": func(fleet *testFleet) {
+			for index := range zones {
+				fleet.daemons[index].restart()
+				fleet.send(200*time.Millisecond, tenfold)
+			}
+		},
+		"a minority with the arbiter is cut off": func(fleet *testFleet) {
+			cut(fleet, func(index int) bool { return index%zones == 0 })
+			fleet.send(12*time.Second, tenfold)
+			cut(fleet, func(int) bool { return false })
+		},
+		"halves are cut apart repeatedly": func(fleet *testFleet) {
+			for round := range 6 {
+				cut(fleet, func(index int) bool { return round%2 == 0 && index%zones < 2 })
+				fleet.send(time.Duration(1+fleet.random.IntN(4))*time.Second, tenfold)
+			}
+			cut(fleet, func(int) bool { return false })
+		},
+		"daemons restart at random": func(fleet *testFleet) {
+			for range 60 {
+				fleet.daemons[fleet.random.IntN(len(fleet.daemons))].restart()
+				fleet.send(100*time.Millisecond, tenfold)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fleet := newTestFleet(t, 3, usual)
+				defer fleet.end()
+				fleet.send(8*time.Second, tenfold)
+				fail(fleet)
+				since := time.Now()
+				fleet.send(12*time.Second, tenfold)
+				fleet.check(time.Time{})
+				// Five seconds after the failure, the others are served again.
+				for _, workspace := range fleet.workspaces {
+					if refused := fleet.refused(workspace.Name(), since.Add(7*time.Second)); workspace.Name()[2]%3 != 0 {
+						t.Logf("%s with %v/s: %.3f refused", workspace.Name(), workspace.Rate(), refused)
+					}
+				}
+			})
+		})
+	}
+}
+
 func TestDemandThatMovesBetweenZonesIsFollowed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		fleet := newTestFleet(t, 2, usual)
