Stay with the arbiter that grants leases

After a partition or a restart, the first daemon by name took over again, which stops the creation of credits for the term of votes and of a zone's lease.

--- a/mesh/apportioner/zone.go
+++ b/mesh/apportioner/zone.go
@@ -86,7 +86,7 @@
 
 // Apply applies the arbiter's answer to the report that was sent at the given time.
 func (zone *Zone) Apply(sent time.Time, answer lagoonlanding.QuotaAnswer) {
-	if answer.Arbiter() != "" {
+	if answer.Arbiter() != "" && answer.Stamp() != 0 {
 		zone.arbiter, zone.stamp = answer.Arbiter(), answer.Stamp()
 	}
 	if answer.IsReset() || !answer.ValidUntil(sent).After(sent) {
--- a/mesh/distributor/distributor.go
+++ b/mesh/distributor/distributor.go
@@ -49,6 +49,8 @@
 	maxFailures = 2
 	// avoidTerm is how long a recipient that does not answer is not asked again.
 	avoidTerm = 3 * time.Second
+	// supportTerm is how long a zone waits for the support of its arbiter: daemons are bound to another one for the term of votes.
+	supportTerm = 4 * time.Second
 	// takeoverTerm is how long a link reports early while it gets no lease: the time in which another arbiter takes over.
 	takeoverTerm = 8 * time.Second
 )
@@ -67,6 +69,12 @@
 	daemonLink, zoneLink link
 	avoided              map[string]time.Time
 	isSupported          bool
+	// preferred is the arbiter that granted a lease, or that another daemon named, and avoidedArbiters are those that granted none.
+	preferred string
+	// unsupportedSince is since when a recipient has granted no lease.
+	unsupportedSince     time.Time
+	unsupportedRecipient string
+	avoidedArbiters      map[string]time.Time
 }
 
 // link is the state of the reports to one kind of recipient.
@@ -90,7 +98,7 @@
 	return &Distributor{
 		config: config, events: make(chan func(now time.Time)), closed: make(chan struct{}), zone: apportioner.NewZone(config.Terms),
 		arbiter: apportioner.NewArbiter(config.Daemon, config.Terms, config.FirstStart), voter: apportioner.NewVoter(config.Clock.Now(), config.Terms.Vote),
-		avoided: map[string]time.Time{},
+		avoided: map[string]time.Time{}, avoidedArbiters: map[string]time.Time{},
 	}
 }
 
@@ -227,7 +235,7 @@
 
 // reportZone reports the zone's credits to the arbiter.
 func (distributor *Distributor) reportZone(ctx context.Context, now time.Time) {
-	recipient, ok := distributor.recipient(now, func(lagoonlanding.Backend) bool { return true })
+	recipient, ok := distributor.arbiterRecipient(now)
 	if !ok {
 		distributor.zoneLink.lastSent = now
 		return
@@ -238,9 +246,41 @@
 	}
 	distributor.send(ctx, now, &distributor.zoneLink, recipient, lines, config, func(answer lagoonlanding.QuotaAnswer) {
 		distributor.zone.Apply(now, answer)
+		distributor.noteArbiter(now, recipient.ID().Daemon(), answer)
 	})
 }
 
+// arbiterRecipient returns the arbiter: the one that granted the last lease as long as it does, which avoids a takeover when an earlier daemon by
+// name returns, or else the first daemon by name.
+func (distributor *Distributor) arbiterRecipient(now time.Time) (lagoonlanding.Backend, bool) {
+	isAvoided := func(name string) bool {
+		return now.Before(distributor.avoided[name]) || now.Before(distributor.avoidedArbiters[name])
+	}
+	if preferred, ok := distributor.config.Snapshot().Daemon(distributor.preferred); ok && !isAvoided(distributor.preferred) {
+		return preferred, true
+	}
+	return distributor.recipient(now, func(peer lagoonlanding.Backend) bool { return !isAvoided(peer.ID().Daemon()) })
+}
+
+// noteArbiter records whether the recipient of a zone's report is the arbiter. One that is not may name the arbiter; if it is not supported
+// within the time of a takeover, the zone looks for another.
+func (distributor *Distributor) noteArbiter(now time.Time, recipient string, answer lagoonlanding.QuotaAnswer) {
+	if answer.ValidUntil(now).After(now) {
+		distributor.preferred, distributor.unsupportedSince = recipient, time.Time{}
+		return
+	}
+	if distributor.unsupportedSince.IsZero() || distributor.unsupportedRecipient != recipient {
+		distributor.unsupportedSince, distributor.unsupportedRecipient = now, recipient
+	}
+	switch {
+	case answer.Arbiter() != recipient && answer.Arbiter() != "":
+		distributor.preferred = answer.Arbiter()
+	case now.Sub(distributor.unsupportedSince) > supportTerm:
+		distributor.preferred, distributor.unsupportedSince = "", time.Time{}
+		distributor.avoidedArbiters[recipient] = now.Add(avoidTerm)
+	}
+}
+
 // recipient returns the first daemon by name that matches and has answered, or has not been asked recently.
 func (distributor *Distributor) recipient(now time.Time, matches func(peer lagoonlanding.Backend) bool) (lagoonlanding.Backend, bool) {
 	for _, peer := range distributor.config.Snapshot().Peers() {
@@ -326,6 +366,10 @@
 	if report.IsRelayed() {
 		answer := distributor.arbiter.OnReport(now, distributor.fleet(routing), report)
 		distributor.logSupport()
+		if isLeased := answer.ValidUntil(now).After(now); !isLeased && distributor.preferred != "" && distributor.unsupportedSince.IsZero() {
+			// This daemon is not the arbiter, but its zone has a lease from it.
+			return lagoonlanding.NewQuotaAnswer(lagoonlanding.QuotaAnswerConfig{Reset: answer.IsReset(), Arbiter: distributor.preferred})
+		}
 		return answer
 	}
 	answer, isShort := distributor.zone.OnReport(now, report)
