--- a/mesh/apportioner/pool.go
+++ b/mesh/apportioner/pool.go
@@ -271,15 +271,12 @@
 }
 
 // spare returns how many requests a holder may relay to the pool until its next report, rounded to a power of two, so that it seldom changes. One
-// is worth a try also while the pool is empty, unless the holders want more than there is.
+// is worth a try also while the pool is empty, since credits may arrive any time.
 func (account *account) spare() int {
 	if account.free > 0 {
 		return 1 << (bits.Len(uint(account.free)) - 1)
 	}
-	if total := account.total(); total > 0 && account.wanted() <= float64(total) {
-		return 1
-	}
-	return 0
+	return min(account.total(), 1)
 }
 
 // tolerance is the part of its share by which a holder may exceed it before it gives credits up.
@@ -319,7 +316,12 @@
 	if wanted > total {
 		share = min(share, account.level(total))
 	} else {
-		share += (total - wanted) * config.SpreadShare / float64(max(holders, 1))
+		part := 1 / float64(max(holders, 1))
+		if config.RoundsUp && wanted > 0 {
+			// Half of it goes to all zones alike, and half to those that want most.
+			part = (part + current.wanted/wanted) / 2
+		}
+		share += (total - wanted) * config.SpreadShare * part
 	}
 	if config.RoundsUp {
 		return int(math.Ceil(share))
--- a/mesh/throttler/throttler.go
+++ b/mesh/throttler/throttler.go
@@ -223,7 +223,7 @@
 // signal asks for an early report when a bucket is empty and needs clearly more than the last report said. A workspace that is refused all the
 // time causes no further reports.
 func (throttler *Throttler) signal(now time.Time, bucket *bucket) {
-	if bucket.held > 1 || bucket.wanted(now) <= bucket.reported*5/4+1 {
+	if bucket.held > 0 || bucket.spare > 1 || bucket.wanted(now) <= bucket.reported*5/4+wantedStep {
 		return
 	}
 	select {
