--- a/mesh/distributor/distributor.go
+++ b/mesh/distributor/distributor.go
@@ -349,12 +349,13 @@
 func (distributor *Distributor) failed(now time.Time, link *link) {
 	link.changes.Failed()
 	link.isShort = true
+	if link.failures++; link.failures < maxFailures {
+		return
+	}
+	distributor.avoided[link.recipient] = now.Add(avoidTerm)
 	if link == &distributor.daemonLink {
 		distributor.config.Throttler.Unanswered()
 	}
-	if link.failures++; link.failures >= maxFailures {
-		distributor.avoided[link.recipient] = now.Add(avoidTerm)
-	}
 }
 
 // answer answers a report.
--- a/mesh/throttler/throttler.go
+++ b/mesh/throttler/throttler.go
@@ -197,7 +197,7 @@
 	}
 }
 
-// Unanswered records that the last report was not answered: no requests are relayed until one is.
+// Unanswered records that the last reports were not answered: no requests are relayed until one is.
 func (throttler *Throttler) Unanswered() {
 	throttler.mutex.Lock()
 	defer throttler.mutex.Unlock()
