--- a/mesh/apportioner/arbiter.go
+++ b/mesh/apportioner/arbiter.go
@@ -16,6 +16,8 @@
 	// createFrom is when the arbiter may create credits; zero while it is not supported.
 	createFrom time.Time
 	hasCreated bool
+	// createdAt is when credits were last created.
+	createdAt time.Time
 	// halfUntil is until when the arbiter creates credits at half the rate.
 	halfUntil time.Time
 	// isFirst means that the whole fleet starts, so that no earlier arbiter can have granted credits.
@@ -25,6 +27,9 @@
 	removed map[string]time.Time
 }
 
+// createInterval is the shortest interval at which credits are created: with 10,000 workspaces, each time takes about a millisecond.
+const createInterval = 50 * time.Millisecond
+
 // arbiterSpreadShare is the fraction of unwanted credits that the arbiter gives to zones beforehand; the rest goes to the zone whose demand rises.
 const arbiterSpreadShare = 0.75
 
@@ -97,9 +102,10 @@
 			arbiter.halfUntil, arbiter.createFrom, arbiter.isFirst = arbiter.createFrom, now, false
 		}
 	}
-	if now.Before(arbiter.createFrom) {
+	if now.Before(arbiter.createFrom) || now.Before(arbiter.createdAt.Add(createInterval)) {
 		return true
 	}
+	arbiter.createdAt = now
 	known := make(map[string]bool, len(fleet.Workspaces))
 	for _, workspace := range fleet.Workspaces {
 		if workspace.IsLimited() {
--- a/mesh/apportioner/pool.go
+++ b/mesh/apportioner/pool.go
@@ -49,6 +49,9 @@
 	// givenUp are the credits that the pool has given up since its last report.
 	givenUp int
 	lines   map[holderID]line
+	// held and wants are the sums of the lines.
+	held  int
+	wants float64
 }
 
 // line is what a holder has and needs of a workspace.
@@ -117,7 +120,7 @@
 		}
 		delete(pool.holders, id)
 		for _, account := range pool.accounts {
-			delete(account.lines, id)
+			account.set(id, line{})
 		}
 	}
 }
@@ -164,7 +167,7 @@
 		clear(known.told)
 		for name, account := range pool.accounts {
 			if !mentioned[name] {
-				delete(account.lines, id)
+				account.set(id, line{})
 			}
 		}
 	}
@@ -212,7 +215,7 @@
 	account.free--
 	line := account.lines[id]
 	line.outstanding++
-	account.lines[id] = line
+	account.set(id, line)
 	return true
 }
 
@@ -246,6 +249,9 @@
 }
 
 func (account *account) set(id holderID, line line) {
+	previous := account.lines[id]
+	account.held += line.outstanding - previous.outstanding
+	account.wants += line.wanted - previous.wanted
 	if line.outstanding == 0 && line.wanted == 0 {
 		delete(account.lines, id)
 		return
@@ -254,21 +260,10 @@
 }
 
 // total returns the number of credits that may exist.
-func (account *account) total() int {
-	sum := account.free
-	for _, line := range account.lines {
-		sum += line.outstanding
-	}
-	return sum
-}
+func (account *account) total() int { return account.free + account.held }
 
-func (account *account) wanted() float64 {
-	sum := 0.0
-	for _, line := range account.lines {
-		sum += line.wanted
-	}
-	return sum
-}
+// wanted returns how many credits all holders want.
+func (account *account) wanted() float64 { return account.wants }
 
 // spare returns how many requests a holder may relay to the pool until its next report, rounded to a power of two, so that it seldom changes. One
 // is worth a try also while the pool is empty, since credits may arrive any time.
