--- a/mesh/forwarder/forwarder.go
+++ b/mesh/forwarder/forwarder.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -39,6 +40,10 @@
 	Chooser *chooser.Chooser
 	// Budgets limit retries.
 	Budgets *Budgets
+	// Quota counts the requests of workspaces; nil means that there are no quotas.
+	Quota lagoonlanding.Quota
+	// SetWorkspace replaces what identifies the client in the header of a request by the name of its workspace; nil changes nothing.
+	SetWorkspace func(header http.Header, workspace string)
 	// Snapshot returns the current snapshot of the control state.
 	Snapshot func() *coordinator.Snapshot
 	// Meter records metrics of requests.
@@ -82,6 +87,11 @@
 	result   lagoonlanding.Result
 	// waitUntil is the time until which the request waits for the owner of a moving shard.
 	waitUntil time.Time
+	// workspace is that of the request, and credit permits its next try; nil if the last try has spent it or the workspace has no quota.
+	workspace lagoonlanding.Workspace
+	credit    lagoonlanding.Credit
+	// relayTo is the daemon that handles the request because this one has no credit, the zero value if this one does.
+	relayTo lagoonlanding.Backend
 }
 
 // Handle sends the request to a backend server, with retries, and returns the result.
@@ -92,9 +102,14 @@
 		return refusal
 	}
 	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(delivery.task.Deadline().Sub(task.Received())))
-	for forwarder.try(ctx, delivery) {
+	if delivery.relayTo.ID().IsZero() {
+		for forwarder.try(ctx, delivery) {
+		}
+	} else {
+		forwarder.relay(ctx, delivery)
 	}
 	delivery.correctOutcome()
+	forwarder.returnCredit(delivery)
 	forwarder.log(delivery.task, delivery.lastBackend, delivery.tries, delivery.result)
 	result := delivery.result
 	if result.Outcome() != lagoonlanding.OutcomeAnswered {
@@ -117,8 +132,19 @@
 	if !ok {
 		return nil, lagoonlanding.NotRun(lagoonlanding.ReasonNoRoute, time.Time{})
 	}
+	workspace, ok := forwarder.identify(routing, route, task)
+	if !ok {
+		return nil, lagoonlanding.NotRun(lagoonlanding.ReasonUnknownKey, time.Time{})
+	}
+	task = forwarder.identified(task, routing, workspace)
 	task = task.With(func(config *lagoonlanding.TaskConfig) {
-		config.Caller, config.Route, config.Priority = forwarder.config.Service, route.Name(), route.Priority()
+		config.Route, config.Priority = route.Name(), route.Priority()
+		if !task.IsRelayed() {
+			config.Caller = forwarder.config.Service
+		}
+		if !workspace.IsZero() {
+			config.Priority = workspace.Priority()
+		}
 		config.Service = forwarder.drawService(route)
 		config.Objective, config.AtMostOnce = route.Objective(task.Received()), !route.IsIdempotent()
 		if at := route.TimeoutAt(task.Received()); !at.IsZero() && at.Before(task.Deadline()) {
@@ -132,11 +158,15 @@
 	if !ok {
 		return nil, forwarder.shuttingDown()
 	}
+	credit, relayTo, refusal := forwarder.firstCredit(task, workspace)
+	if refusal.Outcome() != 0 {
+		return nil, refusal
+	}
 	forwarder.config.Budgets.Earn(task.Service())
 	wait := time.Duration(float64(task.Objective().Sub(task.Received())) * ownerWaitShare)
 	return &delivery{
 		task: task, route: route, tried: map[string]bool{}, received: map[lagoonlanding.BackendID]bool{}, refusals: map[string]int{},
-		waitUntil: now.Add(wait),
+		waitUntil: now.Add(wait), workspace: workspace, credit: credit, relayTo: relayTo,
 	}, lagoonlanding.Result{}
 }
 
@@ -170,12 +200,17 @@
 		delivery.result = forwarder.shuttingDown()
 		return false
 	}
+	if refusal := forwarder.identifyAgain(delivery); refusal.Outcome() != 0 {
+		delivery.result = refusal
+		return false
+	}
 	delivery.tries++
 	delivery.tried[backend.ID().Daemon()], delivery.lastBackend = true, backend.ID()
 	delivery.result = forwarder.send(ctx, backend, delivery.task)
 	if delivery.result.IsDelivered() {
 		delivery.attempts++
 		delivery.received[backend.ID()] = true
+		forwarder.spendCredit(delivery)
 	}
 	delivery.recordRefusal(backend, forwarder.config.Region)
 	return forwarder.shouldRetry(ctx, delivery)
@@ -226,7 +261,11 @@
 			return false
 		}
 	}
-	if !forwarder.config.Budgets.Spend(delivery.task.Service()) {
+	credit, _, ok := forwarder.takeCredit(delivery.workspace)
+	if !ok {
+		return false
+	}
+	if delivery.credit = credit; !forwarder.config.Budgets.Spend(delivery.task.Service()) {
 		return false
 	}
 	if result.Outcome() == lagoonlanding.OutcomeAnswered {
@@ -272,6 +311,9 @@
 	if result.Reason() != lagoonlanding.ReasonNone {
 		fields["reason"] = result.Reason()
 	}
+	if task.Workspace() != "" {
+		fields["workspace"], fields["relayed"] = task.Workspace(), task.IsRelayed()
+	}
 	if task.ShardKey() != lagoonlanding.NoShardKey {
 		fields["shard-key"] = task.ShardKey()
 	}
