--- a/reply.go
+++ b/reply.go
@@ -63,6 +63,8 @@
 	ReasonUpstreamFailed   Reason = "upstream-failed"
 	ReasonUpstreamCold     Reason = "upstream-cold"
 	ReasonUpstreamLimited  Reason = "upstream-limited"
+	ReasonUpstreamBytes    Reason = "upstream-bytes"
+	ReasonMemory           Reason = "memory"
 	ReasonNoUpstream       Reason = "no-upstream"
 	ReasonConnectionLost   Reason = "connection-lost"
 	ReasonMismatchedAnswer Reason = "mismatched-answer"
