Count what is held for clients, and reset those that don't read

A write to a client may take 30 s, whatever the process holds. With a limited budget the time falls from 10 s to 1 s as the budget fills up, and a client that exceeds it is reset, so that its answer never looks complete. Long heads are reserved as they arrive; a head without memory gets 503 with Retry-After. Without a limit nothing changes but the counting.

--- a/mesh/receiver/connection.go
+++ b/mesh/receiver/connection.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"lagoonlanding.example/lagoonlanding"
+	"lagoonlanding.example/lagoonlanding/mesh/budgeter"
 	"lagoonlanding.example/lagoonlanding/mesh/drainer"
 	"lagoonlanding.example/lagoonlanding/mesh/framer"
 	"lagoonlanding.example/lagoonlanding/mesh/pipeliner"
@@ -26,7 +27,7 @@
 	maxHeadBytes = 64 << 10
 	// lingerTimeout is how long a closed connection is read, so that a client that still sends receives the last response.
 	lingerTimeout = 500 * time.Millisecond
-	// writeTimeout limits the time of one write to a client that does not read.
+	// writeTimeout limits the time of one write to a client that does not read, unless the memory budget sets a shorter time.
 	writeTimeout = 30 * time.Second
 )
 
@@ -37,6 +38,8 @@
 type connection struct {
 	net.Conn
 	config Config
+	// memory counts what is held for the connection.
+	memory *budgeter.Account
 	reader *bufio.Reader
 	writer *bufio.Writer
 	codec  lagoonlanding.HeadCodec
@@ -59,18 +62,28 @@
 	isReset bool
 }
 
-func newConnection(config Config, accepted net.Conn) *connection {
+// newConnection returns a connection, or false if the memory budget has no room for it.
+func newConnection(config Config, accepted net.Conn) (*connection, bool) {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &connection{
-		Conn: accepted, config: config, reader: bufio.NewReaderSize(accepted, readBufferSize), writer: bufio.NewWriter(accepted),
-		codec: newTextCodec(config.MaxHeaderBytes), ctx: ctx, cancel: cancel, wake: make(chan struct{}, 1),
+	created := &connection{
+		Conn: accepted, config: config, ctx: ctx, cancel: cancel, wake: make(chan struct{}, 1),
 		pipeline:  pipeliner.New(pipeliner.Config{MaxRequests: maxRequests, MaxHeadBytes: maxHeadBytes}),
 		idleUntil: time.Now().Add(config.IdleTimeout),
 	}
+	memory, ok := config.Memory.Open(created.terminate)
+	if !ok {
+		cancel()
+		return nil, false
+	}
+	memory.SetIdle(time.Now())
+	created.memory, created.codec = memory, newTextCodec(config.MaxHeaderBytes, memory)
+	created.reader, created.writer = bufio.NewReaderSize(accepted, readBufferSize), bufio.NewWriter(clientWriter{connection: created})
+	return created, true
 }
 
 // serve reads requests until the connection ends, and closes it.
 func (connection *connection) serve() {
+	defer connection.memory.Close()
 	defer connection.cancel()
 	connection.mutex.Lock()
 	connection.setReadDeadline(connection.idleUntil)
@@ -187,8 +200,13 @@
 	body := newRequestBody(connection, request)
 	overlaps := body == nil && !request.Close && connection.config.Overlaps != nil && connection.config.Overlaps(request)
 	exchange := newExchange(connection, request, body, admission)
+	exchange.memory.Charge(budgeter.Heads, size)
+	if body == nil && request.ContentLength > 0 {
+		exchange.memory.Charge(budgeter.Requests, int(request.ContentLength))
+	}
 	if !connection.enqueue(exchange, pipeliner.EntryConfig{Overlaps: overlaps, Last: request.Close || !request.ProtoAtLeast(1, 1), HeadBytes: size}) {
 		connection.config.Drain.End(admission)
+		exchange.memory.Close()
 		return nil
 	}
 	return exchange
@@ -204,6 +222,7 @@
 	rejected.rejectStatus = status
 	if !connection.enqueue(rejected, pipeliner.EntryConfig{Last: true}) {
 		connection.config.Drain.End(rejected.admission)
+		rejected.memory.Close()
 	}
 }
 
@@ -216,6 +235,7 @@
 		return false
 	}
 	connection.setReadDeadline(time.Time{})
+	connection.memory.SetIdle(time.Time{})
 	exchange.entry = entry
 	connection.exchanges = append(connection.exchanges, exchange)
 	if connection.pipeline.IsFirst(entry) {
@@ -258,6 +278,7 @@
 	case connection.pipeline.IsEmpty() && !connection.isReadingHead:
 		connection.idleUntil = time.Now().Add(connection.config.IdleTimeout)
 		connection.setReadDeadline(connection.idleUntil)
+		connection.memory.SetIdle(time.Now())
 	}
 }
 
@@ -270,9 +291,9 @@
 	}
 	connection.pipeline.Cancel()
 	connection.cancelFrom(1)
-	if tcp, ok := connection.Conn.(*net.TCPConn); ok && mustReset {
+	if mustReset {
 		// Only a reset shows that a response which ends with the connection is incomplete.
-		connection.isReset = tcp.SetLinger(0) == nil
+		connection.isReset = setReset(connection.Conn)
 	}
 }
 
@@ -300,6 +321,7 @@
 			continue
 		}
 		connection.config.Drain.End(cancelled.admission)
+		cancelled.memory.Close()
 		if cancelled.body != nil {
 			cancelled.body.close()
 		}
--- a/mesh/receiver/exchange.go
+++ b/mesh/receiver/exchange.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"lagoonlanding.example/lagoonlanding"
+	"lagoonlanding.example/lagoonlanding/mesh/budgeter"
 	"lagoonlanding.example/lagoonlanding/mesh/drainer"
 	"lagoonlanding.example/lagoonlanding/mesh/pipeliner"
 )
@@ -28,6 +29,8 @@
 	request    *http.Request
 	body       *requestBody
 	admission  drainer.Admission
+	// memory counts what is held for the request.
+	memory *budgeter.Account
 	// rejectStatus is the status for a malformed request, which is not passed to the handler.
 	rejectStatus int
 	ctx          context.Context
@@ -59,7 +62,8 @@
 	exchange := &exchange{
 		connection: connection, request: request, body: body, admission: admission, turn: make(chan struct{}), header: http.Header{}, declared: -1,
 	}
-	exchange.ctx, exchange.cancel = context.WithCancel(connection.ctx)
+	exchange.memory = connection.memory.OpenRequest()
+	exchange.ctx, exchange.cancel = context.WithCancel(budgeter.NewContext(connection.ctx, exchange.memory))
 	request.RemoteAddr = connection.RemoteAddr().String()
 	if body != nil {
 		body.onRead = exchange.sendContinue
@@ -71,6 +75,7 @@
 // run calls the handler and sends its response.
 func (exchange *exchange) run() {
 	defer exchange.connection.config.Drain.End(exchange.admission)
+	defer exchange.memory.Close()
 	defer exchange.cancel()
 	ctx, release := exchange.connection.config.Drain.Bind(exchange.ctx)
 	defer release()
@@ -105,6 +110,10 @@
 	switch {
 	case exchange.rejectStatus != 0:
 		exchange.header.Set("Connection", "close")
+		if exchange.rejectStatus == http.StatusServiceUnavailable {
+			delay := exchange.memory.Budget().RetryDelay(time.Now())
+			exchange.header.Set("Retry-After", strconv.FormatFloat(delay.Seconds(), 'f', 3, 64))
+		}
 		exchange.WriteHeader(exchange.rejectStatus)
 	case exchange.admission == drainer.Refused:
 		config.Refuse(exchange)
@@ -191,7 +200,7 @@
 		return 0, http.ErrContentLength
 	}
 	exchange.written += int64(len(data))
-	if !exchange.hasBegun && len(exchange.held)+len(data) <= maxHeldBody {
+	if !exchange.hasBegun && len(exchange.held)+len(data) <= maxHeldBody && exchange.memory.Reserve(budgeter.Queues, len(data)) {
 		exchange.held = append(exchange.held, data...)
 		return len(data), nil
 	}
@@ -205,6 +214,7 @@
 		if err := exchange.send(exchange.held); err != nil {
 			return 0, err
 		}
+		exchange.memory.Release(budgeter.Queues, len(exchange.held))
 		exchange.held = nil
 	}
 	if err := exchange.send(data); err != nil {
@@ -219,9 +229,6 @@
 		return nil
 	}
 	connection := exchange.connection
-	if err := connection.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return err
-	}
 	if !exchange.isChunked {
 		_, err := connection.writer.Write(data)
 		return err
@@ -249,9 +256,6 @@
 			return err
 		}
 	}
-	if err := exchange.connection.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return err
-	}
 	return exchange.connection.writer.Flush()
 }
 
--- a/mesh/receiver/head.go
+++ b/mesh/receiver/head.go
@@ -9,6 +9,7 @@
 	"strconv"
 
 	"lagoonlanding.example/lagoonlanding"
+	"lagoonlanding.example/lagoonlanding/mesh/budgeter"
 	"lagoonlanding.example/lagoonlanding/mesh/framer"
 )
 
@@ -16,6 +17,7 @@
 	errHeadTooLarge = errors.New("head too large")
 	errMalformed    = errors.New("malformed request")
 	errVersion      = errors.New("unsupported HTTP version")
+	errMemory       = errors.New("no memory for the head")
 )
 
 var (
@@ -26,17 +28,22 @@
 // textCodec reads and writes the heads of HTTP/1.1.
 type textCodec struct {
 	maxBytes int
+	memory   *budgeter.Account
 	text     []byte
 	source   bytes.Reader
 	parser   *bufio.Reader
 }
 
-func newTextCodec(maxBytes int) *textCodec {
-	return &textCodec{maxBytes: maxBytes}
+// usualHeadBytes is the size up to which the buffer for heads is kept between requests; it is part of the cost of a connection.
+const usualHeadBytes = 4 << 10
+
+func newTextCodec(maxBytes int, memory *budgeter.Account) *textCodec {
+	return &textCodec{maxBytes: maxBytes, memory: memory}
 }
 
 // ReadHead reads a head up to its empty line and returns the request without a body, and the size of the head.
 func (textcodec *textCodec) ReadHead(reader *bufio.Reader) (*http.Request, int, error) {
+	defer textcodec.shrink()
 	if err := textcodec.collect(reader); err != nil {
 		return nil, 0, err
 	}
@@ -58,10 +65,12 @@
 	start, size := 0, 0
 	for {
 		part, err := reader.ReadSlice('\n')
-		textcodec.text = append(textcodec.text, part...)
 		if size += len(part); size > textcodec.maxBytes {
 			return errHeadTooLarge
 		}
+		if !textcodec.collectPart(part) {
+			return errMemory
+		}
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
@@ -79,6 +88,27 @@
 	}
 }
 
+// collectPart appends a part of a head; it returns false if there is no memory for it.
+func (textcodec *textCodec) collectPart(part []byte) bool {
+	if before := cap(textcodec.text); len(textcodec.text)+len(part) > max(before, usualHeadBytes) {
+		grown := max(2*before, len(textcodec.text)+len(part))
+		if !textcodec.memory.Reserve(budgeter.Heads, grown-before) {
+			return false
+		}
+		textcodec.text = append(make([]byte, 0, grown), textcodec.text...)
+	}
+	textcodec.text = append(textcodec.text, part...)
+	return true
+}
+
+// shrink releases the buffer of a head that was longer than usual.
+func (textcodec *textCodec) shrink() {
+	if cap(textcodec.text) > usualHeadBytes && textcodec.memory.Budget() != nil {
+		textcodec.memory.Release(budgeter.Heads, cap(textcodec.text))
+		textcodec.text = nil
+	}
+}
+
 // check rejects what http.ReadRequest accepts but a server must not.
 func (textcodec *textCodec) check(request *http.Request) error {
 	if request.ProtoMajor != 1 {
@@ -151,6 +181,8 @@
 	switch {
 	case errors.Is(err, errHeadTooLarge), errors.Is(err, framer.ErrTooLarge):
 		return http.StatusRequestHeaderFieldsTooLarge
+	case errors.Is(err, errMemory):
+		return http.StatusServiceUnavailable
 	case errors.Is(err, errVersion):
 		return http.StatusHTTPVersionNotSupported
 	case errors.Is(err, errMalformed), errors.Is(err, framer.ErrMalformed):
--- a/mesh/receiver/server.go
+++ b/mesh/receiver/server.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"lagoonlanding.example/lagoonlanding"
+	"lagoonlanding.example/lagoonlanding/mesh/budgeter"
 	"lagoonlanding.example/lagoonlanding/mesh/drainer"
 )
 
@@ -27,6 +28,8 @@
 	AllowsFrames bool
 	// Drain counts the requests in progress.
 	Drain *drainer.Drain
+	// Memory bounds what is held for clients; nil for no bound.
+	Memory *budgeter.Budget
 	// Meter records metrics of connections.
 	Meter lagoonlanding.ConnectionMeter
 	// Log receives one line per request that fails in the server.
@@ -59,6 +62,12 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		go newConnection(server.config, accepted).serve()
+		opened, ok := newConnection(server.config, accepted)
+		if !ok {
+			// The budget has no room even for reading a request, which therefore never runs.
+			reset(accepted)
+			continue
+		}
+		go opened.serve()
 	}
 }
