Read answers ahead of slow readers within the memory budget

A backend server cuts off an answer that stays unread for some seconds, and kept its slot until the client had read it.

--- a/mesh/connector/connection.go
+++ b/mesh/connector/connection.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -52,7 +53,7 @@
 	// headBytes is how many more bytes may be read for the head of a response; -1 while no head is read.
 	headBytes int
 	// received counts the bytes that were read since the last call of takeReceived.
-	received int
+	received atomic.Int64
 
 	writing sync.Mutex
 	// written counts the bytes of the current request that were written to the socket.
@@ -81,7 +82,7 @@
 		data = data[:min(len(data), connection.headBytes)]
 	}
 	count, err := connection.Conn.Read(data)
-	connection.received += count
+	connection.received.Add(int64(count))
 	if connection.headBytes > 0 {
 		connection.headBytes -= count
 	}
@@ -90,7 +91,8 @@
 
 // begin prepares the connection for a request.
 func (connection *connection) begin() {
-	connection.requestedAt, connection.received = time.Now(), 0
+	connection.requestedAt = time.Now()
+	connection.received.Store(0)
 	connection.writing.Lock()
 	defer connection.writing.Unlock()
 	connection.written = 0
@@ -126,9 +128,7 @@
 
 // takeReceived returns how many bytes were read since its last call.
 func (connection *connection) takeReceived() int {
-	count := connection.received
-	connection.received = 0
-	return count
+	return int(connection.received.Swap(0))
 }
 
 // send writes the request; a panic in the reader of its body fails only this request.
--- a/mesh/connector/pool.go
+++ b/mesh/connector/pool.go
@@ -158,7 +158,7 @@
 // isSilent reports whether an exchange failed although its connection was neither closed nor reset: the peer acknowledged nothing, or did not
 // respond at all.
 func (pool *Pool) isSilent(ctx context.Context, connection *connection, err error) bool {
-	if connection.received > 0 {
+	if connection.received.Load() > 0 {
 		return false
 	}
 	return errors.Is(err, syscall.ETIMEDOUT) || pool.config.RespondsPromptly && errors.Is(ctx.Err(), context.DeadlineExceeded)
--- a/mesh/transmitter/transmitter.go
+++ b/mesh/transmitter/transmitter.go
@@ -76,7 +76,7 @@
 		response.Body.Close()
 		return lagoonlanding.NewResult(config)
 	}
-	body, _, err := connector.Prefetch(response.Body, maxPrefetchedBody)
+	body, _, err := connector.Receive(ctx, response.Body, maxPrefetchedBody)
 	if err != nil {
 		return lagoonlanding.MayHaveRun(connector.FailureReason(ctx))
 	}
