--- a/mesh/forwarder/body.go
+++ b/mesh/forwarder/body.go
@@ -8,6 +8,7 @@
 	"sync"
 
 	"lagoonlanding.example/lagoonlanding"
+	"lagoonlanding.example/lagoonlanding/mesh/budgeter"
 )
 
 // maxBufferedBody is the length in bytes up to which request bodies are buffered for retries.
@@ -15,8 +16,10 @@
 
 // bufferedSource reads a body once and buffers it up to a limit, so that it can be read again.
 type bufferedSource struct {
-	mutex    sync.Mutex
-	source   io.Reader
+	mutex  sync.Mutex
+	source io.Reader
+	// memory counts the bytes that are buffered.
+	memory   *budgeter.Account
 	buffered []byte
 	tooLong  bool
 	atEOF    bool
@@ -36,8 +39,11 @@
 var errRewound = errors.New("the body is being read again")
 
 // NewRewindable returns a body that can be rewound unless it is too long.
-func NewRewindable(source io.Reader) io.Reader {
-	created := &rewindableBody{source: &bufferedSource{source: source}}
+func NewRewindable(source io.Reader) io.Reader { return NewCounted(source, nil) }
+
+// NewCounted returns a body that can be rewound unless it is too long or the account may not hold it.
+func NewCounted(source io.Reader, memory *budgeter.Account) io.Reader {
+	created := &rewindableBody{source: &bufferedSource{source: source, memory: memory}}
 	created.source.current = created
 	return created
 }
@@ -59,16 +65,34 @@
 		return 0, io.EOF
 	}
 	count, err := source.source.Read(data)
-	if source.tooLong || len(source.buffered)+count > maxBufferedBody {
-		source.tooLong, source.buffered, rewindablebody.offset = true, nil, 0
-	} else {
-		source.buffered = append(source.buffered, data[:count]...)
+	if source.keep(data[:count]) {
 		rewindablebody.offset = len(source.buffered)
+	} else {
+		rewindablebody.offset = 0
 	}
 	source.atEOF = errors.Is(err, io.EOF)
 	return count, err
 }
 
+// keep buffers bytes for a retry; it returns false if the body can't be rewound. The mutex must be locked.
+func (bufferedsource *bufferedSource) keep(data []byte) bool {
+	if bufferedsource.tooLong {
+		return false
+	}
+	before := cap(bufferedsource.buffered)
+	if needed := len(bufferedsource.buffered) + len(data); needed > before {
+		grown := min(max(2*before, needed), maxBufferedBody)
+		if needed > maxBufferedBody || !bufferedsource.memory.Reserve(budgeter.Requests, grown-before) {
+			bufferedsource.memory.Release(budgeter.Requests, before)
+			bufferedsource.tooLong, bufferedsource.buffered = true, nil
+			return false
+		}
+		bufferedsource.buffered = append(make([]byte, 0, grown), bufferedsource.buffered...)
+	}
+	bufferedsource.buffered = append(bufferedsource.buffered, data...)
+	return true
+}
+
 // Rewound returns the body from its start, after which this one can't be read any more; it returns false if the body was too long to buffer
 // or is being read, since the client may never send the rest.
 func (rewindablebody *rewindableBody) Rewound() (io.Reader, bool) {
