Bound the bytes of requests that the backend server holds

A backend server crashes when the requests that it holds exceed its memory, which is not told. The slot is freed once the answer has been received, not when the client has read it.

--- a/mesh/acceptor/acceptor.go
+++ b/mesh/acceptor/acceptor.go
@@ -11,6 +11,7 @@
 
 	"lagoonlanding.example/lagoonlanding"
 	"lagoonlanding.example/lagoonlanding/mesh/assigner"
+	"lagoonlanding.example/lagoonlanding/mesh/budgeter"
 	"lagoonlanding.example/lagoonlanding/mesh/gatekeeper"
 	"lagoonlanding.example/lagoonlanding/requests/quarantiner"
 )
@@ -37,6 +38,8 @@
 	OnCrashRecorded func()
 	// Shutdown tells which tasks are still accepted while the daemon shuts down.
 	Shutdown lagoonlanding.Shutdown
+	// ServerBytes bounds the bytes of the requests that the backend server holds; nil for no bound.
+	ServerBytes *budgeter.ServerBytes
 	// Clock returns the current time.
 	Clock lagoonlanding.Clock
 	// Log receives one line per task that was not answered.
@@ -62,15 +65,20 @@
 func (acceptor *Acceptor) Handle(ctx context.Context, task lagoonlanding.Task) lagoonlanding.Result {
 	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(task.Deadline().Sub(acceptor.config.Clock.Now())))
 	result, pass := acceptor.admit(ctx, task)
+	var load *serverLoad
 	if pass != nil {
+		load, result = acceptor.enterServer(task)
+	}
+	if load != nil {
 		// The shutdown may have begun while the task waited for a slot.
 		if accepted, ok := acceptor.config.Shutdown.Accept(task); ok {
-			result = acceptor.run(ctx, pass, accepted)
+			result = acceptor.run(ctx, pass, load.withCountedBody(accepted))
 		} else {
 			result = acceptor.shuttingDown()
 		}
 	}
 	end := func() {
+		load.leave(acceptor.config.Clock.Now(), result.Outcome() == lagoonlanding.OutcomeAnswered)
 		if pass != nil {
 			pass.Finish(result.Outcome() == lagoonlanding.OutcomeAnswered)
 		}
@@ -87,6 +95,9 @@
 	if answer.BodyLength() >= 0 && answer.BodyLength() <= maxPrefetchedBody {
 		// The whole answer has been read, so the slot can be freed before the answer is forwarded.
 		body.finish()
+	} else if received, ok := answer.Body().(lagoonlanding.ReceivedBody); ok {
+		// The backend server does not wait for the client either.
+		received.OnReceived(body.finish)
 	}
 	return acceptor.withLoad(result.With(func(config *lagoonlanding.ResultConfig) { config.Answer = answer.WithBody(body) }))
 }
@@ -109,7 +120,13 @@
 	if acceptor.treatment(task) == quarantiner.Refused {
 		return acceptor.quarantinedResult(), nil
 	}
+	memory := budgeter.FromContext(ctx)
+	if delay, ok := memory.Budget().Admit(time.Now()); !ok {
+		return lagoonlanding.NotRun(lagoonlanding.ReasonMemory, acceptor.config.Clock.Now().Add(delay)), nil
+	}
+	memory.Charge(budgeter.Queues, budgeter.QueuedCost)
 	pass, reason, retryAt := acceptor.config.Gate.Enter(ctx, task)
+	memory.Release(budgeter.Queues, budgeter.QueuedCost)
 	if pass == nil {
 		return lagoonlanding.NotRun(reason, retryAt), nil
 	}
@@ -143,6 +160,9 @@
 	acceptor.heed(pass, result.Advice())
 	// A lost connection alone does not mean that the process has ended.
 	crashed := result.Reason() == lagoonlanding.ReasonConnectionLost && ctx.Err() == nil && acceptor.config.Runner.HasEnded(ctx, acceptor.config.Address)
+	if crashed {
+		acceptor.recordCrash(pass.ID())
+	}
 	if crashed || result.Reason() == lagoonlanding.ReasonNoUpstream {
 		acceptor.config.OnProcessEnded(pass.ID())
 	}
