--- a/lagoonmesh/daemon.go
+++ b/lagoonmesh/daemon.go
@@ -15,6 +15,7 @@
 	"lagoonlanding.example/lagoonlanding"
 	"lagoonlanding.example/lagoonlanding/mesh/acceptor"
 	"lagoonlanding.example/lagoonlanding/mesh/assigner"
+	"lagoonlanding.example/lagoonlanding/mesh/budgeter"
 	"lagoonlanding.example/lagoonlanding/mesh/chooser"
 	"lagoonlanding.example/lagoonlanding/mesh/connector"
 	"lagoonlanding.example/lagoonlanding/mesh/coordinator"
@@ -53,6 +54,8 @@
 	recorder    *recorder.Recorder
 	quarantine  *quarantiner.Quarantine
 	drain       *drainer.Drain
+	memory      *budgeter.Budget
+	serverBytes *budgeter.ServerBytes
 	fleet       *relayer.Journal
 	directives  *relayer.Journal
 }
@@ -60,6 +63,7 @@
 func newDaemon(settings platform.Settings, settingsPath string, log *logrus.Logger, droppedLines func() uint64) *daemon {
 	daemon := &daemon{settings: settings, settingsPath: settingsPath, log: log}
 	daemon.drain = drainer.New(drainer.Config{Clock: daemon.clock})
+	daemon.memory, daemon.serverBytes = daemon.newBudget(), daemon.newServerBytes()
 	daemon.fleet, daemon.directives = relayer.NewJournal(coordinator.FleetPrefix), relayer.NewJournal(platform.DirectivePrefix)
 	poolConfig := connector.Config{DialTimeout: dialTimeout, IdleTimeout: idleTimeout, SilenceTimeout: silenceTimeout, MaxIdle: maxIdleConnections}
 	poolConfig.OnEnd = func(address string, sent, received int) { daemon.countBytes(kindTask, address, sent, received) }
@@ -77,7 +81,7 @@
 	daemon.control = connector.NewPool(controlConfig)
 	gate := gatekeeper.NewGate(gatekeeper.Config{Clock: daemon.clock, MaxWaiting: maxWaitingTasks, MaxFirst: maxFirstTasks})
 	daemon.recorder = recorder.New(recorder.Config{
-		Load: gate.Load, DroppedLines: droppedLines,
+		Load: gate.Load, DroppedLines: droppedLines, Memory: daemon.memoryReport,
 		OnError: func(err error) { daemon.logFor("metrics").WithError(err).Warn("Cannot register metric.") },
 	})
 	daemon.quarantine = quarantiner.NewQuarantine(quarantiner.Config{Random: newRandom()})
@@ -138,7 +142,8 @@
 		Runner:    platform.NewUpstream(daemon.backend, daemon.clock, daemon.logFor("upstream")),
 		Ownership: daemon.coordinator.Ownership, OnProcessEnded: daemon.syncer.ProcessEnded, OnLeaving: daemon.syncer.BackendLeaving,
 		Quarantine: daemon.quarantine, OnCrashRecorded: daemon.syncer.CrashRecorded,
-		Shutdown: daemon.drain, Clock: daemon.clock, Log: daemon.logFor("backend"),
+		ServerBytes: daemon.serverBytes,
+		Shutdown:    daemon.drain, Clock: daemon.clock, Log: daemon.logFor("backend"),
 	})
 	daemon.forwarder = forwarder.New(forwarder.Config{
 		Daemon: daemon.settings.Daemon(), Service: daemon.settings.Service(), Region: daemon.settings.Region(), Local: daemon.acceptor,
--- a/lagoonmesh/servers.go
+++ b/lagoonmesh/servers.go
@@ -47,6 +47,7 @@
 		}},
 	} {
 		traffic.config.Drain, traffic.config.Meter = daemon.drain, daemon.recorder
+		traffic.config.Memory = daemon.memory
 		traffic.config.HeaderTimeout, traffic.config.IdleTimeout, traffic.config.MaxHeaderBytes = headerTimeout, clientIdleTimeout, maxHeaderBytes
 		if err := started.add(traffic.address, receiver.New(traffic.config).Serve); err != nil {
 			return nil, err
--- a/mesh/recorder/recorder.go
+++ b/mesh/recorder/recorder.go
@@ -28,6 +28,8 @@
 	Load func() lagoonlanding.Load
 	// DroppedLines returns the number of dropped log lines.
 	DroppedLines func() uint64
+	// Memory returns what is held in memory; nil if that is not reported.
+	Memory func() MemoryReport
 	// OnError is called when a metric cannot be registered.
 	OnError func(err error)
 }
@@ -67,6 +69,9 @@
 		recorder.scope.Gauge("backend_slots").Update(float64(load.Slots()))
 		recorder.scope.Gauge("backend_limit").Update(load.Limit())
 		recorder.scope.Gauge("log_lines_dropped").Update(float64(recorder.config.DroppedLines()))
+		if recorder.config.Memory != nil {
+			recorder.reportMemory(recorder.config.Memory())
+		}
 		recorder.handler.ServeHTTP(writer, request)
 	})
 }
