Bound the system's send buffer of clients, and share the parser's buffers

The send buffer grows to megabytes, and a write is not reported as progress before a third of it is free: a client of 25 KB/s that had paused for 4 s was ended after 155,648 of 4,194,304 bytes. The buffer of the head parser (4 KiB for each connection) is used only while a head is parsed, so that connections share a few.

--- a/mesh/receiver/connection.go
+++ b/mesh/receiver/connection.go
@@ -76,6 +76,7 @@
 		return nil, false
 	}
 	memory.SetIdle(time.Now())
+	limitBuffer(config, accepted)
 	created.memory, created.codec = memory, newTextCodec(config.MaxHeaderBytes, memory)
 	created.reader, created.writer = bufio.NewReaderSize(accepted, readBufferSize), bufio.NewWriter(clientWriter{connection: created})
 	return created, true
--- a/mesh/receiver/head.go
+++ b/mesh/receiver/head.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"sync"
 
 	"lagoonlanding.example/lagoonlanding"
 	"lagoonlanding.example/lagoonlanding/mesh/budgeter"
@@ -31,9 +32,11 @@
 	memory   *budgeter.Account
 	text     []byte
 	source   bytes.Reader
-	parser   *bufio.Reader
 }
 
+// parsers are the buffers of the parser of net/http, which are used only while a head is parsed.
+var parsers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, readBufferSize) }}
+
 // usualHeadBytes is the size up to which the buffer for heads is kept between requests; it is part of the cost of a connection.
 const usualHeadBytes = 4 << 10
 
@@ -48,11 +51,10 @@
 		return nil, 0, err
 	}
 	textcodec.source.Reset(textcodec.text)
-	if textcodec.parser == nil {
-		textcodec.parser = bufio.NewReaderSize(nil, readBufferSize)
-	}
-	textcodec.parser.Reset(&textcodec.source)
-	request, err := http.ReadRequest(textcodec.parser)
+	parser := parsers.Get().(*bufio.Reader)
+	defer parsers.Put(parser)
+	parser.Reset(&textcodec.source)
+	request, err := http.ReadRequest(parser)
 	if err != nil {
 		return nil, 0, fmt.Errorf("%w: %w", errMalformed, err)
 	}
--- a/mesh/receiver/memory.go
+++ b/mesh/receiver/memory.go
@@ -31,6 +31,19 @@
 	return count, err
 }
 
+// clientBufferBytes is the size of the system's buffer for what is sent to a client, where memory is limited. By default it grows to megabytes, and a
+// write is not reported as progress before a third of it is free, so that a slow reader looks like one that does not read.
+const clientBufferBytes = 64 << 10
+
+// limitBuffer bounds the system's buffer for a client. Other daemons read promptly and may be distant, so theirs stays as it is.
+func limitBuffer(config Config, accepted net.Conn) {
+	if tcp, ok := accepted.(*net.TCPConn); ok && config.Memory.IsLimited() && !config.AllowsFrames {
+		if err := tcp.SetWriteBuffer(clientBufferBytes); err != nil {
+			config.Log.WithError(err).Debug("Cannot bound the send buffer of a client.")
+		}
+	}
+}
+
 // terminate ends the connection to release memory.
 //
 // With a request in progress the connection is reset, so that a response which is incomplete never looks complete, and what the system still
