Keep room for new requests, and end uploads that exceed a server's memory

With 2,000 clients that read a byte a second and a budget of 60 MB, answers filled the budget up to 95%, and 93 of 165 requests of other clients were refused. Connections to servers and daemons are counted. A body without a declared length that exceeds an equal part of the server's bytes is ended with an unknown outcome; requests of up to 4 KB are always sent.

--- a/mesh/acceptor/acceptor.go
+++ b/mesh/acceptor/acceptor.go
@@ -67,7 +67,7 @@
 	result, pass := acceptor.admit(ctx, task)
 	var load *serverLoad
 	if pass != nil {
-		load, result = acceptor.enterServer(task)
+		load, result = acceptor.enterServer(task, cancel)
 	}
 	if load != nil {
 		// The shutdown may have begun while the task waited for a slot.
--- a/mesh/acceptor/serverbytes.go
+++ b/mesh/acceptor/serverbytes.go
@@ -1,6 +1,8 @@
 package acceptor
 
 import (
+	"context"
+	"errors"
 	"io"
 	"sync"
 	"time"
@@ -16,6 +18,8 @@
 	serverBytes *budgeter.ServerBytes
 	// declared is the length of the request's body, -1 if it is unknown.
 	declared int64
+	// cancel ends the request: a server that waits for the rest of a body would answer never.
+	cancel context.CancelFunc
 
 	mutex sync.Mutex
 	bytes int64
@@ -23,8 +27,8 @@
 }
 
 // enterServer counts the request for the backend server, or returns a refusal if it may exceed the server's memory.
-func (acceptor *Acceptor) enterServer(task lagoonlanding.Task) (*serverLoad, lagoonlanding.Result) {
-	load := &serverLoad{serverBytes: acceptor.config.ServerBytes, declared: task.BodyLength()}
+func (acceptor *Acceptor) enterServer(task lagoonlanding.Task, cancel context.CancelFunc) (*serverLoad, lagoonlanding.Result) {
+	load := &serverLoad{serverBytes: acceptor.config.ServerBytes, declared: task.BodyLength(), cancel: cancel}
 	if load.serverBytes == nil {
 		return load, lagoonlanding.Result{}
 	}
@@ -51,14 +55,15 @@
 	})
 }
 
-// add counts bytes that are sent to the backend server.
-func (serverload *serverLoad) add(bytes int64) {
+// add counts bytes that are about to be sent to the backend server; it returns false if they may exceed the server's memory.
+func (serverload *serverLoad) add(bytes int64) bool {
 	serverload.mutex.Lock()
 	defer serverload.mutex.Unlock()
-	if !serverload.left {
-		serverload.bytes += bytes
-		serverload.serverBytes.Add(bytes)
+	if serverload.left || !serverload.serverBytes.Add(serverload.bytes, bytes) {
+		return false
 	}
+	serverload.bytes += bytes
+	return true
 }
 
 // leave ends the count; it may be called for a request that was not counted.
@@ -74,6 +79,9 @@
 	}
 }
 
+// errServerBytes ends the body of a request which the backend server may not be able to hold; the request may have run.
+var errServerBytes = errors.New("the backend server may not have the memory for the body")
+
 // countedBody counts the bytes that are read from a body.
 type countedBody struct {
 	io.Reader
@@ -83,7 +91,10 @@
 // Read reads from the body.
 func (countedbody *countedBody) Read(data []byte) (int, error) {
 	count, err := countedbody.Reader.Read(data)
-	countedbody.load.add(int64(count))
+	if count > 0 && !countedbody.load.add(int64(count)) {
+		countedbody.load.cancel()
+		return 0, errServerBytes
+	}
 	return count, err
 }
 
--- a/mesh/budgeter/budget.go
+++ b/mesh/budgeter/budget.go
@@ -12,13 +12,18 @@
 	shedAbove, shedTo = 0.7, 0.6
 	// refuseAbove is the fraction above which new requests are refused; the rest is for requests in progress.
 	refuseAbove = 0.8
-	// reserveBelow is the fraction up to which requests in progress may hold more; the rest is for refusing what still arrives.
+	// reserveBelow is the fraction up to which heads may be held; the rest is for refusing what still arrives.
 	reserveBelow = 0.95
-	// clientShare is the fraction of the free bytes that one client may hold. A fraction of what is free, rather than of the limit, leaves room for
+	// aheadBelow is the fraction up to which bodies and answers may be held. It is below shedAbove, so that bytes held for those who don't read
+	// never take the room of new requests.
+	aheadBelow = 0.6
+	// exhaustedAbove is the fraction above which too little is left below aheadBelow to hold further answers.
+	exhaustedAbove = 0.9 * aheadBelow
+	// clientShare is the fraction of the free bytes below aheadBelow that one client may hold. A fraction of what is free, rather than of the limit, leaves room for
 	// clients that come later, however many there are.
 	clientShare = 1.0 / 8
-	// minClientShare is what a client may hold in any case while the process may hold more.
-	minClientShare = 32 << 10
+	// minClientShare is what a client may hold while anything is free: its fixed cost and one more buffer.
+	minClientShare = ConnectionCost + GoroutineCost + 16<<10
 	// minBlocked is how long a write must have taken before its client counts as a slow reader; the longest round trip takes about 20 ms.
 	minBlocked = 500 * time.Millisecond
 	// minIdle is how long a connection must have been idle before it may be ended.
@@ -30,6 +35,10 @@
 	// maxWriteTime is twice the deadline of the most patient clients.
 	maxWriteTime = 10 * time.Second
 	minWriteTime = time.Second
+	// maxUnread is how long no further byte of an answer can be held, because its client holds its share, before it is given up: a backend server
+	// cuts off an answer that stays unread for some seconds. While the budget is exhausted it is minUnread, since the slot of the backend server
+	// is occupied until then; the time is that of a slow reader.
+	maxUnread, minUnread = 3 * time.Second, minBlocked
 	// The bounds of the time after which a refused request may come again.
 	minRetryDelay, maxRetryDelay = 100 * time.Millisecond, 2 * time.Second
 )
@@ -48,8 +57,8 @@
 	Held, Limit int64
 	// SlowReaders and Idle are the connections that were ended now.
 	SlowReaders, Idle int
-	// Refused is the number of refusals since the process started.
-	Refused int64
+	// Refused and Unread are the refusals, and the answers that were given up because they were not read, since the process started.
+	Refused, Unread int64
 }
 
 // Usage is what a budget holds and has decided.
@@ -156,6 +165,14 @@
 	return now.Add(maxWriteTime - time.Duration(pressed*float64(maxWriteTime-minWriteTime)))
 }
 
+// HoldDeadline returns until when an answer is kept of which no further byte could be held since the given time.
+func (budget *Budget) HoldDeadline(since time.Time) time.Time {
+	if budget.total.Load() > budget.part(exhaustedAbove) {
+		return since.Add(minUnread)
+	}
+	return since.Add(maxUnread)
+}
+
 // add counts bytes.
 func (budget *Budget) add(kind Kind, bytes int64) {
 	budget.held[kind].Add(bytes)
@@ -167,6 +184,13 @@
 	}
 }
 
+// Count counts bytes that belong to no client, as held if positive and as released if negative.
+func (budget *Budget) Count(kind Kind, bytes int64) {
+	if budget != nil {
+		budget.add(kind, bytes)
+	}
+}
+
 // fits reports whether a client that holds some bytes may hold more of the kind.
 func (budget *Budget) fits(kind Kind, clientBytes, bytes int64) bool {
 	total := budget.total.Load()
@@ -176,7 +200,10 @@
 	case kind == Connections:
 		return total+bytes <= budget.config.Limit
 	}
-	free := budget.part(reserveBelow) - total
+	if kind == Heads {
+		return total+bytes <= budget.part(reserveBelow)
+	}
+	free := budget.part(aheadBelow) - total
 	return bytes <= free && clientBytes+bytes <= max(minClientShare, int64(float64(free)*clientShare))
 }
 
@@ -206,6 +233,7 @@
 	if budget.config.OnPressure != nil {
 		budget.config.OnPressure(Pressure{
 			Held: budget.total.Load(), Limit: budget.config.Limit, SlowReaders: len(readers), Idle: len(idle), Refused: budget.refused.Load(),
+			Unread: budget.endedUnread.Load(),
 		})
 	}
 }
--- a/mesh/budgeter/kind.go
+++ b/mesh/budgeter/kind.go
@@ -30,8 +30,10 @@
 
 // The fixed costs in bytes.
 const (
-	// ConnectionCost is that of a connection: two buffers of 4 KiB, the parser's of 4 KiB, the stack of the reading goroutine and the descriptors.
-	ConnectionCost = 20 << 10
+	// ConnectionCost is that of a connection: two buffers of 4 KiB, the text of a usual head, and the stack of the reading goroutine.
+	ConnectionCost = 18 << 10
+	// OutgoingCost is that of a connection to a server or another daemon: its buffer of 4 KiB and its bookkeeping.
+	OutgoingCost = 6 << 10
 	// GoroutineCost is that of a request in progress: the stack of its goroutine, which grows to 8 KiB, and its objects.
 	GoroutineCost = 12 << 10
 	// QueuedCost is that of a task that waits for a slot: its metadata, its timers and its channel.
--- a/mesh/budgeter/serverbytes.go
+++ b/mesh/budgeter/serverbytes.go
@@ -21,6 +21,8 @@
 	growthInterval = time.Second
 	// ceilingTerm is how long the limit stays below the bytes at which the server has crashed; afterwards the server may be another build.
 	ceilingTerm = 10 * time.Minute
+	// smallBytes is the size up to which requests are always sent: all slots and the queue of a server with them are a few hundred KB.
+	smallBytes = 4 << 10
 	// serverRetryDelay is after which time a request that did not fit may be sent again: a few run times.
 	serverRetryDelay = 300 * time.Millisecond
 	// impossibleRetryDelay is that of a request which alone exceeds what the server has crashed with.
@@ -33,6 +35,8 @@
 	mutex sync.Mutex
 	// held and limit are in bytes.
 	held, limit int64
+	// requests is the number of requests that are held.
+	requests int64
 	// ceiling is the number of bytes with which a process crashed, until ceilingUntil.
 	ceiling      int64
 	ceilingUntil time.Time
@@ -56,25 +60,38 @@
 	if now.After(serverbytes.ceilingUntil) {
 		serverbytes.ceiling = 0
 	}
-	isPossible := serverbytes.ceiling == 0 || bytes < serverbytes.ceiling || bytes <= minServerBytes
 	switch {
-	case !isPossible:
+	case !serverbytes.isPossible(bytes):
 		serverbytes.refused++
 		return impossibleRetryDelay, false
-	case serverbytes.held > 0 && serverbytes.held+bytes > serverbytes.limit:
+	case serverbytes.held > 0 && bytes > smallBytes && serverbytes.held+bytes > serverbytes.limit:
 		serverbytes.refused++
 		serverbytes.isReached = true
 		return serverRetryDelay, false
 	}
 	serverbytes.held += bytes
+	serverbytes.requests++
 	return 0, true
 }
 
-// Add counts bytes of a request without a declared length that has been sent already.
-func (serverbytes *ServerBytes) Add(bytes int64) {
+// isPossible reports whether a request alone is small enough for what is known of the server; the mutex must be locked.
+func (serverbytes *ServerBytes) isPossible(bytes int64) bool {
+	return serverbytes.ceiling == 0 || bytes <= max(int64(float64(serverbytes.ceiling)*keptShare), minServerBytes)
+}
+
+// Add counts bytes that are to be sent for a request without a declared length, of which the server holds own bytes already; it returns false if
+// they may exceed the server's memory. Then only requests that hold more than an equal part are ended.
+func (serverbytes *ServerBytes) Add(own, bytes int64) bool {
 	serverbytes.mutex.Lock()
 	defer serverbytes.mutex.Unlock()
+	isAlone := own == serverbytes.held && serverbytes.isPossible(own+bytes)
+	if !isAlone && serverbytes.held+bytes > serverbytes.limit && own+bytes > serverbytes.limit/max(serverbytes.requests, 1) {
+		serverbytes.isReached = true
+		serverbytes.refused++
+		return false
+	}
 	serverbytes.held += bytes
+	return true
 }
 
 // Leave ends the count of a request; answered means that the server has run it.
@@ -82,6 +99,7 @@
 	serverbytes.mutex.Lock()
 	defer serverbytes.mutex.Unlock()
 	serverbytes.held -= bytes
+	serverbytes.requests--
 	if !answered || !serverbytes.isReached || now.Before(serverbytes.growAt) {
 		return
 	}
--- /dev/null
+++ b/mesh/budgeter/serverbytes_test.go
@@ -0,0 +1,127 @@
+package budgeter
+
+import (
+	"testing"
+	"time"
+
+	"lagoonlanding.example/lagoonlanding"
+)
+
+// standin is a server that crashes when the requests that it holds exceed its memory.
+type standin struct {
+	memory, held int64
+	processes    int64
+	crashes      int
+}
+
+func (standin *standin) id() lagoonlanding.BackendID {
+	return lagoonlanding.NewBackendID("d", "s", standin.processes)
+}
+
+// TestServerBytesAreLearned guards against a server that crashes again and again, and against a limit that stays low for a server with more memory.
+//
+// Ten slots and a queue of 36 are always full with bodies of 300 KB, 13.8 MB in all; each request lasts 200 ms.
+func TestServerBytesAreLearned(t *testing.T) {
+	const size, places, rounds = 300 << 10, 46, 1500
+	for memory, want := range map[int64]struct {
+		crashes     int
+		atLeastHeld int64
+	}{6 << 20: {crashes: 2, atLeastHeld: 3 << 20}, 64 << 20: {crashes: 0, atLeastHeld: 13 << 20}} {
+		bytes, server, now := NewServerBytes(), &standin{memory: memory}, time.Unix(1000, 0)
+		for range rounds {
+			entered := 0
+			for range places {
+				if _, ok := bytes.Enter(now, size); ok {
+					entered++
+				}
+			}
+			server.held = int64(entered) * size
+			now = now.Add(200 * time.Millisecond)
+			answered := server.held <= server.memory
+			if !answered {
+				server.crashes++
+				bytes.Crashed(now, server.id())
+				bytes.Crashed(now, server.id())
+				server.processes++
+			}
+			for range entered {
+				bytes.Leave(now, size, answered)
+			}
+		}
+		held, limit, _ := bytes.State()
+		if server.crashes > want.crashes || limit < want.atLeastHeld || held != 0 {
+			t.Errorf("memory %d: %d crashes, limit %d, %d bytes left", memory, server.crashes, limit, held)
+		}
+	}
+}
+
+// TestOrdinaryLoadFits guards against refusals of ordinary requests before anything is known, and by crashes for other reasons.
+func TestOrdinaryLoadFits(t *testing.T) {
+	bytes, now := NewServerBytes(), time.Unix(1000, 0)
+	for range 46 {
+		if _, ok := bytes.Enter(now, 64<<10); !ok {
+			t.Fatal("an ordinary request was refused")
+		}
+	}
+	for range 46 {
+		bytes.Leave(now, 64<<10, true)
+	}
+	bytes.Enter(now, 500)
+	if _, previous, current := bytes.Crashed(now, lagoonlanding.NewBackendID("d", "s", 1)); previous != current {
+		t.Errorf("a crash with 500 bytes lowered the limit to %d", current)
+	}
+}
+
+// TestLargeRequests guards against a large request that can never run, and against one that crashes each process of a server.
+func TestLargeRequests(t *testing.T) {
+	bytes, now := NewServerBytes(), time.Unix(1000, 0)
+	if _, ok := bytes.Enter(now, 40<<20); !ok {
+		t.Error("a large request was refused although the server holds nothing")
+	}
+	if _, ok := bytes.Enter(now, 64<<10); ok {
+		t.Error("a request was accepted beside one that exceeds the limit")
+	}
+	if _, ok := bytes.Enter(now, 500); !ok {
+		t.Error("a request without a body was refused")
+	}
+	bytes.Crashed(now, lagoonlanding.NewBackendID("d", "s", 1))
+	bytes.Leave(now, 40<<20, false)
+	bytes.Leave(now, 500, false)
+	if delay, ok := bytes.Enter(now, 40<<20); ok || delay != impossibleRetryDelay {
+		t.Error("the server gets again what it has crashed with")
+	}
+	if _, ok := bytes.Enter(now.Add(ceilingTerm+time.Second), 40<<20); !ok {
+		t.Error("a crash counts for ever")
+	}
+}
+
+// TestBodiesWithoutLength guards against endless bodies beside others that exceed the server's memory, and against ending ordinary ones for them.
+func TestBodiesWithoutLength(t *testing.T) {
+	bytes, now := NewServerBytes(), time.Unix(1000, 0)
+	held := make([]int64, 20)
+	for range held {
+		bytes.Enter(now, 0)
+	}
+	ended := 0
+	for range 100 {
+		for number := range held {
+			size := int64(16 << 10)
+			if number == 0 && held[0] >= 64<<10 {
+				continue
+			}
+			if bytes.Add(held[number], size) {
+				held[number] += size
+			} else if number == 0 {
+				t.Fatal("an ordinary body was ended")
+			} else {
+				bytes.Leave(now, held[number], false)
+				held[number] = 0
+				ended++
+				bytes.Enter(now, 0)
+			}
+		}
+	}
+	if total, _, _ := bytes.State(); total > 2*firstServerBytes || ended == 0 {
+		t.Errorf("%d bytes are held, %d bodies were ended", total, ended)
+	}
+}
--- a/mesh/connector/connection.go
+++ b/mesh/connector/connection.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sys/unix"
 
 	"lagoonlanding.example/lagoonlanding"
+	"lagoonlanding.example/lagoonlanding/mesh/budgeter"
 	"lagoonlanding.example/lagoonlanding/mesh/framer"
 )
 
@@ -36,6 +37,8 @@
 // connection is a TCP connection that serves one request at a time.
 type connection struct {
 	net.Conn
+	// memory counts the connection until it is closed.
+	memory  *budgeter.Budget
 	address string
 	reader  *bufio.Reader
 	// requestedAt is when the last request was sent.
@@ -115,6 +118,9 @@
 	err := connection.Conn.Close()
 	connection.writing.Lock()
 	defer connection.writing.Unlock()
+	if !connection.isClosed {
+		connection.memory.Count(budgeter.Connections, -budgeter.OutgoingCost)
+	}
 	connection.isClosed = true
 	return err
 }
--- a/mesh/connector/pool.go
+++ b/mesh/connector/pool.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sys/unix"
 
 	"lagoonlanding.example/lagoonlanding"
+	"lagoonlanding.example/lagoonlanding/mesh/budgeter"
 	"lagoonlanding.example/lagoonlanding/mesh/framer"
 )
 
@@ -41,6 +42,8 @@
 	OnEnd func(address string, sent, received int)
 	// Matches reports whether a response belongs to the request; responses that don't are skipped. Nil accepts every response.
 	Matches func(request *http.Request, response *http.Response) bool
+	// Memory counts the connections; nil if they are not counted.
+	Memory *budgeter.Budget
 	// Framed means that heads are sent and received in the compact form, which only daemons understand.
 	Framed bool
 }
@@ -236,6 +239,8 @@
 		return nil, err
 	}
 	opened := newConnection(dialed, address)
+	opened.memory = pool.config.Memory
+	opened.memory.Count(budgeter.Connections, budgeter.OutgoingCost)
 	if pool.config.Framed {
 		opened.encoder, opened.decoder = framer.NewEncoder(), framer.NewDecoder(maxResponseHead)
 	}
--- a/mesh/connector/spool.go
+++ b/mesh/connector/spool.go
@@ -14,9 +14,6 @@
 const (
 	// firstChunkBytes and chunkBytes are the sizes of the buffers for an answer: most answers fit into the first.
 	firstChunkBytes, chunkBytes = 4 << 10, 16 << 10
-	// maxUnread is how long no further byte of an answer can be held before it is given up: a backend server cuts off an answer that stays
-	// unread for some seconds, and its slot is occupied until then.
-	maxUnread = 3 * time.Second
 	// roomInterval is the interval at which a receiver that is out of room looks for some that others have released; its own reader wakes it at once.
 	roomInterval = 250 * time.Millisecond
 )
@@ -136,12 +133,12 @@
 
 // awaitRoom waits until more can be received; it returns false if the body is not to be received any more.
 func (spool *spool) awaitRoom() bool {
-	giveUpAt := time.Now().Add(maxUnread)
+	since := time.Now()
 	for !spool.tailRoom() {
 		if spool.isClosed() {
 			return false
 		}
-		if !time.Now().Before(giveUpAt) {
+		if !time.Now().Before(spool.account.Budget().HoldDeadline(since)) {
 			spool.finish(ErrNotHeld)
 			spool.account.EndUnread()
 			return false
