--- a/lagoonmesh/daemon.go
+++ b/lagoonmesh/daemon.go
@@ -66,6 +66,7 @@
 	daemon.memory, daemon.serverBytes = daemon.newBudget(), daemon.newServerBytes()
 	daemon.fleet, daemon.directives = relayer.NewJournal(coordinator.FleetPrefix), relayer.NewJournal(platform.DirectivePrefix)
 	poolConfig := connector.Config{DialTimeout: dialTimeout, IdleTimeout: idleTimeout, SilenceTimeout: silenceTimeout, MaxIdle: maxIdleConnections}
+	poolConfig.Memory = daemon.memory
 	poolConfig.OnEnd = func(address string, sent, received int) { daemon.countBytes(kindTask, address, sent, received) }
 	poolConfig.OnSilence = daemon.recordSilence
 	daemon.pool = connector.NewPool(poolConfig)
--- a/lagoonmesh/memory.go
+++ b/lagoonmesh/memory.go
@@ -40,6 +40,7 @@
 		if pressure.isDue(time.Now()) {
 			daemon.logFor("memory").WithFields(logrus.Fields{
 				"held": state.Held, "limit": state.Limit, "slow-readers": state.SlowReaders, "idle": state.Idle, "refused-in-total": state.Refused,
+				"unread-in-total": state.Unread,
 			}).Warn("Memory budget is nearly exhausted.")
 		}
 	}})
--- a/lagoonmesh/stop_test.go
+++ b/lagoonmesh/stop_test.go
@@ -26,7 +26,7 @@
 	if settings == "" {
 		os.Exit(m.Run())
 	}
-	if err := run([]string{"-settings", settings, "-log-level", "error"}); err != nil {
+	if err := run([]string{"-settings", settings, "-log-level", "warn"}); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitFailure)
 	}
@@ -40,7 +40,12 @@
 
 func startProcess(t *testing.T, name, zone, service, store string) *testProcess {
 	t.Helper()
-	started := &testProcess{deployment: newDeployment(name, zone, service, store)}
+	return startDeployment(t, newDeployment(name, zone, service, store))
+}
+
+func startDeployment(t *testing.T, deployed deployment) *testProcess {
+	t.Helper()
+	started := &testProcess{deployment: deployed}
 	path := filepath.Join(t.TempDir(), "node.toml")
 	if err := os.WriteFile(path, []byte(started.settings), 0o600); err != nil {
 		t.Fatal(err)
