--- a/mesh/budgeter/account.go
+++ b/mesh/budgeter/account.go
@@ -44,6 +44,7 @@
 	account.client = account
 	if !budget.fits(Connections, 0, ConnectionCost) {
 		budget.refused.Add(1)
+		budget.shed(time.Now())
 		return nil, false
 	}
 	account.Charge(Connections, ConnectionCost)
--- a/mesh/receiver/receiver_test.go
+++ b/mesh/receiver/receiver_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"lagoonlanding.example/lagoonlanding/mesh/budgeter"
 	"lagoonlanding.example/lagoonlanding/mesh/drainer"
 	"lagoonlanding.example/lagoonlanding/runtime/timekeeper"
 )
@@ -39,6 +40,10 @@
 }
 
 func startServer(t testing.TB, handler http.HandlerFunc) *testServer {
+	return startLimitedServer(t, handler, nil)
+}
+
+func startLimitedServer(t testing.TB, handler http.HandlerFunc, memory *budgeter.Budget) *testServer {
 	t.Helper()
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -50,7 +55,7 @@
 	server := New(Config{
 		Handler: handler, Refuse: func(writer http.ResponseWriter) { writer.WriteHeader(http.StatusServiceUnavailable) },
 		Overlaps: func(request *http.Request) bool { return strings.HasPrefix(request.URL.Path, "/safe") },
-		Drain:    started.drain, Meter: started.meter, Log: logrus.NewEntry(log),
+		Drain:    started.drain, Memory: memory, Meter: started.meter, Log: logrus.NewEntry(log),
 		HeaderTimeout: 2 * time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: 16 << 10,
 	})
 	var serving sync.WaitGroup
