Accept connections of other daemons in any case, and keep idle ones for 5 s

A daemon that loses a connection with a task on it can't tell whether the task has run, so its tasks are refused instead of its connections, and its idle connections are not ended. A client's idle connection is ended after 5 s at the earliest, since a request sent at that moment is lost.

--- a/mesh/budgeter/account.go
+++ b/mesh/budgeter/account.go
@@ -40,18 +40,27 @@
 	if budget == nil {
 		return nil, true
 	}
-	account := &Account{budget: budget, end: end}
-	account.client = account
 	if !budget.fits(Connections, 0, ConnectionCost) {
 		budget.refused.Add(1)
 		budget.shed(time.Now())
 		return nil, false
 	}
+	return budget.OpenPeer(end), true
+}
+
+// OpenPeer returns the account of a connection of another daemon, which is accepted in any case: its sender could not tell whether a task that it
+// lost with the connection has run. Its tasks are refused instead.
+func (budget *Budget) OpenPeer(end func(cause Cause)) *Account {
+	if budget == nil {
+		return nil
+	}
+	account := &Account{budget: budget, end: end}
+	account.client = account
 	account.Charge(Connections, ConnectionCost)
 	budget.mutex.Lock()
 	defer budget.mutex.Unlock()
 	budget.clients[account] = struct{}{}
-	return account, true
+	return account
 }
 
 // OpenRequest returns the account of a request on the connection.
--- a/mesh/budgeter/budget.go
+++ b/mesh/budgeter/budget.go
@@ -26,8 +26,8 @@
 	minClientShare = ConnectionCost + GoroutineCost + 16<<10
 	// minBlocked is how long a write must have taken before its client counts as a slow reader; the longest round trip takes about 20 ms.
 	minBlocked = 500 * time.Millisecond
-	// minIdle is how long a connection must have been idle before it may be ended.
-	minIdle = time.Second
+	// minIdle is how long a connection must have been idle before it may be ended: a request that its client sends at that moment is lost.
+	minIdle = 5 * time.Second
 	// shedInterval is the least time between two searches for connections to end.
 	shedInterval = 100 * time.Millisecond
 	// relaxedBelow is the fraction of the limit up to which a slow reader gets maxWriteTime; the time then falls to minWriteTime at refuseAbove.
--- a/mesh/receiver/connection.go
+++ b/mesh/receiver/connection.go
@@ -70,14 +70,11 @@
 		pipeline:  pipeliner.New(pipeliner.Config{MaxRequests: maxRequests, MaxHeadBytes: maxHeadBytes}),
 		idleUntil: time.Now().Add(config.IdleTimeout),
 	}
-	memory, ok := config.Memory.Open(created.terminate)
-	if !ok {
+	if !created.open() {
 		cancel()
 		return nil, false
 	}
-	memory.SetIdle(time.Now())
-	limitBuffer(config, accepted)
-	created.memory, created.codec = memory, newTextCodec(config.MaxHeaderBytes, memory)
+	created.codec = newTextCodec(config.MaxHeaderBytes, created.memory)
 	created.reader, created.writer = bufio.NewReaderSize(accepted, readBufferSize), bufio.NewWriter(clientWriter{connection: created})
 	return created, true
 }
@@ -279,7 +276,7 @@
 	case connection.pipeline.IsEmpty() && !connection.isReadingHead:
 		connection.idleUntil = time.Now().Add(connection.config.IdleTimeout)
 		connection.setReadDeadline(connection.idleUntil)
-		connection.memory.SetIdle(time.Now())
+		connection.setIdle()
 	}
 }
 
--- a/mesh/receiver/memory.go
+++ b/mesh/receiver/memory.go
@@ -35,13 +35,32 @@
 // write is not reported as progress before a third of it is free, so that a slow reader looks like one that does not read.
 const clientBufferBytes = 64 << 10
 
-// limitBuffer bounds the system's buffer for a client. Other daemons read promptly and may be distant, so theirs stays as it is.
-func limitBuffer(config Config, accepted net.Conn) {
-	if tcp, ok := accepted.(*net.TCPConn); ok && config.Memory.IsLimited() && !config.AllowsFrames {
+// open opens the account of the connection; it returns false if the memory budget has no room for it.
+//
+// Other daemons read promptly and may be distant, so their connections keep the system's buffer.
+func (connection *connection) open() (ok bool) {
+	if connection.config.AllowsFrames {
+		connection.memory = connection.config.Memory.OpenPeer(connection.terminate)
+		return true
+	}
+	if connection.memory, ok = connection.config.Memory.Open(connection.terminate); !ok {
+		return false
+	}
+	connection.setIdle()
+	if tcp, ok := connection.Conn.(*net.TCPConn); ok && connection.config.Memory.IsLimited() {
 		if err := tcp.SetWriteBuffer(clientBufferBytes); err != nil {
-			config.Log.WithError(err).Debug("Cannot bound the send buffer of a client.")
+			connection.config.Log.WithError(err).Debug("Cannot bound the send buffer of a client.")
 		}
 	}
+	return true
+}
+
+// setIdle records that the connection has no request in progress. That of another daemon is not ended for it, since a task that is sent at that
+// moment would have an unknown outcome.
+func (connection *connection) setIdle() {
+	if !connection.config.AllowsFrames {
+		connection.memory.SetIdle(time.Now())
+	}
 }
 
 // terminate ends the connection to release memory.
--- a/mesh/receiver/memory_test.go
+++ b/mesh/receiver/memory_test.go
@@ -91,7 +91,6 @@
 	if _, err := http.ReadResponse(idle.reader, nil); err != nil {
 		t.Fatal(err)
 	}
-	time.Sleep(1100 * time.Millisecond)
 	budget.Count(budgeter.Answers, testLimit)
 	// The reset may arrive before the connection is reported as open.
 	if refused, err := net.Dial("tcp4", server.address); err == nil {
@@ -100,7 +99,7 @@
 		}
 		refused.Close()
 	}
-	budget.Admit(time.Now())
+	budget.Admit(time.Now().Add(10 * time.Second))
 	if text, err := io.ReadAll(idle.reader); err != nil || string(text) != "ok" {
 		t.Errorf("the idle connection ended with %q, %v", text, err)
 	}
