Keep the slot of a short answer that has not been received

Where the budget is exhausted, also an answer of less than 64 KiB is received while it is passed on. Its declared length was taken to mean that it had been received, so that its slot was freed and its connection was closed.

--- a/mesh/acceptor/acceptor.go
+++ b/mesh/acceptor/acceptor.go
@@ -92,12 +92,12 @@
 	acceptor.log(task, result)
 	answer := result.Answer()
 	body := &finishOnClose{ReadCloser: answer.Body(), end: end}
-	if answer.BodyLength() >= 0 && answer.BodyLength() <= maxPrefetchedBody {
+	if received, ok := answer.Body().(lagoonlanding.ReceivedBody); ok {
+		// A short answer may not have been received yet either, if there was no memory for it.
+		received.OnReceived(body.finish)
+	} else if answer.BodyLength() >= 0 && answer.BodyLength() <= maxPrefetchedBody {
 		// The whole answer has been read, so the slot can be freed before the answer is forwarded.
 		body.finish()
-	} else if received, ok := answer.Body().(lagoonlanding.ReceivedBody); ok {
-		// The backend server does not wait for the client either.
-		received.OnReceived(body.finish)
 	}
 	return acceptor.withLoad(result.With(func(config *lagoonlanding.ResultConfig) { config.Answer = answer.WithBody(body) }))
 }
--- a/mesh/acceptor/serverbytes_test.go
+++ b/mesh/acceptor/serverbytes_test.go
@@ -51,3 +51,28 @@
 		t.Errorf("%d bytes are still counted", held)
 	}
 }
+
+// pendingBody is a body that is received later.
+type pendingBody struct {
+	io.ReadCloser
+	onReceived func()
+}
+
+func (pendingbody *pendingBody) OnReceived(call func()) { pendingbody.onReceived = call }
+
+// TestSlotIsFreedOnceTheAnswerIsReceived guards against a short answer that is cut off because its slot was freed, with its connection, before it had
+// arrived, and against a slot that waits for a client.
+func TestSlotIsFreedOnceTheAnswerIsReceived(t *testing.T) {
+	body := &pendingBody{ReadCloser: io.NopCloser(strings.NewReader("answer"))}
+	answer := lagoonlanding.NewAnswer(lagoonlanding.AnswerConfig{Status: 200, Body: body, BodyLength: 6})
+	runner := &fakeRunner{result: lagoonlanding.NewResult(lagoonlanding.ResultConfig{Outcome: lagoonlanding.OutcomeAnswered, Answer: answer})}
+	acceptor, gate := newAcceptor(runner, nil, nil)
+	acceptor.Handle(t.Context(), task("s", lagoonlanding.NoShardKey))
+	if running := gate.Load().Running(); running != 1 {
+		t.Errorf("%d tasks are running before the answer has been received", running)
+	}
+	body.onReceived()
+	if running := gate.Load().Running(); running != 0 {
+		t.Errorf("%d tasks are running after the answer has been received", running)
+	}
+}
