--- a/lagoonmesh/memory_test.go
+++ b/lagoonmesh/memory_test.go
@@ -31,6 +31,8 @@
 // childDaemon is a daemon in a process of its own, beside a stand-in whose answers have the size that the request names.
 type childDaemon struct {
 	*testProcess
+	// distant is the client address of another such daemon, whose server has another service.
+	distant string
 	// cutOff counts the answers that the stand-in cut off because they stayed unread.
 	cutOff *atomic.Int64
 }
@@ -44,23 +46,32 @@
 	cutOff := new(atomic.Int64)
 	standin := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) { answerBytes(writer, request, cutOff) }))
 	t.Cleanup(standin.Close)
-	deployed := newDeployment("plain-1", "z1", "plain", storeServer.Listener.Addr().String())
-	control := regexp.MustCompile(`control = "(.*)"`).FindStringSubmatch(deployed.settings)[1]
-	deployed.settings = regexp.MustCompile(`appAddress = .*`).ReplaceAllString(deployed.settings, fmt.Sprintf("appAddress = %q\noverload-control = true", standin.Listener.Addr()))
-	deployed.settings += fmt.Sprintf("[limits]\nmemoryMb = %d\n", childMemoryMB)
-	// Only the announcements of this server are used.
-	deployed.backend = simulator.NewServer(simulator.ServerConfig{
-		Name: "i-plain-1", Service: "plain", Address: reserver.Address(), AnnouncementAddress: control, Slots: 3000, HeartbeatInterval: 100 * time.Millisecond,
-	})
-	child := childDaemon{testProcess: startDeployment(t, deployed), cutOff: cutOff}
+	address := storeServer.Listener.Addr().String()
+	child := childDaemon{testProcess: startLimited(t, "plain-1", "plain", address, standin.Listener.Addr()), cutOff: cutOff}
+	child.distant = startLimited(t, "divided-1", "divided", address, standin.Listener.Addr()).clientAddress
 	waitFor(t, "the daemon serves", 15*time.Second, func() bool {
 		status, _, _ := request(child.clientAddress, "GET", "/read/1", "warm", -1, nil)
-		return status == 200
+		distant, _, _ := request(child.distant, "GET", "/read/1", "warm", -1, nil)
+		return status == 200 && distant == 200
 	})
 	t.Logf("memory without traffic: %d KB", child.memory(t, "VmRSS"))
 	return child
 }
 
+// startLimited starts a daemon with a memory limit and overload control in a process of its own, whose requests go to the stand-in.
+func startLimited(t *testing.T, name, service, store string, standin net.Addr) *testProcess {
+	t.Helper()
+	deployed := newDeployment(name, "z1", service, store)
+	control := regexp.MustCompile(`control = "(.*)"`).FindStringSubmatch(deployed.settings)[1]
+	deployed.settings = regexp.MustCompile(`appAddress = .*`).ReplaceAllString(deployed.settings, fmt.Sprintf("appAddress = %q\noverload-control = true", standin))
+	deployed.settings += fmt.Sprintf("[limits]\nmemoryMb = %d\n", childMemoryMB)
+	// Only the announcements of this server are used.
+	deployed.backend = simulator.NewServer(simulator.ServerConfig{
+		Name: "i-" + name, Service: service, Address: reserver.Address(), AnnouncementAddress: control, Slots: 3000, HeartbeatInterval: 100 * time.Millisecond,
+	})
+	return startDeployment(t, deployed)
+}
+
 // answerBytes reads the request and answers with the number of bytes at the end of the path; an answer that is not read in time is cut off.
 func answerBytes(writer http.ResponseWriter, request *http.Request, cutOff *atomic.Int64) {
 	if _, err := io.Copy(io.Discard, request.Body); err != nil {
@@ -110,8 +121,8 @@
 }
 
 // open sends the text of a request over a connection that receives few bytes ahead of its reader.
-func (child childDaemon) open(text string, buffer int) (net.Conn, error) {
-	conn, err := net.Dial("tcp", child.clientAddress)
+func open(address, text string, buffer int) (net.Conn, error) {
+	conn, err := net.Dial("tcp", address)
 	if err != nil {
 		return nil, err
 	}
@@ -136,7 +147,7 @@
 	for number := range clients {
 		workers.Go(func() {
 			for try := 0; time.Now().Before(until); try++ {
-				conn, err := child.open(get(fmt.Sprintf("/bulk/%d", answer), fmt.Sprintf("slow-%d-%d", number, try)), 4<<10)
+				conn, err := open(child.clientAddress, get(fmt.Sprintf("/bulk/%d", answer), fmt.Sprintf("slow-%d-%d", number, try)), 4<<10)
 				if err != nil {
 					time.Sleep(time.Second)
 					continue
@@ -194,14 +205,18 @@
 func TestUnreadAnswers(t *testing.T) {
 	child := startChild(t)
 	for name, test := range map[string]struct {
+		address     string
 		size, pause int
 		isComplete  bool
 	}{
-		"held while the client pauses": {size: 4 << 20, pause: 4, isComplete: true},
-		"too long to be held":          {size: 48 << 20, pause: 6},
+		"held while the client pauses":                   {address: child.clientAddress, size: 4 << 20, pause: 4, isComplete: true},
+		"held while the client of another daemon pauses": {address: child.distant, size: 4 << 20, pause: 4, isComplete: true},
+		"too long to be held":                            {address: child.clientAddress, size: 48 << 20, pause: 6},
+		"too long to be held by two daemons":             {address: child.distant, size: 48 << 20, pause: 6},
 	} {
 		t.Run(name, func(t *testing.T) {
-			conn, err := child.open(get(fmt.Sprintf("/bulk/%d", test.size), name), 64<<10)
+			t.Parallel()
+			conn, err := open(test.address, get(fmt.Sprintf("/bulk/%d", test.size), name), 64<<10)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -218,7 +233,7 @@
 			}
 		})
 	}
-	child.checkPeak(t)
+	t.Cleanup(func() { child.checkPeak(t) })
 }
 
 // TestEndlessRequests guards against heads and bodies without end that exceed the memory of the process.
@@ -235,7 +250,7 @@
 				if number%2 == 0 {
 					text = fmt.Sprintf("POST /bulk/1 HTTP/1.1\r\nHost: h\r\nX-Request-Id: e-%d-%d\r\nTransfer-Encoding: chunked\r\n\r\n", number, try)
 				}
-				conn, err := child.open(text, 64<<10)
+				conn, err := open(child.clientAddress, text, 64<<10)
 				if err != nil {
 					time.Sleep(100 * time.Millisecond)
 					continue
