--- a/lagoonmesh/memory_test.go
+++ b/lagoonmesh/memory_test.go
@@ -141,7 +141,7 @@
 func TestSlowReaders(t *testing.T) {
 	child := startChild(t)
 	const clients, answer, duration = 2000, 2 << 20, 12 * time.Second
-	var answered, refused, ended atomic.Int64
+	var answered, refused atomic.Int64
 	until := time.Now().Add(duration)
 	var workers sync.WaitGroup
 	for number := range clients {
@@ -152,7 +152,7 @@
 					time.Sleep(time.Second)
 					continue
 				}
-				readSlowly(conn, until, &answered, &refused, &ended)
+				readSlowly(conn, until, &answered, &refused)
 				conn.Close()
 			}
 		})
@@ -171,8 +171,8 @@
 		time.Sleep(50 * time.Millisecond)
 	}
 	workers.Wait()
-	t.Logf("slow readers: %d answers begun, %d refusals, %d ended; answers that the server cut off: %d; other clients: %d in time, %d not (by status: %v)",
-		answered.Load(), refused.Load(), ended.Load(), child.cutOff.Load(), inTime, late, statuses)
+	t.Logf("slow readers: %d answers begun, %d refusals; answers that the server cut off: %d; other clients: %d in time, %d not (by status: %v)",
+		answered.Load(), refused.Load(), child.cutOff.Load(), inTime, late, statuses)
 	child.checkPeak(t)
 	if answered.Load() == 0 || inTime < 9*late {
 		t.Errorf("only %d of %d requests of other clients were in time", inTime, inTime+late)
@@ -180,10 +180,9 @@
 }
 
 // readSlowly reads the head of an answer, and then a byte a second until the connection or the test ends.
-func readSlowly(conn net.Conn, until time.Time, answered, refused, ended *atomic.Int64) {
+func readSlowly(conn net.Conn, until time.Time, answered, refused *atomic.Int64) {
 	head := make([]byte, 12)
 	if _, err := io.ReadFull(conn, head); err != nil {
-		ended.Add(1)
 		return
 	}
 	if string(head[9:]) != "200" {
@@ -194,7 +193,6 @@
 	answered.Add(1)
 	for time.Now().Before(until) {
 		if _, err := conn.Read(head[:1]); err != nil {
-			ended.Add(1)
 			return
 		}
 		time.Sleep(time.Second)
--- a/mesh/budgeter/budget_test.go
+++ b/mesh/budgeter/budget_test.go
@@ -2,70 +2,47 @@
 
 import (
 	"context"
-	"sync"
 	"testing"
 	"time"
 )
 
 const testLimit = 60 << 20
 
-// ended records the connections that a budget ends.
-type ended struct {
-	mutex  sync.Mutex
-	causes map[int]Cause
-}
-
-func (ended *ended) open(t *testing.T, budget *Budget, number int) *Account {
+// open opens a connection whose end is sent to the channel.
+func open(t *testing.T, budget *Budget, ends chan<- Cause) *Account {
 	t.Helper()
-	account, ok := budget.Open(func(cause Cause) {
-		ended.mutex.Lock()
-		defer ended.mutex.Unlock()
-		ended.causes[number] = cause
-	})
+	account, ok := budget.Open(func(cause Cause) { ends <- cause })
 	if !ok {
-		t.Fatalf("connection %d was refused", number)
+		t.Fatal("a connection was refused")
 	}
 	return account
 }
 
-func (ended *ended) await(t *testing.T, count int) map[int]Cause {
-	t.Helper()
-	for range 200 {
-		ended.mutex.Lock()
-		if len(ended.causes) >= count {
-			defer ended.mutex.Unlock()
-			return ended.causes
-		}
-		ended.mutex.Unlock()
-		time.Sleep(10 * time.Millisecond)
-	}
-	t.Fatalf("fewer than %d connections were ended", count)
-	return nil
-}
-
 // TestSlowestReadersAreEndedFirst guards against new requests being refused, or quick clients being ended, while slow readers hold the memory.
 func TestSlowestReadersAreEndedFirst(t *testing.T) {
 	budget, now := New(Config{Limit: testLimit}), time.Unix(1000, 0)
-	ended := &ended{causes: map[int]Cause{}}
-	for number, since := range []time.Duration{-3 * time.Second, -100 * time.Millisecond, -time.Second, -2 * time.Second} {
-		account := ended.open(t, budget, number)
-		account.BeginWrite(now.Add(since))
-		account.Charge(Answers, 11<<20)
+	var accounts []*Account
+	for _, since := range []time.Duration{-3 * time.Second, -100 * time.Millisecond, -time.Second, -2 * time.Second} {
+		accounts = append(accounts, open(t, budget, make(chan Cause, 1)))
+		accounts[len(accounts)-1].BeginWrite(now.Add(since))
+		accounts[len(accounts)-1].Charge(Answers, 11<<20)
 	}
 	if _, ok := budget.Admit(now); !ok {
 		t.Error("a request was refused below the limit for refusals")
 	}
 	// 44 of 60 MB are held, so that one must be ended to come down to 36.
-	if causes := ended.await(t, 1); len(causes) != 1 || causes[0] != SlowReader {
-		t.Errorf("ended %v, want the slowest reader", causes)
+	for number, account := range accounts {
+		if account.isEnding.Load() != (number == 0) {
+			t.Errorf("connection %d: ended %t", number, account.isEnding.Load())
+		}
 	}
 }
 
 // TestIdleConnectionsAreEndedLast guards against idle connections staying open while their cost exhausts the budget.
 func TestIdleConnectionsAreEndedLast(t *testing.T) {
 	budget, now := New(Config{Limit: testLimit}), time.Unix(1000, 0)
-	ended := &ended{causes: map[int]Cause{}}
-	slow, idle, busy := ended.open(t, budget, 0), ended.open(t, budget, 1), ended.open(t, budget, 2)
+	ends := make(chan Cause, 3)
+	slow, idle, busy := open(t, budget, ends), open(t, budget, ends), open(t, budget, ends)
 	slow.BeginWrite(now.Add(-time.Second))
 	idle.SetIdle(now.Add(-time.Minute))
 	busy.SetIdle(now.Add(-time.Minute))
@@ -75,7 +52,7 @@
 	if delay, ok := budget.Admit(now); ok || delay < minRetryDelay || delay > maxRetryDelay {
 		t.Errorf("got delay %v, admitted %t", delay, ok)
 	}
-	if causes := ended.await(t, 2); causes[0] != SlowReader || causes[1] != IdleConnection || len(causes) != 2 {
+	if causes := map[Cause]bool{<-ends: true, <-ends: true}; !causes[SlowReader] || !causes[IdleConnection] || busy.isEnding.Load() {
 		t.Errorf("ended %v", causes)
 	}
 	if usage := budget.Usage(); usage.Refused != 1 || usage.SlowReaders != 1 || usage.Idle != 1 {
@@ -86,9 +63,8 @@
 // TestClientsShareTheBudget guards against one client, or many, that hold everything.
 func TestClientsShareTheBudget(t *testing.T) {
 	budget := New(Config{Limit: testLimit})
-	ended := &ended{causes: map[int]Cause{}}
 	for number := range 200 {
-		request := ended.open(t, budget, number).OpenRequest()
+		request := open(t, budget, make(chan Cause, 1)).OpenRequest()
 		held := 0
 		for request.Reserve(Answers, 16<<10) {
 			held += 16 << 10
--- a/mesh/budgeter/serverbytes_test.go
+++ b/mesh/budgeter/serverbytes_test.go
@@ -7,15 +7,8 @@
 	"lagoonlanding.example/lagoonlanding"
 )
 
-// standin is a server that crashes when the requests that it holds exceed its memory.
-type standin struct {
-	memory, held int64
-	processes    int64
-	crashes      int
-}
-
-func (standin *standin) id() lagoonlanding.BackendID {
-	return lagoonlanding.NewBackendID("d", "s", standin.processes)
+func process(number int) lagoonlanding.BackendID {
+	return lagoonlanding.NewBackendID("d", "s", int64(number))
 }
 
 // TestServerBytesAreLearned guards against a server that crashes again and again, and against a limit that stays low for a server with more memory.
@@ -27,7 +20,7 @@
 		crashes     int
 		atLeastHeld int64
 	}{6 << 20: {crashes: 2, atLeastHeld: 3 << 20}, 64 << 20: {crashes: 0, atLeastHeld: 13 << 20}} {
-		bytes, server, now := NewServerBytes(), &standin{memory: memory}, time.Unix(1000, 0)
+		bytes, crashes, now := NewServerBytes(), 0, time.Unix(1000, 0)
 		for range rounds {
 			entered := 0
 			for range places {
@@ -35,22 +28,19 @@
 					entered++
 				}
 			}
-			server.held = int64(entered) * size
 			now = now.Add(200 * time.Millisecond)
-			answered := server.held <= server.memory
+			answered := int64(entered)*size <= memory
 			if !answered {
-				server.crashes++
-				bytes.Crashed(now, server.id())
-				bytes.Crashed(now, server.id())
-				server.processes++
+				crashes++
+				bytes.Crashed(now, process(crashes))
+				bytes.Crashed(now, process(crashes))
 			}
 			for range entered {
 				bytes.Leave(now, size, answered)
 			}
 		}
-		held, limit, _ := bytes.State()
-		if server.crashes > want.crashes || limit < want.atLeastHeld || held != 0 {
-			t.Errorf("memory %d: %d crashes, limit %d, %d bytes left", memory, server.crashes, limit, held)
+		if held, limit, _ := bytes.State(); crashes > want.crashes || limit < want.atLeastHeld || held != 0 {
+			t.Errorf("memory %d: %d crashes, limit %d, %d bytes left", memory, crashes, limit, held)
 		}
 	}
 }
@@ -67,7 +57,7 @@
 		bytes.Leave(now, 64<<10, true)
 	}
 	bytes.Enter(now, 500)
-	if _, previous, current := bytes.Crashed(now, lagoonlanding.NewBackendID("d", "s", 1)); previous != current {
+	if _, previous, current := bytes.Crashed(now, process(1)); previous != current {
 		t.Errorf("a crash with 500 bytes lowered the limit to %d", current)
 	}
 }
@@ -84,7 +74,7 @@
 	if _, ok := bytes.Enter(now, 500); !ok {
 		t.Error("a request without a body was refused")
 	}
-	bytes.Crashed(now, lagoonlanding.NewBackendID("d", "s", 1))
+	bytes.Crashed(now, process(1))
 	bytes.Leave(now, 40<<20, false)
 	bytes.Leave(now, 500, false)
 	if delay, ok := bytes.Enter(now, 40<<20); ok || delay != impossibleRetryDelay {
