End slow senders of bodies last, near the memory limit

A client that sends a body a byte a second was never ended before the deadline of its route, so that 2,000 of them could keep the fixed cost of their requests and have all others refused meanwhile.

--- a/lagoonmesh/memory.go
+++ b/lagoonmesh/memory.go
@@ -39,7 +39,7 @@
 	return budgeter.New(budgeter.Config{Limit: limit, OnPressure: func(state budgeter.Pressure) {
 		if pressure.isDue(time.Now()) {
 			daemon.logFor("memory").WithFields(logrus.Fields{
-				"held": state.Held, "limit": state.Limit, "slow-readers": state.SlowReaders, "idle": state.Idle, "refused-in-total": state.Refused,
+				"held": state.Held, "limit": state.Limit, "slow-readers": state.SlowReaders, "slow-senders": state.SlowSenders, "idle": state.Idle, "refused-in-total": state.Refused,
 				"unread-in-total": state.Unread,
 			}).Warn("Memory budget is nearly exhausted.")
 		}
--- a/mesh/budgeter/account.go
+++ b/mesh/budgeter/account.go
@@ -13,6 +13,8 @@
 const (
 	// SlowReader means that the client does not read its answer in time.
 	SlowReader Cause = iota + 1
+	// SlowSender means that the client does not send the body of its request in time.
+	SlowSender
 	// IdleConnection means that the connection has no request in progress; one that has got a request meanwhile is to be kept.
 	IdleConnection
 )
@@ -26,9 +28,10 @@
 	end func(cause Cause)
 	// bytes is what is held for the connection with all of its requests.
 	bytes atomic.Int64
-	// writingSince and idleSince are the times in nanoseconds since 1970 at which the current write and idle period began, zero for none.
-	writingSince, idleSince atomic.Int64
-	isEnding                atomic.Bool
+	// writingSince, readingSince and idleSince are the times in nanoseconds since 1970 at which the current write, read of a body and idle period
+	// began, zero for none.
+	writingSince, readingSince, idleSince atomic.Int64
+	isEnding                              atomic.Bool
 
 	mutex  sync.Mutex
 	held   [kinds]int64
@@ -165,6 +168,20 @@
 	}
 }
 
+// BeginRead records that a read of a request's body has begun.
+func (account *Account) BeginRead(now time.Time) {
+	if account != nil {
+		account.client.readingSince.Store(now.UnixNano())
+	}
+}
+
+// EndRead records that a read of a request's body has ended.
+func (account *Account) EndRead() {
+	if account != nil {
+		account.client.readingSince.Store(0)
+	}
+}
+
 // SetIdle records that the connection has no request in progress since the given time, the zero time for one that has.
 func (account *Account) SetIdle(since time.Time) {
 	switch {
--- a/mesh/budgeter/budget.go
+++ b/mesh/budgeter/budget.go
@@ -28,6 +28,9 @@
 	minBlocked = 500 * time.Millisecond
 	// minIdle is how long a connection must have been idle before it may be ended: a request that its client sends at that moment is lost.
 	minIdle = 5 * time.Second
+	// minSending is how long a read of a request's body must have taken before its client counts as a slow sender. It is longer than for readers:
+	// a client may produce its body while it sends it.
+	minSending = 2 * time.Second
 	// shedInterval is the least time between two searches for connections to end.
 	shedInterval = 100 * time.Millisecond
 	// relaxedBelow is the fraction of the limit up to which a slow reader gets maxWriteTime; the time then falls to minWriteTime at refuseAbove.
@@ -55,8 +58,8 @@
 type Pressure struct {
 	// Held and Limit are in bytes.
 	Held, Limit int64
-	// SlowReaders and Idle are the connections that were ended now.
-	SlowReaders, Idle int
+	// SlowReaders, SlowSenders and Idle are the connections that were ended now.
+	SlowReaders, SlowSenders, Idle int
 	// Refused and Unread are the refusals, and the answers that were given up because they were not read, since the process started.
 	Refused, Unread int64
 }
@@ -69,16 +72,16 @@
 	Denied [kinds]int64
 	// Total, Peak and Limit are in bytes.
 	Total, Peak, Limit int64
-	// Refused counts new requests and connections, SlowReaders, Idle and Unread the connections that were ended.
-	Refused, SlowReaders, Idle, Unread int64
+	// Refused counts new requests and connections, SlowReaders, SlowSenders, Idle and Unread the connections that were ended.
+	Refused, SlowReaders, SlowSenders, Idle, Unread int64
 }
 
 // Budget counts the bytes that a process holds by kind; it is safe for concurrent use. A nil budget counts nothing and permits everything.
 type Budget struct {
-	config                                        Config
-	held, denied                                  [kinds]atomic.Int64
-	total, peak, released                         atomic.Int64
-	refused, endedReaders, endedIdle, endedUnread atomic.Int64
+	config                                                      Config
+	held, denied                                                [kinds]atomic.Int64
+	total, peak, released                                       atomic.Int64
+	refused, endedReaders, endedSenders, endedIdle, endedUnread atomic.Int64
 
 	mutex sync.Mutex
 	// clients are the accounts of connections.
@@ -106,7 +109,7 @@
 func (budget *Budget) Usage() Usage {
 	usage := Usage{
 		Total: budget.total.Load(), Peak: budget.peak.Load(), Limit: budget.config.Limit, Refused: budget.refused.Load(),
-		SlowReaders: budget.endedReaders.Load(), Idle: budget.endedIdle.Load(), Unread: budget.endedUnread.Load(),
+		SlowReaders: budget.endedReaders.Load(), SlowSenders: budget.endedSenders.Load(), Idle: budget.endedIdle.Load(), Unread: budget.endedUnread.Load(),
 	}
 	for _, kind := range Kinds() {
 		usage.Held[kind], usage.Denied[kind] = budget.held[kind].Load(), budget.denied[kind].Load()
@@ -207,7 +210,8 @@
 	return bytes <= free && clientBytes+bytes <= max(minClientShare, int64(float64(free)*clientShare))
 }
 
-// shed ends connections if too many bytes are held: the readers that have been slow for longest, then the connections that have been idle for longest.
+// shed ends connections if too many bytes are held: the readers that have been slow for longest, then idle connections, then
+// slow senders.
 func (budget *Budget) shed(now time.Time) {
 	excess := budget.total.Load() - budget.part(shedTo)
 	if budget.total.Load() <= budget.part(shedAbove) {
@@ -220,19 +224,20 @@
 	}
 	budget.nextShed = now.Add(shedInterval)
 	budget.measure(now)
-	readers, idle := choose(budget.clients, now, excess)
+	ended := choose(budget.clients, now, excess)
 	budget.mutex.Unlock()
-	budget.endedReaders.Add(int64(len(readers)))
-	budget.endedIdle.Add(int64(len(idle)))
-	for _, account := range readers {
-		go account.end(SlowReader)
-	}
-	for _, account := range idle {
-		go account.end(IdleConnection)
+	budget.endedReaders.Add(int64(len(ended[SlowReader])))
+	budget.endedSenders.Add(int64(len(ended[SlowSender])))
+	budget.endedIdle.Add(int64(len(ended[IdleConnection])))
+	for cause, accounts := range ended {
+		for _, account := range accounts {
+			go account.end(cause)
+		}
 	}
 	if budget.config.OnPressure != nil {
 		budget.config.OnPressure(Pressure{
-			Held: budget.total.Load(), Limit: budget.config.Limit, SlowReaders: len(readers), Idle: len(idle), Refused: budget.refused.Load(),
+			Held: budget.total.Load(), Limit: budget.config.Limit, SlowReaders: len(ended[SlowReader]),
+			SlowSenders: len(ended[SlowSender]), Idle: len(ended[IdleConnection]), Refused: budget.refused.Load(),
 			Unread: budget.endedUnread.Load(),
 		})
 	}
--- a/mesh/budgeter/budget_test.go
+++ b/mesh/budgeter/budget_test.go
@@ -41,8 +41,9 @@
 // TestIdleConnectionsAreEndedLast guards against idle connections staying open while their cost exhausts the budget.
 func TestIdleConnectionsAreEndedLast(t *testing.T) {
 	budget, now := New(Config{Limit: testLimit}), time.Unix(1000, 0)
-	ends := make(chan Cause, 3)
-	slow, idle, busy := open(t, budget, ends), open(t, budget, ends), open(t, budget, ends)
+	ends := make(chan Cause, 4)
+	slow, idle, busy, sender := open(t, budget, ends), open(t, budget, ends), open(t, budget, ends), open(t, budget, ends)
+	sender.BeginRead(now.Add(-minSending))
 	slow.BeginWrite(now.Add(-time.Second))
 	idle.SetIdle(now.Add(-time.Minute))
 	busy.SetIdle(now.Add(-time.Minute))
@@ -52,10 +53,10 @@
 	if delay, ok := budget.Admit(now); ok || delay < minRetryDelay || delay > maxRetryDelay {
 		t.Errorf("got delay %v, admitted %t", delay, ok)
 	}
-	if causes := map[Cause]bool{<-ends: true, <-ends: true}; !causes[SlowReader] || !causes[IdleConnection] || busy.isEnding.Load() {
+	if causes := map[Cause]bool{<-ends: true, <-ends: true, <-ends: true}; !causes[SlowReader] || !causes[IdleConnection] || !causes[SlowSender] || busy.isEnding.Load() {
 		t.Errorf("ended %v", causes)
 	}
-	if usage := budget.Usage(); usage.Refused != 1 || usage.SlowReaders != 1 || usage.Idle != 1 {
+	if usage := budget.Usage(); usage.Refused != 1 || usage.SlowReaders != 1 || usage.SlowSenders != 1 || usage.Idle != 1 {
 		t.Errorf("counted %+v", usage)
 	}
 }
--- a/mesh/budgeter/choose.go
+++ b/mesh/budgeter/choose.go
@@ -12,23 +12,40 @@
 }
 
 // choose returns the connections to end so that the excess is released, and marks them as ending.
-func choose(clients map[*Account]struct{}, now time.Time, excess int64) (readers, idle []*Account) {
-	var slow, unused []candidate
+//
+// Slow readers come first, since they have had their request run and are least likely to get the rest. Idle connections cost their clients least, but
+// hold least as well. A slow sender loses a request that might still be answered.
+func choose(clients map[*Account]struct{}, now time.Time, excess int64) map[Cause][]*Account {
+	candidates := map[Cause][]candidate{}
 	for account := range clients {
 		if account.isEnding.Load() {
 			// What it holds will be released.
 			excess -= account.bytes.Load()
 			continue
 		}
-		if since := account.writingSince.Load(); since != 0 && since <= now.Add(-minBlocked).UnixNano() {
-			slow = append(slow, candidate{account: account, since: since})
-		} else if since := account.idleSince.Load(); since != 0 && since <= now.Add(-minIdle).UnixNano() {
-			unused = append(unused, candidate{account: account, since: since})
+		if cause, since := account.state(now); cause != 0 {
+			candidates[cause] = append(candidates[cause], candidate{account: account, since: since})
 		}
 	}
-	readers, excess = take(slow, excess)
-	idle, _ = take(unused, excess)
-	return readers, idle
+	ended := map[Cause][]*Account{}
+	for _, cause := range []Cause{SlowReader, IdleConnection, SlowSender} {
+		ended[cause], excess = take(candidates[cause], excess)
+	}
+	return ended
+}
+
+// state returns for which cause the connection may be ended and since when it has been in that state, zero if it may not be ended.
+func (account *Account) state(now time.Time) (cause Cause, since int64) {
+	if since := account.writingSince.Load(); since != 0 && since <= now.Add(-minBlocked).UnixNano() {
+		return SlowReader, since
+	}
+	if since := account.idleSince.Load(); since != 0 && since <= now.Add(-minIdle).UnixNano() {
+		return IdleConnection, since
+	}
+	if since := account.readingSince.Load(); since != 0 && since <= now.Add(-minSending).UnixNano() {
+		return SlowSender, since
+	}
+	return 0, 0
 }
 
 // take marks and returns the connections that have been in their state for longest until the excess is released, and the rest of the excess.
--- a/mesh/receiver/body.go
+++ b/mesh/receiver/body.go
@@ -80,7 +80,9 @@
 	if requestbody.ended.Load() {
 		return 0, io.EOF
 	}
+	requestbody.connection.memory.BeginRead(time.Now())
 	count, err := requestbody.framed.Read(data)
+	requestbody.connection.memory.EndRead()
 	requestbody.remaining -= int64(count)
 	if errors.Is(err, io.EOF) {
 		requestbody.end()
--- a/mesh/receiver/memory.go
+++ b/mesh/receiver/memory.go
@@ -83,7 +83,7 @@
 	connection.isReset = true
 	setReset(connection.Conn)
 	connection.mutex.Unlock()
-	connection.config.Log.WithField("client", connection.RemoteAddr().String()).Debug("Connection of a client that reads slowly was reset.")
+	connection.config.Log.WithField("client", connection.RemoteAddr().String()).WithField("sends", cause == budgeter.SlowSender).Debug("Connection of a client that reads or sends slowly was reset.")
 	connection.abandon()
 }
 
--- a/mesh/recorder/memory.go
+++ b/mesh/recorder/memory.go
@@ -24,7 +24,9 @@
 	} {
 		scope.Gauge(name).Update(float64(value))
 	}
-	for cause, count := range map[string]int64{"slow-reader": report.Usage.SlowReaders, "idle": report.Usage.Idle, "unread": report.Usage.Unread} {
+	for cause, count := range map[string]int64{
+		"slow-reader": report.Usage.SlowReaders, "slow-sender": report.Usage.SlowSenders, "idle": report.Usage.Idle, "unread": report.Usage.Unread,
+	} {
 		scope.Tagged(map[string]string{"cause": cause}).Gauge("connections_ended").Update(float64(count))
 	}
 }
