--- a/mesh/budgeter/account.go
+++ b/mesh/budgeter/account.go
@@ -36,6 +36,9 @@
 	mutex  sync.Mutex
 	held   [kinds]int64
 	closed bool
+	// waited is how long reads of a body have waited for the last bytes that arrived, fewer than sendingBytes.
+	waited  time.Duration
+	arrived int
 }
 
 // Open returns the account of a connection, which end must reset if a response on it is incomplete; false means that it may not be accepted.
@@ -168,17 +171,27 @@
 	}
 }
 
-// BeginRead records that a read of a request's body has begun.
+// BeginRead records that a read of a request's body has begun. It counts as begun earlier by the time that was spent on waiting for the bytes before.
 func (account *Account) BeginRead(now time.Time) {
-	if account != nil {
-		account.client.readingSince.Store(now.UnixNano())
+	if account == nil {
+		return
 	}
+	account.mutex.Lock()
+	defer account.mutex.Unlock()
+	account.client.readingSince.Store(now.Add(-account.waited).UnixNano())
 }
 
-// EndRead records that a read of a request's body has ended.
-func (account *Account) EndRead() {
-	if account != nil {
-		account.client.readingSince.Store(0)
+// EndRead records that a read of a request's body has ended with a number of bytes. Time in which nothing is read, because the server is slow, does
+// not count for the client.
+func (account *Account) EndRead(now time.Time, count int) {
+	if account == nil {
+		return
+	}
+	account.mutex.Lock()
+	defer account.mutex.Unlock()
+	account.waited = now.Sub(time.Unix(0, account.client.readingSince.Swap(0)))
+	if account.arrived += count; account.arrived >= sendingBytes {
+		account.waited, account.arrived = 0, 0
 	}
 }
 
--- a/mesh/budgeter/budget.go
+++ b/mesh/budgeter/budget.go
@@ -28,9 +28,10 @@
 	minBlocked = 500 * time.Millisecond
 	// minIdle is how long a connection must have been idle before it may be ended: a request that its client sends at that moment is lost.
 	minIdle = 5 * time.Second
-	// minSending is how long a read of a request's body must have taken before its client counts as a slow sender. It is longer than for readers:
-	// a client may produce its body while it sends it.
-	minSending = 2 * time.Second
+	// minSending is how long reads must have waited for sendingBytes of a request's body before its client counts as a slow sender. It is longer than
+	// for readers: a client may produce its body while it sends it.
+	minSending   = 2 * time.Second
+	sendingBytes = 4 << 10
 	// shedInterval is the least time between two searches for connections to end.
 	shedInterval = 100 * time.Millisecond
 	// relaxedBelow is the fraction of the limit up to which a slow reader gets maxWriteTime; the time then falls to minWriteTime at refuseAbove.
--- a/mesh/budgeter/budget_test.go
+++ b/mesh/budgeter/budget_test.go
@@ -43,7 +43,12 @@
 	budget, now := New(Config{Limit: testLimit}), time.Unix(1000, 0)
 	ends := make(chan Cause, 4)
 	slow, idle, busy, sender := open(t, budget, ends), open(t, budget, ends), open(t, budget, ends), open(t, budget, ends)
-	sender.BeginRead(now.Add(-minSending))
+	// A byte a second.
+	for second := range 3 {
+		sender.BeginRead(now.Add(time.Duration(second-3) * time.Second))
+		sender.EndRead(now.Add(time.Duration(second-2)*time.Second), 1)
+	}
+	sender.BeginRead(now)
 	slow.BeginWrite(now.Add(-time.Second))
 	idle.SetIdle(now.Add(-time.Minute))
 	busy.SetIdle(now.Add(-time.Minute))
--- a/mesh/receiver/body.go
+++ b/mesh/receiver/body.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"lagoonlanding.example/lagoonlanding/mesh/budgeter"
 	"lagoonlanding.example/lagoonlanding/mesh/framer"
 )
 
@@ -22,6 +23,8 @@
 // requestBody is the body of a request; it can be closed while another goroutine reads it.
 type requestBody struct {
 	connection *connection
+	// memory counts what is held for the request.
+	memory *budgeter.Account
 	// onRead is called before the first read.
 	onRead func()
 	// done is closed once the body has been read to its end or closed.
@@ -80,9 +83,9 @@
 	if requestbody.ended.Load() {
 		return 0, io.EOF
 	}
-	requestbody.connection.memory.BeginRead(time.Now())
+	requestbody.memory.BeginRead(time.Now())
 	count, err := requestbody.framed.Read(data)
-	requestbody.connection.memory.EndRead()
+	requestbody.memory.EndRead(time.Now(), count)
 	requestbody.remaining -= int64(count)
 	if errors.Is(err, io.EOF) {
 		requestbody.end()
--- a/mesh/receiver/exchange.go
+++ b/mesh/receiver/exchange.go
@@ -66,7 +66,7 @@
 	exchange.ctx, exchange.cancel = context.WithCancel(budgeter.NewContext(connection.ctx, exchange.memory))
 	request.RemoteAddr = connection.RemoteAddr().String()
 	if body != nil {
-		body.onRead = exchange.sendContinue
+		body.onRead, body.memory = exchange.sendContinue, exchange.memory
 		request.Body = body
 	}
 	return exchange
