Read under its mutex whether a connection is reset, and measure the memory of the built daemon

The race detector saw terminate write isReset while linger read it (1 of 4 runs of TestSlowReaders with the daemon inside the test program). The memory tests now build the daemon: the detector alone needs 790 MB.

--- a/lagoonmesh/memory_test.go
+++ b/lagoonmesh/memory_test.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"os/exec"
+	"path/filepath"
 	"regexp"
 	"strconv"
 	"strings"
@@ -47,8 +49,13 @@
 	standin := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) { answerBytes(writer, request, cutOff) }))
 	t.Cleanup(standin.Close)
 	address := storeServer.Listener.Addr().String()
-	child := childDaemon{testProcess: startLimited(t, "plain-1", "plain", address, standin.Listener.Addr()), cutOff: cutOff}
-	child.distant = startLimited(t, "divided-1", "divided", address, standin.Listener.Addr()).clientAddress
+	// The daemon is built, since the test program may contain the race detector, which needs a multiple of the memory.
+	program := filepath.Join(t.TempDir(), "lagoonmesh")
+	if text, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, text)
+	}
+	child := childDaemon{testProcess: startLimited(t, program, "plain-1", "plain", address, standin.Listener.Addr()), cutOff: cutOff}
+	child.distant = startLimited(t, program, "divided-1", "divided", address, standin.Listener.Addr()).clientAddress
 	waitFor(t, "the daemon serves", 15*time.Second, func() bool {
 		status, _, _ := request(child.clientAddress, "GET", "/read/1", "warm", -1, nil)
 		distant, _, _ := request(child.distant, "GET", "/read/1", "warm", -1, nil)
@@ -59,7 +66,7 @@
 }
 
 // startLimited starts a daemon with a memory limit and overload control in a process of its own, whose requests go to the stand-in.
-func startLimited(t *testing.T, name, service, store string, standin net.Addr) *testProcess {
+func startLimited(t *testing.T, program, name, service, store string, standin net.Addr) *testProcess {
 	t.Helper()
 	deployed := newDeployment(name, "z1", service, store)
 	control := regexp.MustCompile(`control = "(.*)"`).FindStringSubmatch(deployed.settings)[1]
@@ -69,7 +76,7 @@
 	deployed.backend = simulator.NewServer(simulator.ServerConfig{
 		Name: "i-" + name, Service: service, Address: reserver.Address(), AnnouncementAddress: control, Slots: 3000, HeartbeatInterval: 100 * time.Millisecond,
 	})
-	return startDeployment(t, deployed)
+	return startDeployment(t, program, deployed)
 }
 
 // answerBytes reads the request and answers with the number of bytes at the end of the path; an answer that is not read in time is cut off.
--- a/lagoonmesh/stop_test.go
+++ b/lagoonmesh/stop_test.go
@@ -26,7 +26,7 @@
 	if settings == "" {
 		os.Exit(m.Run())
 	}
-	if err := run([]string{"-settings", settings, "-log-level", "warn"}); err != nil {
+	if err := run([]string{"-settings", settings, "-log-level", "error"}); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitFailure)
 	}
@@ -40,17 +40,18 @@
 
 func startProcess(t *testing.T, name, zone, service, store string) *testProcess {
 	t.Helper()
-	return startDeployment(t, newDeployment(name, zone, service, store))
+	return startDeployment(t, os.Args[0], newDeployment(name, zone, service, store))
 }
 
-func startDeployment(t *testing.T, deployed deployment) *testProcess {
+// startDeployment starts a program, which is the daemon or the test program, as a daemon.
+func startDeployment(t *testing.T, program string, deployed deployment) *testProcess {
 	t.Helper()
 	started := &testProcess{deployment: deployed}
 	path := filepath.Join(t.TempDir(), "node.toml")
 	if err := os.WriteFile(path, []byte(started.settings), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	started.command = exec.Command(os.Args[0])
+	started.command = exec.Command(program, "-settings", path, "-log-level", "error")
 	// The race detector would delay the exit by a second.
 	started.command.Env = append(os.Environ(), processVariable+"="+path, "GORACE=atexit_sleep_ms=0")
 	started.command.Stdout, started.command.Stderr = os.Stdout, os.Stderr
--- a/mesh/receiver/connection.go
+++ b/mesh/receiver/connection.go
@@ -351,7 +351,10 @@
 // response with it.
 func (connection *connection) linger() {
 	half, ok := connection.Conn.(interface{ CloseWrite() error })
-	if !ok || connection.isReset || connection.ctx.Err() != nil || half.CloseWrite() != nil {
+	connection.mutex.Lock()
+	isReset := connection.isReset
+	connection.mutex.Unlock()
+	if !ok || isReset || connection.ctx.Err() != nil || half.CloseWrite() != nil {
 		return
 	}
 	connection.setReadDeadline(time.Now().Add(lingerTimeout))
