--- a/mesh/budgeter/serverbytes.go
+++ b/mesh/budgeter/serverbytes.go
@@ -98,12 +98,14 @@
 func (serverbytes *ServerBytes) Leave(now time.Time, bytes int64, answered bool) {
 	serverbytes.mutex.Lock()
 	defer serverbytes.mutex.Unlock()
+	// A request beyond the limit that was answered shows at once what the server can hold.
+	proven := int64(float64(bytes) * keptShare)
 	serverbytes.held -= bytes
 	serverbytes.requests--
-	if !answered || !serverbytes.isReached || now.Before(serverbytes.growAt) {
+	if !answered || proven <= serverbytes.limit && (!serverbytes.isReached || now.Before(serverbytes.growAt)) {
 		return
 	}
-	raised := int64(float64(serverbytes.limit) * growth)
+	raised := max(int64(float64(serverbytes.limit)*growth), proven)
 	if serverbytes.ceiling > 0 {
 		raised = min(raised, max(int64(float64(serverbytes.ceiling)*keptShare), minServerBytes))
 	}
--- a/mesh/budgeter/serverbytes_test.go
+++ b/mesh/budgeter/serverbytes_test.go
@@ -83,6 +83,10 @@
 	if _, ok := bytes.Enter(now.Add(ceilingTerm+time.Second), 40<<20); !ok {
 		t.Error("a crash counts for ever")
 	}
+	bytes.Leave(now.Add(ceilingTerm+2*time.Second), 40<<20, true)
+	if _, limit, _ := bytes.State(); limit < 25<<20 {
+		t.Errorf("the server has run a request of 40 MiB, and the limit is %d", limit)
+	}
 }
 
 // TestBodiesWithoutLength guards against endless bodies beside others that exceed the server's memory, and against ending ordinary ones for them.
