Overload control of the gate: state and decisions (not enabled yet)

Cause: urgent tasks wait until their deadline although a late answer is worth an eighth, and the gate does not follow the load that its backend server reports.

--- a/mesh/acceptor/acceptor.go
+++ b/mesh/acceptor/acceptor.go
@@ -141,6 +141,7 @@
 	}
 	result := acceptor.config.Runner.Run(ctx, pass.ID(), acceptor.config.Address, task)
 	acceptor.heed(pass, result.Advice())
+	pass.Observe(result)
 	// A lost connection alone does not mean that the process has ended.
 	crashed := result.Reason() == lagoonlanding.ReasonConnectionLost && ctx.Err() == nil && acceptor.config.Runner.HasEnded(ctx, acceptor.config.Address)
 	if crashed || result.Reason() == lagoonlanding.ReasonNoUpstream {
--- a/mesh/gatekeeper/gate.go
+++ b/mesh/gatekeeper/gate.go
@@ -33,6 +33,9 @@
 	// MaxFirst limits the tasks that run before the backend server has responded for the first time: it may have named a limit to a daemon
 	// that has been restarted since. Zero means no limit.
 	MaxFirst int
+	// OverloadControl bounds the wait of all tasks by their objectives, follows the load that the backend server reports and returns admission
+	// levels; without it the gate bounds the wait of urgent tasks by their deadlines only.
+	OverloadControl bool
 }
 
 // Gate limits the concurrent tasks of one backend server; its count is exact because every task passes through it. It is safe for concurrent use.
@@ -65,6 +68,8 @@
 	// reservedUntil is the end of the run time that is reserved for the retries of refused tasks with a shard key.
 	reservedUntil time.Time
 	lastSequence  uint64
+	// overload is the state of the overload control, nil without it.
+	overload *overload
 }
 
 // scheduledClose is when the gate closes by itself, and why; the zero time means never.
@@ -81,16 +86,26 @@
 	sequence uint64
 	// startBy is the latest time at which the task may start and still end in time.
 	startBy time.Time
+	// late, weight and precedence order the task under overload control.
+	late       bool
+	weight     int
+	precedence lagoonlanding.Precedence
+	// retryAt is when a task that was removed from the queue should be retried; it is set before the decision is sent.
+	retryAt time.Time
 	// decision receives ReasonNone once the task is admitted, or the reason of a refusal.
 	decision chan lagoonlanding.Reason
 }
 
 // NewGate returns a closed gate.
 func NewGate(config Config) *Gate {
-	return &Gate{
+	gate := &Gate{
 		config: config, closeReason: lagoonlanding.ReasonNoUpstream, meanRunTimes: newMeanRunTimes(), priorities: priorities{},
 		keyCounts: newKeyCounts(), runningRoutes: map[string]int{}, changed: make(chan struct{}),
 	}
+	if config.OverloadControl {
+		gate.overload = newOverload()
+	}
+	return gate
 }
 
 // Pass permits one task to run; Finish must be called once.
@@ -100,6 +115,9 @@
 	route   string
 	key     int
 	started time.Time
+	// slowdown is that of the machine when the task started, and result what is known of its end; they are set under overload control only.
+	slowdown float64
+	result   lagoonlanding.Result
 }
 
 // ID returns the process of the backend server for which the pass was issued.
@@ -110,6 +128,9 @@
 	pass.gate.finish(pass, completed)
 }
 
+// Observe records the result of the task for the overload control, before Finish is called.
+func (pass *Pass) Observe(result lagoonlanding.Result) { pass.result = result }
+
 // Advise records what the backend server said in response to the task; it returns the limits in tasks per second before and now, zero for none.
 func (pass *Pass) Advise(advice lagoonlanding.Advice) (previous, current float64) {
 	return pass.gate.advise(pass, advice)
@@ -123,6 +144,9 @@
 		// The tasks of the previous process ended with it.
 		gate.id, gate.running, gate.keyCounts, gate.demand, gate.limit, gate.hasResponded = id, 0, newKeyCounts(), demand{}, taskLimit{}, false
 		clear(gate.runningRoutes)
+		if gate.overload != nil {
+			gate.overload.restart()
+		}
 	}
 	gate.closeReason, gate.closing, gate.slots = lagoonlanding.ReasonNone, scheduledClose{}, max(slots, 1)
 	gate.rateLimiter.configure(gate.config.Clock.Now(), warmAt, coldRate)
@@ -161,8 +185,8 @@
 	gate.mutex.Lock()
 	defer gate.mutex.Unlock()
 	return lagoonlanding.NewLoad(lagoonlanding.LoadConfig{
-		Waiting: len(gate.waiting), Running: gate.running, Slots: gate.usableSlots(), MeanRunTime: gate.meanRunTimes.overall(),
-		Limit: gate.limit.rate, Open: gate.closeReason == lagoonlanding.ReasonNone,
+		Waiting: len(gate.waiting), Running: gate.running, Slots: gate.usableSlots(), MeanRunTime: gate.prolonged(gate.meanRunTimes.overall()),
+		Limit: gate.limit.rate, Open: gate.closeReason == lagoonlanding.ReasonNone, Slowdown: gate.slowdown(), Level: gate.level(),
 	})
 }
 
@@ -176,10 +200,13 @@
 		tooLate, rateLimited, changed := gate.signals(waiter)
 		select {
 		case reason := <-waiter.decision:
-			return gate.passFor(task, reason)
+			return gate.passFor(waiter, reason)
 		case <-ctx.Done():
 			return gate.abandon(waiter, lagoonlanding.ReasonDeadline)
 		case <-tooLate:
+			if gate.postpone(waiter) {
+				continue
+			}
 			return gate.abandon(waiter, gate.tooLateReason())
 		case <-rateLimited:
 			gate.admitNow()
@@ -200,7 +227,7 @@
 	defer gate.mutex.Unlock()
 	now := gate.config.Clock.Now()
 	tooLate = gate.config.Clock.Until(waiter.startBy)
-	spacing := max(gate.rateLimiter.spacing(now), gate.limit.spacing())
+	spacing := max(gate.rateLimiter.spacing(now), gate.limit.spacing(), gate.probeSpacing(now))
 	if spacing == 0 {
 		return tooLate, nil, gate.changed
 	}
@@ -259,17 +286,17 @@
 }
 
 // passFor returns a pass for a task that was admitted, or the reason of its refusal.
-func (gate *Gate) passFor(task lagoonlanding.Task, reason lagoonlanding.Reason) (*Pass, lagoonlanding.Reason, time.Time) {
+func (gate *Gate) passFor(waiter *waiter, reason lagoonlanding.Reason) (*Pass, lagoonlanding.Reason, time.Time) {
 	if reason != lagoonlanding.ReasonNone {
-		return nil, reason, time.Time{}
+		return nil, reason, waiter.retryAt
 	}
 	gate.mutex.Lock()
 	defer gate.mutex.Unlock()
-	return gate.pass(task, gate.config.Clock.Now()), lagoonlanding.ReasonNone, time.Time{}
+	return gate.pass(waiter.task, gate.config.Clock.Now()), lagoonlanding.ReasonNone, time.Time{}
 }
 
 func (gate *Gate) pass(task lagoonlanding.Task, now time.Time) *Pass {
-	return &Pass{gate: gate, id: gate.id, route: task.Route(), key: task.ShardKey(), started: now}
+	return &Pass{gate: gate, id: gate.id, route: task.Route(), key: task.ShardKey(), started: now, slowdown: gate.slowdown()}
 }
 
 // abandon removes a task from the queue because its client has gone or its time is up.
@@ -285,6 +312,7 @@
 	default:
 		gate.waiting = slices.DeleteFunc(gate.waiting, func(waiter *waiter) bool { return waiter == abandoned })
 		gate.keyCounts.decrement(abandoned.task.ShardKey())
+		gate.countRefused(now)
 	}
 	return nil, reason, now.Add(max(gate.estimatedStart(now, abandoned).Sub(now), minRetryDelay))
 }
@@ -292,7 +320,10 @@
 func (gate *Gate) finish(pass *Pass, completed bool) {
 	gate.mutex.Lock()
 	defer gate.mutex.Unlock()
-	if completed {
+	switch {
+	case gate.overload != nil:
+		gate.observeEnd(pass, completed)
+	case completed:
 		gate.meanRunTimes.observe(pass.route, gate.config.Clock.Now().Sub(pass.started))
 	}
 	gate.release(pass.id, pass.route, pass.key)
@@ -306,6 +337,7 @@
 		return previous, previous
 	}
 	gate.hasResponded = true
+	gate.observeServerLoad(advice.ServerLoad())
 	if gate.limit.heed(gate.config.Clock.Now(), pass.started, advice) {
 		gate.signalChange()
 	}
@@ -316,9 +348,9 @@
 // usableSlots returns the number of slots that the tasks within the limit keep busy.
 func (gate *Gate) usableSlots() int {
 	if gate.limit.rate == 0 {
-		return gate.slots
+		return gate.openSlots()
 	}
-	return min(max(int(math.Round(gate.limit.rate*gate.meanRunTimes.overall().Seconds())), 1), gate.slots)
+	return min(max(int(math.Round(gate.limit.rate*gate.meanRunTimes.overall().Seconds())), 1), gate.openSlots())
 }
 
 // allow reports whether the rate limits let a task pass now, and counts it if so.
--- a/mesh/gatekeeper/queue.go
+++ b/mesh/gatekeeper/queue.go
@@ -19,6 +19,9 @@
 	gate.priorities.observe(now, task.Priority())
 	gate.observeUrgent(now, task)
 	gate.demand.observe(now, task.ShardKey(), gate.meanRunTimes.ofRoute(task.Route()))
+	if gate.overload != nil {
+		return gate.enqueueControlled(now, task)
+	}
 	if len(gate.waiting) == 0 && gate.hasFreeSlot(now, task.Priority()) && gate.allow(now) {
 		gate.countRunning(task)
 		gate.keyCounts.increment(task.ShardKey())
@@ -91,7 +94,7 @@
 func (gate *Gate) startInTime(task lagoonlanding.Task, mean time.Duration) time.Time {
 	byDeadline := task.Deadline().Add(-mean)
 	byObjective := task.Objective().Add(-runTimeReserve * mean)
-	if gate.priorities.isUrgent(task.Priority()) || task.Objective().IsZero() || byDeadline.Before(byObjective) {
+	if gate.waitsUntilDeadline(task, mean) || task.Objective().IsZero() || byDeadline.Before(byObjective) {
 		return byDeadline
 	}
 	return byObjective
@@ -102,16 +105,26 @@
 	work := time.Duration(0)
 	ahead := 0
 	for _, other := range gate.waiting {
-		if compare(other, waiter) < 0 {
+		if gate.compare(other, waiter) < 0 {
 			work += gate.meanRunTimes.ofRoute(other.task.Route())
 			ahead++
 		}
 	}
-	wait := work / time.Duration(max(gate.slotsFor(now, waiter.task.Priority()), 1))
-	if !gate.hasFreeSlot(now, waiter.task.Priority()) {
+	return gate.startAfter(now, work, ahead, waiter.task)
+}
+
+// startAfter estimates when a task gets a slot that has the given number of tasks ahead of it with the given total run time. On a slow machine
+// it is the time of the start at the usual speed that leads to the same end.
+func (gate *Gate) startAfter(now time.Time, work time.Duration, ahead int, task lagoonlanding.Task) time.Time {
+	wait := work / time.Duration(max(gate.slotsFor(now, task.Priority()), 1))
+	if !gate.hasFreeSlot(now, task.Priority()) {
 		// Assumes that the ends of the running tasks are spread evenly, so the first of them ends after this fraction of the mean.
 		wait += gate.meanOfRunning() / time.Duration(gate.running+1)
 	}
+	if gate.overload != nil {
+		mean := gate.meanRunTimes.ofRoute(task.Route())
+		wait = gate.prolonged(wait+mean) - mean
+	}
 	return gate.limit.startTime(ahead, gate.rateLimiter.startTime(now, ahead, now.Add(wait)))
 }
 
@@ -123,6 +136,10 @@
 // admit admits waiting tasks while there are free slots; the mutex must be locked.
 func (gate *Gate) admit() {
 	now := gate.config.Clock.Now()
+	if gate.overload != nil {
+		gate.admitControlled(now)
+		return
+	}
 	for len(gate.waiting) > 0 && gate.refusal(now) == lagoonlanding.ReasonNone && gate.hasFreeSlot(now, gate.waiting[0].task.Priority()) {
 		if !gate.allow(now) {
 			return
--- a/mesh/gatekeeper/reserve.go
+++ b/mesh/gatekeeper/reserve.go
@@ -40,17 +40,18 @@
 	if !gate.hasResponded && gate.config.MaxFirst > 0 && gate.running >= gate.config.MaxFirst {
 		return false
 	}
-	return gate.running < gate.slotsFor(now, priority)
+	return gate.running < gate.slotsFor(now, priority) || gate.mayProbe(now)
 }
 
 // slotsFor returns the number of slots that tasks of the given priority may use.
 func (gate *Gate) slotsFor(now time.Time, priority int) int {
 	if gate.priorities.isUrgent(priority) {
-		return gate.slots
+		return gate.openSlots()
 	}
 	// The ends of the running tasks are assumed to be spread evenly.
-	untilFree := gate.meanOfRunning() / time.Duration(gate.slots+1)
-	return gate.slots - gate.reserve.slots(now, gate.slots, untilFree)
+	slots := gate.openSlots()
+	untilFree := gate.prolonged(gate.meanOfRunning()) / time.Duration(slots+1)
+	return slots - gate.reserve.slots(now, slots, untilFree)
 }
 
 // countRunning counts a task that starts.
@@ -74,6 +75,6 @@
 // observeUrgent records how long an urgent task can wait for a slot.
 func (gate *Gate) observeUrgent(now time.Time, task lagoonlanding.Task) {
 	if gate.priorities.isUrgent(task.Priority()) {
-		gate.reserve.observe(now, gate.startBy(task))
+		gate.reserve.observe(now, gate.urgentStartBy(task))
 	}
 }
--- a/task.go
+++ b/task.go
@@ -41,6 +41,8 @@
 	Repeated bool
 	// AtMostOnce means that the task must not run twice.
 	AtMostOnce bool
+	// Precedence is how the client came back after a refusal.
+	Precedence Precedence
 }
 
 // Task is a client's request to a service of the mesh, with a streamed body.
@@ -102,6 +104,9 @@
 // IsAtMostOnce reports whether the task must not run twice.
 func (task Task) IsAtMostOnce() bool { return task.config.AtMostOnce }
 
+// Precedence returns how the client came back after a refusal.
+func (task Task) Precedence() Precedence { return task.config.Precedence }
+
 // With returns a copy with the given changes to its configuration.
 func (task Task) With(change func(config *TaskConfig)) Task {
 	change(&task.config)
