Metrics and log lines of the admission, and bounds for the tests under load

Cause: an operator could not see where and why a request is refused under overload.

Change: lagoonmesh_admission_level, _slowdown, _refusals and _first_server_seconds, and a log line with rank, level and its age. The load tests check what callers get with and without overload control.

--- a/mesh/admitter/table.go
+++ b/mesh/admitter/table.go
@@ -11,7 +11,7 @@
 const (
 	// freshAge is the age up to which a level counts in full, and maxAge that from which it does not count: the load of a gate follows bursts and
 	// slow machines within a second.
-	freshAge, maxAge = 300*time.Millisecond, time.Second
+	freshAge, maxAge = 300 * time.Millisecond, time.Second
 	// probeShare is the share of tasks beyond a level that are sent nevertheless: they find room that appeared since, and no rank starves.
 	probeShare = 1.0 / 16
 	// refusalHalfLife is the age at which a refusal by a service has half its weight.
@@ -121,6 +121,22 @@
 	return report.level + lagoonlanding.AdmissionLevel(part*float64(ranks-min(int(report.level), ranks)))
 }
 
+// Highest returns the highest level that the candidates returned, and its age; both are zero if none is known.
+func (table *Table) Highest(now time.Time, candidates []lagoonlanding.Backend) (lagoonlanding.AdmissionLevel, time.Duration) {
+	table.mutex.Lock()
+	defer table.mutex.Unlock()
+	var highest levelReport
+	for _, candidate := range candidates {
+		if report, ok := table.daemons[candidate.ID().Daemon()]; ok && report.level >= highest.level {
+			highest = report
+		}
+	}
+	if highest.at.IsZero() {
+		return 0, 0
+	}
+	return highest.level, now.Sub(highest.at)
+}
+
 // AsksMore reports whether a task that was refused by the given number of servers of a service in a region asks a further one there.
 func (table *Table) AsksMore(now time.Time, service, region string, refusals int) bool {
 	table.mutex.Lock()
--- a/mesh/forwarder/admission.go
+++ b/mesh/forwarder/admission.go
@@ -1,6 +1,10 @@
 package forwarder
 
 import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
 	"lagoonlanding.example/lagoonlanding"
 )
 
@@ -33,7 +37,8 @@
 	}
 	likely = forwarder.config.Admission.Admitting(now, delivery.rank, likely)
 	if len(likely) == 0 && len(candidates) > 0 && delivery.result.Outcome() == 0 {
-		delivery.result = lagoonlanding.NotRun(lagoonlanding.ReasonQueueFull, now)
+		delivery.result, delivery.atOrigin = lagoonlanding.NotRun(lagoonlanding.ReasonQueueFull, now), true
+		delivery.asked = candidates
 	}
 	return likely
 }
@@ -47,3 +52,28 @@
 	returnAt := forwarder.config.Admission.ReturnAt(now, delivery.retryAt, delivery.task.Deadline())
 	delivery.result = delivery.result.With(func(config *lagoonlanding.ResultConfig) { config.RetryAt = returnAt })
 }
+
+// recordAdmission counts a refusal by a gate, and the time after which the request was sent to the first backend server that received it.
+func (forwarder *Forwarder) recordAdmission(delivery *delivery, sentAt time.Time) {
+	if forwarder.config.Admission == nil {
+		return
+	}
+	switch {
+	case isBusy(delivery.result):
+		forwarder.config.AdmissionMeter.Refused(delivery.task, lagoonlanding.RefusedAtGate)
+	case delivery.result.IsDelivered() && delivery.attempts == 0:
+		forwarder.config.AdmissionMeter.ReachedServer(delivery.task, sentAt.Sub(delivery.task.Received()))
+	}
+}
+
+// recordOriginRefusal counts and logs the refusal of a request before any hop.
+func (forwarder *Forwarder) recordOriginRefusal(delivery *delivery) {
+	forwarder.config.AdmissionMeter.Refused(delivery.task, lagoonlanding.RefusedAtOrigin)
+	now := forwarder.config.Clock.Now()
+	level, age := forwarder.config.Admission.Highest(now, delivery.asked)
+	forwarder.config.Log.WithFields(logrus.Fields{
+		"request": delivery.task.ID(), "route": delivery.task.Route(), "service": delivery.task.Service(), "rank": int(delivery.rank),
+		"level": level, "level-age-ms": age.Milliseconds(), "backend-servers": len(delivery.asked),
+		"retry-after-ms": delivery.result.RetryAt().Sub(now).Milliseconds(),
+	}).Info("Request refused at its origin by the admission levels.")
+}
--- a/mesh/forwarder/forwarder.go
+++ b/mesh/forwarder/forwarder.go
@@ -54,6 +54,8 @@
 	RandomFloat64 func() float64
 	// Admission holds the levels of other daemons; nil without overload control.
 	Admission *admitter.Table
+	// AdmissionMeter records metrics of the admission; it is required with Admission.
+	AdmissionMeter lagoonlanding.AdmissionMeter
 }
 
 // Forwarder handles the requests of clients of this daemon.
@@ -87,6 +89,10 @@
 	waitUntil time.Time
 	// rank is the admission rank of the task under overload control.
 	rank admitter.Rank
+	// atOrigin means that the request was refused here, before any hop.
+	atOrigin bool
+	// asked are the backend servers whose levels refused the request.
+	asked []lagoonlanding.Backend
 }
 
 // Handle sends the request to a backend server, with retries, and returns the result.
@@ -101,6 +107,9 @@
 	}
 	delivery.correctOutcome()
 	forwarder.setReturn(delivery)
+	if delivery.atOrigin {
+		forwarder.recordOriginRefusal(delivery)
+	}
 	forwarder.log(delivery.task, delivery.lastBackend, delivery.tries, delivery.result)
 	result := delivery.result
 	if result.Outcome() != lagoonlanding.OutcomeAnswered {
@@ -178,7 +187,9 @@
 	}
 	delivery.tries++
 	delivery.tried[backend.ID().Daemon()], delivery.lastBackend = true, backend.ID()
+	sentAt := forwarder.config.Clock.Now()
 	delivery.result = forwarder.send(ctx, backend, delivery.task)
+	forwarder.recordAdmission(delivery, sentAt)
 	if delivery.result.IsDelivered() {
 		delivery.attempts++
 		delivery.received[backend.ID()] = true
--- a/mesh/forwarder/load_test.go
+++ b/mesh/forwarder/load_test.go
@@ -30,8 +30,8 @@
 	fleetRunTime, fleetObjective = 110 * time.Millisecond, 400 * time.Millisecond
 	lowRunTime, lowObjective     = 160 * time.Millisecond, 500 * time.Millisecond
 	fleetDeadline                = time.Second
-	fleetDuration                          = 8 * time.Second
-	hopTime                                = 2 * time.Millisecond
+	fleetDuration                = 8 * time.Second
+	hopTime                      = 2 * time.Millisecond
 )
 
 // fleetLoad is a load on servers of unequal speed, sent through several origins; clients retry as told, or at once if they are impatient.
@@ -47,7 +47,7 @@
 // fleetOutcome counts what clients got and what it took.
 type fleetOutcome struct {
 	requests, inTime, urgentInTime, late, refused, tries, hops, hopsRefused, shed int
-	busy                                                            time.Duration
+	busy                                                                          time.Duration
 }
 
 // fleetServer is a gate with its server, as one daemon has them.
@@ -117,6 +117,12 @@
 	return withLoad(result)
 }
 
+type noAdmissionMeter struct{}
+
+func (noAdmissionMeter) Refused(lagoonlanding.Task, lagoonlanding.RefusedAt) {}
+
+func (noAdmissionMeter) ReachedServer(lagoonlanding.Task, time.Duration) {}
+
 // fleetSender sends tasks to the servers of a load.
 type fleetSender map[string]*fleetServer
 
@@ -171,6 +177,7 @@
 				Snapshot: func() *coordinator.Snapshot { return snapshot }, RandomFloat64: func() float64 { return 0 },
 			}
 			if fleetload.control {
+				config.AdmissionMeter = noAdmissionMeter{}
 				config.Admission = admitter.NewTable(rand.New(rand.NewPCG(fleetload.seed, uint64(index)+100)).Float64)
 			}
 			origins = append(origins, New(config))
@@ -243,7 +250,9 @@
 
 // share returns a part of the requests in percent.
 func (fleetoutcome fleetOutcome) String() string {
-	percent := func(count int) string { return fmt.Sprintf("%.1f%%", 100*float64(count)/float64(fleetoutcome.requests)) }
+	percent := func(count int) string {
+		return fmt.Sprintf("%.1f%%", 100*float64(count)/float64(fleetoutcome.requests))
+	}
 	return strings.Join([]string{
 		fmt.Sprint("requests ", fleetoutcome.requests), "in time " + percent(fleetoutcome.inTime),
 		"urgent " + percent(fleetoutcome.urgentInTime), "late " + percent(fleetoutcome.late),
@@ -252,6 +261,8 @@
 	}, ", ")
 }
 
+// Guards against an admission that refuses more than the capacity demands, that leaves servers idle, or that asks many full servers: with overload
+// control more requests end in time above the capacity, and not fewer below it by more than a point, which is the spread between seeds.
 func TestFleetUnderLoad(t *testing.T) {
 	step := func(since time.Duration) float64 {
 		if since > 3*time.Second && since < 6*time.Second {
@@ -284,5 +295,14 @@
 		with := load.run(t)
 		t.Logf("%15s without: %v", name, without)
 		t.Logf("%15s    with: %v", name, with)
+		if float64(with.inTime) < float64(without.inTime)-0.01*float64(without.requests) {
+			t.Errorf("%s: fewer requests are in time", name)
+		}
+		if isOverload := load.factor(4*time.Second) > 1; isOverload && (with.inTime <= without.inTime || with.hops*2 > without.hops) {
+			t.Errorf("%s: overload control gains nothing", name)
+		}
+		if load.fault == nil && float64(with.busy) < 0.9*float64(without.busy) {
+			t.Errorf("%s: the servers are idle while requests are refused", name)
+		}
 	}
 }
--- a/mesh/gatekeeper/load_test.go
+++ b/mesh/gatekeeper/load_test.go
@@ -198,6 +198,12 @@
 			load.control = false
 			t.Logf("%s at %.1f: without: %v", name, factor, without)
 			t.Logf("%s at %.1f:    with: %v", name, factor, with)
+			if with.worth < 0.98*without.worth || with.tries*100 > without.tries*103 {
+				t.Errorf("%s at %.1f: callers get less than without overload control", name, factor)
+			}
+			if factor > 1 && with.busy.Seconds() < 0.9*without.busy.Seconds() {
+				t.Errorf("%s at %.1f: the server is idle while tasks are refused", name, factor)
+			}
 		}
 	}
 }
--- a/mesh/recorder/recorder.go
+++ b/mesh/recorder/recorder.go
@@ -66,6 +66,7 @@
 		recorder.scope.Gauge("backend_waiting").Update(float64(load.Waiting()))
 		recorder.scope.Gauge("backend_slots").Update(float64(load.Slots()))
 		recorder.scope.Gauge("backend_limit").Update(load.Limit())
+		recorder.updateAdmission(load)
 		recorder.scope.Gauge("log_lines_dropped").Update(float64(recorder.config.DroppedLines()))
 		recorder.handler.ServeHTTP(writer, request)
 	})
