Precedence of clients that return when told

Cause: a client that was refused and returns when told has the same chance as one that repeats its request at once.

Change: the origin remembers refused clients by address and request, and puts a task that returns as told first in its priority and one that returned early twice last. Tasks carry this between daemons in two flags, which an earlier release ignores. The cut after a shed task is 0.85, since 0.75 left servers idle that shed at random.

--- a/lagoonmesh/daemon.go
+++ b/lagoonmesh/daemon.go
@@ -155,7 +155,7 @@
 			Daemons: func() int { return len(daemon.coordinator.Snapshot().Peers()) },
 		}),
 		Snapshot: daemon.coordinator.Snapshot, Meter: daemon.recorder, Shutdown: daemon.drain, Clock: daemon.clock, Log: daemon.logFor("requests"), RandomFloat64: rand.Float64,
-		Admission: daemon.admission, AdmissionMeter: daemon.recorder,
+		Admission: daemon.admission, Returns: admitter.NewReturns(), AdmissionMeter: daemon.recorder,
 	})
 }
 
--- a/mesh/forwarder/admission.go
+++ b/mesh/forwarder/admission.go
@@ -51,6 +51,7 @@
 	now := forwarder.config.Clock.Now()
 	returnAt := forwarder.config.Admission.ReturnAt(now, delivery.retryAt, delivery.task.Deadline())
 	delivery.result = delivery.result.With(func(config *lagoonlanding.ResultConfig) { config.RetryAt = returnAt })
+	forwarder.config.Returns.Refused(now, delivery.task, returnAt)
 }
 
 // recordAdmission counts a refusal by a gate, and the time after which the request was sent to the first backend server that received it.
--- a/mesh/forwarder/forwarder.go
+++ b/mesh/forwarder/forwarder.go
@@ -54,6 +54,8 @@
 	RandomFloat64 func() float64
 	// Admission holds the levels of other daemons; nil without overload control.
 	Admission *admitter.Table
+	// Returns remembers refused clients; it is required with Admission.
+	Returns *admitter.Returns
 	// AdmissionMeter records metrics of the admission; it is required with Admission.
 	AdmissionMeter lagoonlanding.AdmissionMeter
 }
@@ -147,6 +149,10 @@
 	if !ok {
 		return nil, forwarder.shuttingDown()
 	}
+	if forwarder.config.Admission != nil {
+		precedence := forwarder.config.Returns.Precedence(now, task)
+		task = task.With(func(config *lagoonlanding.TaskConfig) { config.Precedence = precedence })
+	}
 	forwarder.config.Budgets.Earn(task.Service())
 	wait := time.Duration(float64(task.Objective().Sub(task.Received())) * ownerWaitShare)
 	return &delivery{
--- a/mesh/forwarder/load_test.go
+++ b/mesh/forwarder/load_test.go
@@ -177,6 +177,7 @@
 				Snapshot: func() *coordinator.Snapshot { return snapshot }, RandomFloat64: func() float64 { return 0 },
 			}
 			if fleetload.control {
+				config.Returns = admitter.NewReturns()
 				config.AdmissionMeter = noAdmissionMeter{}
 				config.Admission = admitter.NewTable(rand.New(rand.NewPCG(fleetload.seed, uint64(index)+100)).Float64)
 			}
--- a/mesh/gatekeeper/concurrency.go
+++ b/mesh/gatekeeper/concurrency.go
@@ -6,7 +6,7 @@
 	// cutInterval is the shortest time between two cuts: refusals of tasks that started together are one event.
 	cutInterval = 100 * time.Millisecond
 	// shedFactor is the factor of a cut after the backend server refused a task or failed it at once.
-	shedFactor = 0.75
+	shedFactor = 0.85
 	// regrowthTerm is the time in which the concurrency grows from nothing to all slots while tasks are answered: with a probe before, a backend
 	// server has its share back within three seconds of its recovery.
 	regrowthTerm = 2 * time.Second
--- a/mesh/transmitter/codec.go
+++ b/mesh/transmitter/codec.go
@@ -41,6 +41,8 @@
 	Priority    int    `json:"p"`
 	Repeated    bool   `json:"a,omitempty"`
 	AtMostOnce  bool   `json:"n,omitempty"`
+	// Precedence is missing in the tasks of an earlier release.
+	Precedence lagoonlanding.Precedence `json:"e,omitempty"`
 }
 
 var _ lagoonlanding.Message[lagoonlanding.TaskConfig] = taskMetadata{}
@@ -49,7 +51,7 @@
 	return taskMetadata{
 		ID: task.ID(), DeadlineMS: task.Deadline().Sub(now).Milliseconds(), ObjectiveMS: task.Objective().Sub(now).Milliseconds(),
 		ShardKey: task.ShardKey(), Caller: task.Caller(), Service: task.Service(), Route: task.Route(), Priority: task.Priority(),
-		Repeated: task.IsRepeated(), AtMostOnce: task.IsAtMostOnce(),
+		Repeated: task.IsRepeated(), AtMostOnce: task.IsAtMostOnce(), Precedence: task.Precedence(),
 	}
 }
 
@@ -62,7 +64,7 @@
 		ID: taskmetadata.ID, Received: now, Deadline: now.Add(time.Duration(taskmetadata.DeadlineMS) * time.Millisecond),
 		Objective: now.Add(time.Duration(taskmetadata.ObjectiveMS) * time.Millisecond), ShardKey: taskmetadata.ShardKey, Caller: taskmetadata.Caller,
 		Service: taskmetadata.Service, Route: taskmetadata.Route, Priority: taskmetadata.Priority, Repeated: taskmetadata.Repeated,
-		AtMostOnce: taskmetadata.AtMostOnce,
+		AtMostOnce: taskmetadata.AtMostOnce, Precedence: taskmetadata.Precedence,
 	}, nil
 }
 
--- a/mesh/transmitter/compact.go
+++ b/mesh/transmitter/compact.go
@@ -20,6 +20,9 @@
 	flagAtMostOnce = 1 << 1
 	// flagAcceptsLevel means that the sender can decode results with a slowdown and an admission level.
 	flagAcceptsLevel = 1 << 2
+	// flagReturned and flagImpatient are the precedence of the task.
+	flagReturned  = 1 << 3
+	flagImpatient = 1 << 4
 )
 
 // The numbers of a compact result, without and with the slowdown and the admission level.
@@ -39,6 +42,12 @@
 	if metadata.AtMostOnce {
 		flags |= flagAtMostOnce
 	}
+	switch metadata.Precedence {
+	case lagoonlanding.PrecedenceReturned:
+		flags |= flagReturned
+	case lagoonlanding.PrecedenceImpatient:
+		flags |= flagImpatient
+	}
 	header[headerCompactTask] = []string{fmt.Sprint(metadata.DeadlineMS, metadata.ObjectiveMS, metadata.Priority, flags)}
 	id, key := referenceTo(header, metadata.ID), referenceTo(header, strconv.Itoa(metadata.ShardKey))
 	for name, value := range map[string]string{
@@ -81,6 +90,12 @@
 		ID: resolve(header, headerID), DeadlineMS: numbers[0], ObjectiveMS: numbers[1], Priority: int(numbers[2]), Repeated: numbers[3]&flagRepeated != 0,
 		AtMostOnce: numbers[3]&flagAtMostOnce != 0, ShardKey: key, Service: header.Get(headerService), Caller: header.Get(headerCaller), Route: header.Get(headerRoute),
 	}
+	switch {
+	case numbers[3]&flagReturned != 0:
+		metadata.Precedence = lagoonlanding.PrecedenceReturned
+	case numbers[3]&flagImpatient != 0:
+		metadata.Precedence = lagoonlanding.PrecedenceImpatient
+	}
 	for _, name := range []string{headerCompactTask, headerID, headerShardKey, headerService, headerCaller, headerRoute} {
 		header.Del(name)
 	}
--- a/task.go
+++ b/task.go
@@ -41,6 +41,8 @@
 	Repeated bool
 	// AtMostOnce means that the task must not run twice.
 	AtMostOnce bool
+	// Client is the address of the client without its port; only the daemon that accepted the request knows it.
+	Client string
 	// Precedence is how the client came back after a refusal.
 	Precedence Precedence
 }
@@ -104,6 +106,9 @@
 // IsAtMostOnce reports whether the task must not run twice.
 func (task Task) IsAtMostOnce() bool { return task.config.AtMostOnce }
 
+// Client returns the address of the client without its port, empty at other daemons than the one that accepted the request.
+func (task Task) Client() string { return task.config.Client }
+
 // Precedence returns how the client came back after a refusal.
 func (task Task) Precedence() Precedence { return task.config.Precedence }
 
