--- a/mesh/gatekeeper/concurrency.go
+++ b/mesh/gatekeeper/concurrency.go
@@ -33,6 +33,9 @@
 	// answeredAt is when the backend server last answered, or when tasks started to run after none did.
 	answeredAt time.Time
 	probedAt   time.Time
+	// pausedUntil is when the next task may start at a backend server that refuses nearly everything: its tasks end at once, so the number of
+	// running tasks alone would not limit them.
+	pausedUntil time.Time
 }
 
 // slots returns the number of tasks that may run of the given number of slots.
@@ -51,6 +54,18 @@
 	concurrency.limit, concurrency.cutAt, concurrency.grownAt = max(to, 1), now, now
 }
 
+// pause holds the last open slot as long as the refused task would have run.
+func (concurrency *concurrency) pause(now time.Time, runTime time.Duration) {
+	if concurrency.limit > 0 && concurrency.limit < 2 {
+		concurrency.pausedUntil = now.Add(runTime)
+	}
+}
+
+// pauseLeft returns how long no task may start.
+func (concurrency *concurrency) pauseLeft(now time.Time) time.Duration {
+	return max(concurrency.pausedUntil.Sub(now), 0)
+}
+
 // current returns the limit in tasks.
 func (concurrency *concurrency) current(slots int) float64 {
 	if concurrency.limit == 0 {
--- a/mesh/gatekeeper/overload.go
+++ b/mesh/gatekeeper/overload.go
@@ -143,17 +143,27 @@
 	return gate.overload.concurrency.isSilent(now, gate.running, gate.prolonged(gate.meanOfRunning()))
 }
 
+// isPaused reports whether no task may start because the backend server refuses nearly everything.
+func (gate *Gate) isPaused(now time.Time) bool {
+	return gate.overload != nil && gate.overload.concurrency.pauseLeft(now) > 0
+}
+
 // mayProbe reports whether a task may start although all open slots are in use, to find out whether the backend server has recovered.
 func (gate *Gate) mayProbe(now time.Time) bool {
 	return gate.overload != nil && gate.running < gate.slots && gate.isSilent(now) && gate.overload.concurrency.mayProbe(now)
 }
 
-// probeSpacing returns the interval at which a waiting task looks for a probe, zero without overload control.
+// probeSpacing returns after which time a waiting task looks whether it may start at a backend server that sheds or is silent, zero if neither.
 func (gate *Gate) probeSpacing(now time.Time) time.Duration {
-	if gate.overload == nil || !gate.isSilent(now) {
+	switch {
+	case gate.overload == nil:
 		return 0
+	case gate.overload.concurrency.pauseLeft(now) > 0:
+		return gate.overload.concurrency.pauseLeft(now)
+	case gate.isSilent(now):
+		return probeInterval
 	}
-	return probeInterval
+	return 0
 }
 
 // waitsUntilDeadline reports whether a task may wait until its deadline rather than its objective.
@@ -447,6 +457,7 @@
 	switch {
 	case isShed(pass.result.Reason()), failed && float64(took) < quickFailure*float64(usual):
 		overload.concurrency.cut(now, current*shedFactor)
+		overload.concurrency.pause(now, usual)
 	case completed:
 		gate.observeRunTime(now, pass, took, failed)
 	case wasSilent:
--- a/mesh/gatekeeper/queue.go
+++ b/mesh/gatekeeper/queue.go
@@ -122,6 +122,7 @@
 		wait += gate.meanOfRunning() / time.Duration(gate.running+1)
 	}
 	if gate.overload != nil {
+		wait = max(wait, gate.overload.concurrency.pauseLeft(now))
 		mean := gate.meanRunTimes.ofRoute(task.Route())
 		wait = gate.prolonged(wait+mean) - mean
 	}
--- a/mesh/gatekeeper/reserve.go
+++ b/mesh/gatekeeper/reserve.go
@@ -40,6 +40,9 @@
 	if !gate.hasResponded && gate.config.MaxFirst > 0 && gate.running >= gate.config.MaxFirst {
 		return false
 	}
+	if gate.isPaused(now) {
+		return false
+	}
 	return gate.running < gate.slotsFor(now, priority) || gate.mayProbe(now)
 }
 
--- a/mesh/transmitter/compact_test.go
+++ b/mesh/transmitter/compact_test.go
@@ -125,3 +125,26 @@
 		t.Errorf("got %q, want %q", got, want)
 	}
 }
+
+// Guards against a precedence that is lost between daemons, in either form, and against one from an earlier release's flags.
+func TestBothFormsCarryThePrecedence(t *testing.T) {
+	now := time.Now()
+	for _, precedence := range []lagoonlanding.Precedence{
+		lagoonlanding.PrecedenceNone, lagoonlanding.PrecedenceReturned, lagoonlanding.PrecedenceImpatient,
+	} {
+		metadata := newTaskMetadata(now, lagoonlanding.NewTask(lagoonlanding.TaskConfig{
+			ID: "1", Service: "s", Deadline: now, Objective: now, Repeated: true, Precedence: precedence,
+		}))
+		header := http.Header{}
+		encodeCompactTask(header, metadata)
+		if config, err := decodeCompactTask(header, now); err != nil || config.Precedence != precedence || !config.Repeated {
+			t.Errorf("compact: %v, %v instead of precedence %d", config.Precedence, err, precedence)
+		}
+		if err := encodeHeader(header, headerTask, metadata); err != nil {
+			t.Fatal(err)
+		}
+		if config, err := decodeHeader[lagoonlanding.TaskConfig, taskMetadata](header, headerTask, now); err != nil || config.Precedence != precedence {
+			t.Errorf("JSON: %v, %v instead of precedence %d", config.Precedence, err, precedence)
+		}
+	}
+}
