--- a/lagoonmesh/daemon_test.go
+++ b/lagoonmesh/daemon_test.go
@@ -71,10 +71,10 @@
 `, name, reserver.Host(), zone, port, port, address, service, clientAddress, reserver.Address(), control, store)}
 }
 
-func startDaemon(t *testing.T, name, zone, service, store string) *testDaemon {
+func startDaemon(t *testing.T, name, zone, service, store string, extraSettings ...string) *testDaemon {
 	t.Helper()
 	deployed := newDeployment(name, zone, service, store)
-	settings, err := platform.ParseSettings(deployed.settings)
+	settings, err := platform.ParseSettings(strings.Join(extraSettings, "\n") + deployed.settings)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/mesh/admitter/table.go
+++ b/mesh/admitter/table.go
@@ -160,6 +160,8 @@
 	if !earliest.Before(latest) {
 		return latest
 	}
+	table.mutex.Lock()
+	defer table.mutex.Unlock()
 	return earliest.Add(time.Duration(table.random() * float64(latest.Sub(earliest)) * spreadShare))
 }
 
