--- a/mesh/forwarder/forwarder.go
+++ b/mesh/forwarder/forwarder.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"lagoonlanding.example/lagoonlanding"
+	"lagoonlanding.example/lagoonlanding/mesh/admitter"
 	"lagoonlanding.example/lagoonlanding/mesh/chooser"
 	"lagoonlanding.example/lagoonlanding/mesh/coordinator"
 )
@@ -56,6 +57,12 @@
 	Log *logrus.Entry
 	// RandomFloat64 returns a number in [0, 1) for the weighted choice among the services of a route.
 	RandomFloat64 func() float64
+	// Admission holds the levels of other daemons; nil without overload control.
+	Admission *admitter.Table
+	// Returns remembers refused clients; it is required with Admission.
+	Returns *admitter.Returns
+	// AdmissionMeter records metrics of the admission; it is required with Admission.
+	AdmissionMeter lagoonlanding.AdmissionMeter
 }
 
 // Forwarder handles the requests of clients of this daemon.
@@ -92,6 +99,12 @@
 	credit    lagoonlanding.Credit
 	// relayTo is the daemon that handles the request because this one has no credit, the zero value if this one does.
 	relayTo lagoonlanding.Backend
+	// rank is the admission rank of the task under overload control.
+	rank admitter.Rank
+	// atOrigin means that the request was refused here, before any hop.
+	atOrigin bool
+	// asked are the backend servers whose levels refused the request.
+	asked []lagoonlanding.Backend
 }
 
 // Handle sends the request to a backend server, with retries, and returns the result.
@@ -110,6 +123,10 @@
 	}
 	delivery.correctOutcome()
 	forwarder.returnCredit(delivery)
+	forwarder.setReturn(delivery)
+	if delivery.atOrigin {
+		forwarder.recordOriginRefusal(delivery)
+	}
 	forwarder.log(delivery.task, delivery.lastBackend, delivery.tries, delivery.result)
 	result := delivery.result
 	if result.Outcome() != lagoonlanding.OutcomeAnswered {
@@ -158,6 +175,10 @@
 	if !ok {
 		return nil, forwarder.shuttingDown()
 	}
+	if forwarder.config.Admission != nil {
+		precedence := forwarder.config.Returns.Precedence(now, task)
+		task = task.With(func(config *lagoonlanding.TaskConfig) { config.Precedence = precedence })
+	}
 	credit, relayTo, refusal := forwarder.firstCredit(task, workspace)
 	if refusal.Outcome() != 0 {
 		return nil, refusal
@@ -166,7 +187,7 @@
 	wait := time.Duration(float64(task.Objective().Sub(task.Received())) * ownerWaitShare)
 	return &delivery{
 		task: task, route: route, tried: map[string]bool{}, received: map[lagoonlanding.BackendID]bool{}, refusals: map[string]int{},
-		waitUntil: now.Add(wait), workspace: workspace, credit: credit, relayTo: relayTo,
+		waitUntil: now.Add(wait), workspace: workspace, credit: credit, relayTo: relayTo, rank: admitter.RankOf(task),
 	}, lagoonlanding.Result{}
 }
 
@@ -206,7 +227,9 @@
 	}
 	delivery.tries++
 	delivery.tried[backend.ID().Daemon()], delivery.lastBackend = true, backend.ID()
+	sentAt := forwarder.config.Clock.Now()
 	delivery.result = forwarder.send(ctx, backend, delivery.task)
+	forwarder.recordAdmission(delivery, sentAt)
 	if delivery.result.IsDelivered() {
 		delivery.attempts++
 		delivery.received[backend.ID()] = true
@@ -231,6 +254,9 @@
 		result = forwarder.config.Sender.Send(ctx, backend, task)
 	}
 	forwarder.config.Chooser.Done(forwarder.config.Clock.Now(), daemon, result)
+	if forwarder.config.Admission != nil {
+		forwarder.config.Admission.Report(forwarder.config.Clock.Now(), backend, result.Load(), isBusy(result))
+	}
 	return result
 }
 
--- a/mesh/transmitter/codec.go
+++ b/mesh/transmitter/codec.go
@@ -46,6 +46,8 @@
 	// Workspace and Relayed are missing in the tasks of an earlier release; relayed tasks are sent only to daemons that answer quota reports.
 	Workspace string `json:"w,omitempty"`
 	Relayed   bool   `json:"f,omitempty"`
+	// Precedence is missing in the tasks of an earlier release.
+	Precedence lagoonlanding.Precedence `json:"e,omitempty"`
 }
 
 var _ lagoonlanding.Message[lagoonlanding.TaskConfig] = taskMetadata{}
@@ -54,7 +56,7 @@
 	return taskMetadata{
 		ID: task.ID(), DeadlineMS: task.Deadline().Sub(now).Milliseconds(), ObjectiveMS: task.Objective().Sub(now).Milliseconds(),
 		ShardKey: task.ShardKey(), Caller: task.Caller(), Service: task.Service(), Route: task.Route(), Priority: task.Priority(),
-		Repeated: task.IsRepeated(), AtMostOnce: task.IsAtMostOnce(), Workspace: task.Workspace(), Relayed: task.IsRelayed(),
+		Repeated: task.IsRepeated(), AtMostOnce: task.IsAtMostOnce(), Workspace: task.Workspace(), Relayed: task.IsRelayed(), Precedence: task.Precedence(),
 	}
 }
 
@@ -67,7 +69,7 @@
 		ID: taskmetadata.ID, Received: now, Deadline: now.Add(time.Duration(taskmetadata.DeadlineMS) * time.Millisecond),
 		Objective: now.Add(time.Duration(taskmetadata.ObjectiveMS) * time.Millisecond), ShardKey: taskmetadata.ShardKey, Caller: taskmetadata.Caller,
 		Service: taskmetadata.Service, Route: taskmetadata.Route, Priority: taskmetadata.Priority, Repeated: taskmetadata.Repeated,
-		AtMostOnce: taskmetadata.AtMostOnce, Workspace: taskmetadata.Workspace, Relayed: taskmetadata.Relayed,
+		AtMostOnce: taskmetadata.AtMostOnce, Workspace: taskmetadata.Workspace, Relayed: taskmetadata.Relayed, Precedence: taskmetadata.Precedence,
 	}, nil
 }
 
--- a/mesh/transmitter/compact.go
+++ b/mesh/transmitter/compact.go
@@ -22,6 +22,9 @@
 	flagAcceptsLevel = 1 << 2
 	// flagRelayed means that the receiver handles the task like a client's request.
 	flagRelayed = 1 << 3
+	// flagReturned and flagImpatient are the precedence of the task.
+	flagReturned  = 1 << 4
+	flagImpatient = 1 << 5
 )
 
 // The numbers of a compact result, without and with the slowdown and the admission level.
@@ -44,6 +47,12 @@
 	if metadata.Relayed {
 		flags |= flagRelayed
 	}
+	switch metadata.Precedence {
+	case lagoonlanding.PrecedenceReturned:
+		flags |= flagReturned
+	case lagoonlanding.PrecedenceImpatient:
+		flags |= flagImpatient
+	}
 	header[headerCompactTask] = []string{fmt.Sprint(metadata.DeadlineMS, metadata.ObjectiveMS, metadata.Priority, flags)}
 	id, key := referenceTo(header, metadata.ID), referenceTo(header, strconv.Itoa(metadata.ShardKey))
 	workspace := referenceTo(header, metadata.Workspace)
@@ -91,6 +100,12 @@
 		AtMostOnce: numbers[3]&flagAtMostOnce != 0, ShardKey: key, Service: header.Get(headerService), Caller: header.Get(headerCaller), Route: header.Get(headerRoute),
 		Workspace: resolve(header, headerWorkspace), Relayed: numbers[3]&flagRelayed != 0,
 	}
+	switch {
+	case numbers[3]&flagReturned != 0:
+		metadata.Precedence = lagoonlanding.PrecedenceReturned
+	case numbers[3]&flagImpatient != 0:
+		metadata.Precedence = lagoonlanding.PrecedenceImpatient
+	}
 	for _, name := range []string{headerCompactTask, headerID, headerShardKey, headerService, headerCaller, headerRoute, headerWorkspace} {
 		header.Del(name)
 	}
--- a/task.go
+++ b/task.go
@@ -47,6 +47,10 @@
 	Workspace string
 	// Relayed means that the receiving daemon handles the task like a client's request, since the sender has no credit for it.
 	Relayed bool
+	// Client is the address of the client without its port; only the daemon that accepted the request knows it.
+	Client string
+	// Precedence is how the client came back after a refusal.
+	Precedence Precedence
 }
 
 // Task is a client's request to a service of the mesh, with a streamed body.
@@ -117,6 +121,12 @@
 // IsRelayed reports whether the receiving daemon handles the task like a client's request.
 func (task Task) IsRelayed() bool { return task.config.Relayed }
 
+// Client returns the address of the client without its port, empty at other daemons than the one that accepted the request.
+func (task Task) Client() string { return task.config.Client }
+
+// Precedence returns how the client came back after a refusal.
+func (task Task) Precedence() Precedence { return task.config.Precedence }
+
 // With returns a copy with the given changes to its configuration.
 func (task Task) With(change func(config *TaskConfig)) Task {
 	change(&task.config)
