--- a/mesh/coordinator/snapshot.go
+++ b/mesh/coordinator/snapshot.go
@@ -23,21 +23,24 @@
 
 // Snapshot is an immutable view of the control state for request handling.
 type Snapshot struct {
-	config   SnapshotConfig
-	services map[string][]lagoonlanding.Backend
-	daemons  map[string]lagoonlanding.Backend
+	config SnapshotConfig
+	// candidates are the ready backend servers of each service in zones that are not evacuated.
+	candidates map[string][]lagoonlanding.Backend
+	daemons    map[string]lagoonlanding.Backend
 	// addresses maps the daemons by the addresses at which they accept tasks.
 	addresses map[string]lagoonlanding.Backend
 }
 
-// NewSnapshot returns a snapshot with the given fields, indexed by service and by daemon.
+// NewSnapshot returns a snapshot with the given fields, indexed by service and by daemon; they must not be changed afterwards.
 func NewSnapshot(config SnapshotConfig) *Snapshot {
 	snapshot := &Snapshot{
-		config: config, services: map[string][]lagoonlanding.Backend{}, daemons: map[string]lagoonlanding.Backend{},
+		config: config, candidates: map[string][]lagoonlanding.Backend{}, daemons: map[string]lagoonlanding.Backend{},
 		addresses: map[string]lagoonlanding.Backend{},
 	}
 	for _, backend := range config.Backends {
-		snapshot.services[backend.Service()] = append(snapshot.services[backend.Service()], backend)
+		if backend.State() == lagoonlanding.BackendReady && !config.Evacuated[backend.AvailabilityZone()] {
+			snapshot.candidates[backend.Service()] = append(snapshot.candidates[backend.Service()], backend)
+		}
 		snapshot.daemons[backend.ID().Daemon()] = backend
 		snapshot.addresses[backend.PeerAddress()] = backend
 	}
@@ -50,15 +53,9 @@
 // Revision returns the store revision up to which the fleet is known.
 func (snapshot *Snapshot) Revision() uint64 { return snapshot.config.Revision }
 
-// Candidates returns the ready backend servers of a service in zones that are not evacuated.
+// Candidates returns the ready backend servers of a service in zones that are not evacuated; callers must not change the list.
 func (snapshot *Snapshot) Candidates(service string) []lagoonlanding.Backend {
-	var candidates []lagoonlanding.Backend
-	for _, backend := range snapshot.services[service] {
-		if backend.State() == lagoonlanding.BackendReady && !snapshot.config.Evacuated[backend.AvailabilityZone()] {
-			candidates = append(candidates, backend)
-		}
-	}
-	return candidates
+	return snapshot.candidates[service]
 }
 
 // Owner returns the backend server that serves a key: the prior owner until it is known to have released the key, then the new one.
