Choose among a few candidates drawn at random

Each choice took a lock, compared all candidates and allocated, and daemons with the same old reports chose the same server.

--- a/lagoonmesh/daemon.go
+++ b/lagoonmesh/daemon.go
@@ -109,6 +109,7 @@
 	daemon.chooser = chooser.New(chooser.Config{
 		AvailabilityZone: daemon.settings.AvailabilityZone(), Region: daemon.settings.Region(), ZoneCost: zoneCost, RegionCost: regionCost,
 		QueueHalfLife: queueHalfLife, RunTimeHalfLife: runTimeHalfLife, AvoidTerm: avoidTerm, Random: newRandom(),
+		Samples: daemon.settings.HasOverloadControl(),
 	})
 	peers := transmitter.NewPeers(daemon.control)
 	daemon.coordinator = coordinator.New(daemon.clock.Now(), coordinator.Config{
--- a/mesh/chooser/chooser.go
+++ b/mesh/chooser/chooser.go
@@ -25,6 +25,10 @@
 	AvoidTerm time.Duration
 	// Random breaks ties.
 	Random *rand.Rand
+	// Samples enables the choice among a few candidates drawn at random, as Pick makes it; otherwise all candidates are compared.
+	Samples bool
+	// IntN returns a random number from 0 to n-1 for the draw, and may be called concurrently; nil selects the runtime's generator.
+	IntN func(n int) int
 }
 
 // initialTasksPerSlot is the assumed number of tasks per slot of a backend server that has not reported its load yet.
@@ -45,6 +49,8 @@
 // Chooser tracks the load that backend servers report with their answers; it is safe for concurrent use.
 type Chooser struct {
 	config Config
+	// sampler keeps all state instead if candidates are drawn; otherwise it is nil.
+	sampler *sampler
 
 	mutex         sync.Mutex
 	statsByDaemon map[string]*stats
@@ -64,7 +70,24 @@
 }
 
 // New returns a chooser without load reports.
-func New(config Config) *Chooser { return &Chooser{config: config, statsByDaemon: map[string]*stats{}} }
+func New(config Config) *Chooser {
+	created := &Chooser{config: config, statsByDaemon: map[string]*stats{}}
+	if config.Samples {
+		created.sampler = newSampler(config)
+	}
+	return created
+}
+
+// Samples reports whether candidates are drawn, so that Pick chooses.
+func (chooser *Chooser) Samples() bool { return chooser.sampler != nil }
+
+// Pick returns one of the candidates, which must be an immutable list that the caller passes again until it changes; it returns false if the
+// filter excludes all. It allocates nothing and takes no lock unless the candidates have changed.
+func (chooser *Chooser) Pick(
+	now time.Time, need lagoonlanding.Need, candidates []lagoonlanding.Backend, filter lagoonlanding.CandidateFilter,
+) (lagoonlanding.Backend, bool) {
+	return chooser.sampler.pick(now, need, candidates, filter)
+}
 
 // Choose returns the index of the candidate with the lowest cost, or -1 if there is none.
 func (chooser *Chooser) Choose(now time.Time, candidates []lagoonlanding.Backend) int {
@@ -173,6 +196,10 @@
 
 // Sent records that a task is sent to the daemon.
 func (chooser *Chooser) Sent(daemon string) {
+	if chooser.sampler != nil {
+		chooser.sampler.sent(daemon)
+		return
+	}
 	chooser.mutex.Lock()
 	defer chooser.mutex.Unlock()
 	chooser.stats(daemon).inFlight++
@@ -180,6 +207,10 @@
 
 // Done records the result of a task at the daemon.
 func (chooser *Chooser) Done(now time.Time, daemon string, result lagoonlanding.Result) {
+	if chooser.sampler != nil {
+		chooser.sampler.done(now, daemon, result)
+		return
+	}
 	chooser.mutex.Lock()
 	defer chooser.mutex.Unlock()
 	stats := chooser.stats(daemon)
@@ -215,6 +246,9 @@
 // Utilization returns the recent load per slot of a daemon's backend server and the mean run time of its tasks; it returns false without a
 // recent report.
 func (chooser *Chooser) Utilization(now time.Time, daemon string) (perSlot float64, meanRunTime time.Duration, ok bool) {
+	if chooser.sampler != nil {
+		return chooser.sampler.utilization(now, daemon)
+	}
 	chooser.mutex.Lock()
 	defer chooser.mutex.Unlock()
 	stats, isKnown := chooser.statsByDaemon[daemon]
@@ -226,6 +260,10 @@
 
 // Forget removes the stats of daemons that are no longer in the fleet.
 func (chooser *Chooser) Forget(isKnown func(daemon string) bool) {
+	if chooser.sampler != nil {
+		chooser.sampler.forget(isKnown)
+		return
+	}
 	chooser.mutex.Lock()
 	defer chooser.mutex.Unlock()
 	for daemon, stats := range chooser.statsByDaemon {
--- a/mesh/forwarder/delivery.go
+++ b/mesh/forwarder/delivery.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"lagoonlanding.example/lagoonlanding"
+	"lagoonlanding.example/lagoonlanding/mesh/coordinator"
 )
 
 // recordRefusal counts a refusal by a busy backend server; one outside the daemon's region ends the tries there. It keeps the earliest time at which a retry may succeed.
@@ -32,7 +33,19 @@
 
 // isEligible reports whether the request may be sent to the backend server.
 func (delivery *delivery) isEligible(candidate lagoonlanding.Backend) bool {
-	return delivery.route.Allows(candidate.Region()) && delivery.isNew(candidate) && delivery.refusals[candidate.Region()] < maxRefusals
+	return delivery.AllowsRegion(candidate.Region()) && delivery.isNew(candidate)
+}
+
+var _ lagoonlanding.CandidateFilter = (*delivery)(nil)
+
+// AllowsRegion reports whether the request may be sent to backend servers of the region.
+func (delivery *delivery) AllowsRegion(region string) bool {
+	return delivery.route.Allows(region) && delivery.refusals[region] < maxRefusals
+}
+
+// Allows reports whether the request may be sent to the backend server, if its region is allowed.
+func (delivery *delivery) Allows(candidate lagoonlanding.Backend) bool {
+	return delivery.isNew(candidate)
 }
 
 // isNew reports whether the request has not been sent to the daemon since the last wait, and has never reached its backend server.
@@ -47,6 +60,9 @@
 		owner, ok := snapshot.Owner(delivery.task.Service(), delivery.task.ShardKey())
 		return owner, ok && delivery.route.Allows(owner.Region()) && delivery.isNew(owner)
 	}
+	if forwarder.config.Chooser.Samples() {
+		return forwarder.config.Chooser.Pick(forwarder.config.Clock.Now(), need(snapshot, delivery), snapshot.Candidates(delivery.task.Service()), delivery)
+	}
 	var candidates []lagoonlanding.Backend
 	for _, candidate := range snapshot.Candidates(delivery.task.Service()) {
 		if delivery.isEligible(candidate) {
@@ -60,6 +76,17 @@
 	return candidates[index], true
 }
 
+// need returns what the choice of a backend server depends on.
+func need(snapshot *coordinator.Snapshot, delivery *delivery) lagoonlanding.Need {
+	coldRate := 0.0
+	if snapshot.Routing() != nil {
+		if policy, ok := snapshot.Routing().Service(delivery.task.Service()); ok {
+			coldRate = policy.ColdRate()
+		}
+	}
+	return lagoonlanding.NewNeed(delivery.task.Objective(), delivery.task.BodyLength(), coldRate)
+}
+
 // isKeyMoving reports whether the owner of the shard key is unknown, moving or unavailable, so that a later lookup may find the next owner.
 func (delivery *delivery) isKeyMoving() bool {
 	if delivery.task.ShardKey() == lagoonlanding.NoShardKey {
