--- a/mesh/chooser/sampler.go
+++ b/mesh/chooser/sampler.go
@@ -15,19 +15,19 @@
 
 const (
 	// nearSamples, regionSamples and remoteSamples are the candidates compared in the daemon's zone, in the rest of its region, and in each other region.
-	nearSamples, regionSamples, remoteSamples = 4, 3, 2
+	nearSamples, regionSamples, remoteSamples = 4, 5, 3
 	// maxSamples bounds the candidates of a tier.
 	maxSamples = 8
-	// runTimeReserve is the multiple of the run time that is left before the objective, as at the gate: half of the tasks that start later would miss it.
+	// runTimeReserve is the multiple of the run time that is left before the objective of a task that has to wait, as at the gate. A task that finds
+	// a free slot is admitted without a reserve; with one here as well, slow machines were left idle while tasks crossed regions.
 	runTimeReserve = 2
-	// waitHalfLife is the age at which a reported queue has half its weight: it is renewed within some run times.
-	waitHalfLife = 500 * time.Millisecond
 	// avoidCost is the cost of a backend server that is avoided.
 	avoidCost = time.Minute
 	// regionLatency is the time that a request and its answer take between regions; the one-way latency is 8 ms.
 	regionLatency = 20 * time.Millisecond
-	// utilizationShare is the share of the run time that the last free slot adds: a busier backend server is slower while it has free slots.
-	utilizationShare = 0.25
+	// pressureWeight is the cost of a full backend server that has no queue yet, in run times of its zone, and runTimeWeight that of its own run
+	// time: the load is evened out well before there is a queue, since reports are older than the time in which one forms.
+	pressureWeight, runTimeWeight = 2.0, 0.25
 )
 
 // distance is what a tier adds to the response time, and what it costs besides.
@@ -109,7 +109,7 @@
 	if known.isOf(candidates) {
 		return known
 	}
-	prepared := sampler.prepare(now, candidates, known)
+	prepared := sampler.prepare(now, candidates, known == nil)
 	pointer.Store(prepared)
 	return prepared
 }
@@ -119,14 +119,8 @@
 	return view != nil && len(view.source) == len(candidates) && &view.source[0] == &candidates[0]
 }
 
-// prepare returns the view of the candidates; processes that the previous view doesn't have are cold, except in the first view.
-func (sampler *sampler) prepare(now time.Time, candidates []lagoonlanding.Backend, previous *view) *view {
-	known := map[lagoonlanding.BackendID]bool{}
-	if previous != nil {
-		for _, backend := range previous.source {
-			known[backend.ID()] = true
-		}
-	}
+// prepare returns the view of the candidates; processes that have not been seen before are cold, except in the first view of a service.
+func (sampler *sampler) prepare(now time.Time, candidates []lagoonlanding.Backend, isFirst bool) *view {
 	prepared := &view{source: candidates}
 	remotes := map[string]int{}
 	for _, backend := range candidates {
@@ -136,9 +130,10 @@
 		}
 		entry := entry{backend: backend, track: sampler.track(backend.ID().Daemon()), average: sampler.averages[key]}
 		entry.track.average.Store(entry.average)
-		if previous != nil && !known[backend.ID()] {
+		if entry.track.id != backend.ID() && !isFirst {
 			entry.track.restart(now)
 		}
+		entry.track.id = backend.ID()
 		switch {
 		case backend.AvailabilityZone() == sampler.config.AvailabilityZone:
 			prepared.near.entries = append(prepared.near.entries, entry)
@@ -246,20 +241,24 @@
 
 // compare replaces the best candidate if the other one is better: in time before late, then by cost.
 func (sampler *sampler) compare(best *option, now time.Time, need lagoonlanding.Need, entry *entry, distance distance) {
-	wait, runTime := sampler.expect(now, entry)
-	other := option{entry: entry, cost: wait + runTime + distance.cost, inTime: true}
+	wait, runTime, pressure := sampler.expect(now, entry)
+	other := option{entry: entry, cost: wait + pressure + time.Duration(runTimeWeight*float64(runTime)) + distance.cost, inTime: true}
 	if !need.Objective().IsZero() {
-		other.inTime = !now.Add(wait + runTimeReserve*runTime + distance.latency).After(need.Objective())
+		reserve := runTime
+		if wait > 0 {
+			reserve *= runTimeReserve
+		}
+		other.inTime = !now.Add(wait + reserve + distance.latency).After(need.Objective())
 	}
 	if best.entry == nil || other.inTime && !best.inTime || other.inTime == best.inTime && other.cost < best.cost {
 		*best = other
 	}
 }
 
-// expect returns how long a task is expected to wait at a candidate and to run there.
+// expect returns how long a task is expected to wait at a candidate and to run there, and the cost of the slots in use.
 //
 // The report decays with its age towards the average of the candidate's zone.
-func (sampler *sampler) expect(now time.Time, entry *entry) (wait, runTime time.Duration) {
+func (sampler *sampler) expect(now time.Time, entry *entry) (wait, runTime, pressure time.Duration) {
 	state := entry.track.current()
 	average := entry.average.at(now)
 	inFlight := entry.track.inFlight.Load()
@@ -267,7 +266,7 @@
 	if !state.reportedAt.IsZero() {
 		age := now.Sub(state.reportedAt)
 		slots = max(state.load.Slots(), 1)
-		expected.tasksPerSlot += (tasksPerSlotOf(state.load) - average.tasksPerSlot) * decay(age, waitHalfLife)
+		expected.tasksPerSlot += (tasksPerSlotOf(state.load) - average.tasksPerSlot) * decay(age, sampler.config.QueueHalfLife)
 		expected.meanRunTime += time.Duration(float64(state.usualRunTime-average.meanRunTime) * decay(age, sampler.config.RunTimeHalfLife))
 		expected.meanRunTime = time.Duration(float64(expected.meanRunTime) * (1 + (state.slowdown-1)*decay(age, slowdownHalfLife)))
 		sentSince = inFlight - state.inFlightAtReport
@@ -276,11 +275,12 @@
 	ahead := max(expected.tasksPerSlot*float64(slots)+float64(sentSince), float64(inFlight))
 	perSlot := ahead / float64(slots)
 	queued := max(0, (ahead-float64(slots)+1)/float64(slots))
-	wait = time.Duration(float64(expected.meanRunTime) * (queued + min(perSlot, 1)*utilizationShare))
+	wait = time.Duration(float64(expected.meanRunTime) * queued)
+	pressure = time.Duration(float64(average.meanRunTime) * perSlot * pressureWeight)
 	if now.Before(state.avoidUntil) {
 		wait += avoidCost
 	}
-	return wait, expected.meanRunTime
+	return wait, expected.meanRunTime, pressure
 }
 
 // takesShare reports whether a candidate may be compared: a cold one gets only the share of the tasks that it accepts, drawn at random.
--- a/mesh/chooser/track.go
+++ b/mesh/chooser/track.go
@@ -60,6 +60,8 @@
 
 // track is what a daemon knows about one backend server; a choice reads it without a lock.
 type track struct {
+	// id is the process that was last a candidate; the preparation of views guards it.
+	id       lagoonlanding.BackendID
 	inFlight atomic.Int64
 	average  atomic.Pointer[average]
 
