Plan moves of keys from several servers to several others at a time

Moves for load had one donor and one receiver at a time, 5 s apart. With overload control each overloaded server's daemon computes the same plan for all of them from the reports and writes its own part; a move must be expected to gain more service than the moved keys lose. Demand is also measured over the last second, which shows how long a load has lasted. The tests of mesh/coordinator, mesh/gatekeeper and mesh/allocator pass; the plan has no test of its own yet.

--- a/mesh/coordinator/shed.go
+++ b/mesh/coordinator/shed.go
@@ -3,6 +3,9 @@
 import (
 	"time"
 
+	"github.com/sirupsen/logrus"
+
+	"lagoonlanding.example/lagoonlanding"
 	"lagoonlanding.example/lagoonlanding/mesh/allocator"
 )
 
@@ -11,6 +14,9 @@
 	shedCheckInterval = time.Second
 	// shedSettleTime is how long the allotment must be unchanged before keys move for load: the reports show the effect of a move by then.
 	shedSettleTime = 5 * time.Second
+	// spreadSettleTime is how long the daemon's own keys must be unchanged: its demand counts the keys that it still has, and only the reports of
+	// the receivers need time to show a move.
+	spreadSettleTime = 2 * time.Second
 )
 
 // shed returns the allotment in which the backend server, if it is overloaded, has given keys to a less loaded one.
@@ -18,6 +24,9 @@
 	if coordinator.config.Demand == nil || service != coordinator.config.Self.Service() {
 		return nil, false
 	}
+	if meter, ok := coordinator.config.Reports.(lagoonlanding.MoveMeter); ok {
+		return coordinator.spread(now, service, stored.allotment, meter)
+	}
 	if coordinator.shedRevision != stored.revision {
 		coordinator.shedRevision, coordinator.nextShedAt = stored.revision, now.Add(shedSettleTime)
 	}
@@ -25,8 +34,7 @@
 		return nil, false
 	}
 	coordinator.nextShedAt = now.Add(shedCheckInterval)
-	_, ok := coordinator.config.Assigner.Latest()
-	if !ok || coordinator.isDraining() || coordinator.isEvacuated(coordinator.config.Self.AvailabilityZone()) {
+	if !coordinator.keepsKeys() {
 		return nil, false
 	}
 	demand := coordinator.config.Demand.Demand(now)
@@ -43,6 +51,56 @@
 	return next, true
 }
 
+// keepsKeys reports whether the backend server is there and is not about to give up all keys.
+func (coordinator *Coordinator) keepsKeys() bool {
+	_, ok := coordinator.config.Assigner.Latest()
+	return ok && !coordinator.isDraining() && !coordinator.isEvacuated(coordinator.config.Self.AvailabilityZone())
+}
+
+// spread returns the allotment in which the backend server, if it is overloaded, has given keys to several less loaded ones, as its part of a plan for
+// all overloaded ones. Keys that other backend servers move don't delay it.
+func (coordinator *Coordinator) spread(
+	now time.Time, service string, allotment *allocator.Allotment, meter lagoonlanding.MoveMeter,
+) (*allocator.Allotment, bool) {
+	donor := coordinator.config.Assigner.ID()
+	if mark := keysMark(allotment, donor); coordinator.shedRevision != mark {
+		coordinator.shedRevision, coordinator.nextShedAt = mark, now.Add(spreadSettleTime)
+	}
+	if now.Before(coordinator.nextShedAt) {
+		return nil, false
+	}
+	coordinator.nextShedAt = now.Add(shedCheckInterval)
+	if !coordinator.keepsKeys() {
+		return nil, false
+	}
+	demand := coordinator.config.Demand.Demand(now)
+	others := coordinator.receivers(now, service)
+	next, spreading, ok := allotment.Spread(allocator.SpreadConfig{
+		Donor: donor, MeanRunTime: demand.MeanRunTime(), LoadOf: demand.Of, RecentLoadOf: demand.Recent, HalfLife: lagoonlanding.DemandHalfLife, Others: others,
+	})
+	if !ok {
+		return nil, false
+	}
+	meter.Moved(spreading.Stripes(), spreading.Gain(), spreading.Loss())
+	coordinator.config.Log.WithFields(logrus.Fields{
+		"service": service, "allotment": allotment.Version(), "utilization": spreading.Utilization(), "average": spreading.Average(), "reports": len(others),
+		"donors": spreading.Donors(), "receivers": spreading.Receivers(), "stripes": spreading.Stripes(), "hot-stripes": spreading.HotStripes(),
+		"load": spreading.Load(), "gain-s": spreading.Gain(), "loss-s": spreading.Loss(),
+	}).Info("Keys move to less loaded backend servers.")
+	return next, true
+}
+
+// keysMark returns a number that changes when a backend server gains or loses keys: the greatest token and the number of its stripes.
+func keysMark(allotment *allocator.Allotment, id lagoonlanding.BackendID) uint64 {
+	count, token := uint64(0), uint64(0)
+	for _, stripe := range allotment.Stripes() {
+		if stripe.Owner() == id {
+			count, token = count+1, max(token, stripe.Token())
+		}
+	}
+	return token*(allocator.MaxStripes+1) + count
+}
+
 // receivers returns the other backend servers of a service that may take over keys and have reported their load.
 func (coordinator *Coordinator) receivers(now time.Time, service string) []allocator.ReceiverConfig {
 	var receivers []allocator.ReceiverConfig
--- a/mesh/gatekeeper/demand.go
+++ b/mesh/gatekeeper/demand.go
@@ -8,19 +8,16 @@
 )
 
 const (
-	// demandHalfLife is the age at which a task has half its weight in the demand: some run times of a task, so that a short burst on a few
-	// keys counts little.
-	demandHalfLife = 5 * time.Second
-	// rescaleAfter bounds the age of the time base, so that the weights stay in the range of a float32.
-	rescaleAfter = 30 * demandHalfLife
+	demandHalfLife = lagoonlanding.DemandHalfLife
+	// recentHalfLife is that age in the recent demand, which shows whether the load of a key has only just begun or ended.
+	recentHalfLife = time.Second
+	// rescaleHalfLives bounds the age of the time base, so that the weights stay in the range of a float32.
+	rescaleHalfLives = 30
 )
 
 // demand is the run time that arrives for each range of shard keys, refused tasks included.
-//
-// Newer tasks count more: a task at time t has the weight 2^((t-base)/half-life).
 type demand struct {
-	base time.Time
-	sums []float32
+	lasting, recent weightedSums
 }
 
 // observe counts a task for a key that takes the given time.
@@ -28,32 +25,45 @@
 	if key == lagoonlanding.NoShardKey {
 		return
 	}
-	if demand.sums == nil {
-		demand.sums, demand.base = make([]float32, lagoonlanding.DemandRanges), now
+	demand.lasting.observe(now, key, took, demandHalfLife)
+	demand.recent.observe(now, key, took, recentHalfLife)
+}
+
+// value returns the average number of slots that the tasks of each range need, per slot of the backend server.
+func (demand *demand) value(now time.Time, slots int) []float32 { return demand.lasting.value(now, slots, demandHalfLife) }
+
+// weightedSums are the run times for each range, in which newer tasks count more: a task at time t has the weight 2^((t-base)/half-life).
+type weightedSums struct {
+	base time.Time
+	sums []float32
+}
+
+func (weightedsums *weightedSums) observe(now time.Time, key int, took, halfLife time.Duration) {
+	if weightedsums.sums == nil {
+		weightedsums.sums, weightedsums.base = make([]float32, lagoonlanding.DemandRanges), now
 	}
-	if now.Sub(demand.base) > rescaleAfter {
-		factor := float32(1 / demand.weight(now))
-		for index := range demand.sums {
-			demand.sums[index] *= factor
+	if now.Sub(weightedsums.base) > rescaleHalfLives*halfLife {
+		factor := float32(1 / weightedsums.weight(now, halfLife))
+		for index := range weightedsums.sums {
+			weightedsums.sums[index] *= factor
 		}
-		demand.base = now
+		weightedsums.base = now
 	}
-	demand.sums[lagoonlanding.DemandRangeOf(key)] += float32(took.Seconds() * demand.weight(now))
+	weightedsums.sums[lagoonlanding.DemandRangeOf(key)] += float32(took.Seconds() * weightedsums.weight(now, halfLife))
 }
 
-func (demand *demand) weight(at time.Time) float64 {
-	return math.Exp2(at.Sub(demand.base).Seconds() / demandHalfLife.Seconds())
+func (weightedsums *weightedSums) weight(at time.Time, halfLife time.Duration) float64 {
+	return math.Exp2(at.Sub(weightedsums.base).Seconds() / halfLife.Seconds())
 }
 
-// value returns the average number of slots that the tasks of each range need, per slot of the backend server.
-func (demand *demand) value(now time.Time, slots int) []float32 {
-	values := make([]float32, len(demand.sums))
-	if len(demand.sums) == 0 {
+func (weightedsums *weightedSums) value(now time.Time, slots int, halfLife time.Duration) []float32 {
+	values := make([]float32, len(weightedsums.sums))
+	if len(weightedsums.sums) == 0 {
 		return values
 	}
 	// The weights of tasks that arrive at a constant rate add up to that rate times the half-life over ln 2.
-	factor := math.Ln2 / demandHalfLife.Seconds() / demand.weight(now) / float64(max(slots, 1))
-	for index, sum := range demand.sums {
+	factor := math.Ln2 / halfLife.Seconds() / weightedsums.weight(now, halfLife) / float64(max(slots, 1))
+	for index, sum := range weightedsums.sums {
 		values[index] = float32(float64(sum) * factor)
 	}
 	return values
@@ -63,5 +73,7 @@
 func (gate *Gate) Demand(now time.Time) lagoonlanding.Demand {
 	gate.mutex.Lock()
 	defer gate.mutex.Unlock()
-	return lagoonlanding.NewDemand(gate.demand.value(now, gate.usableSlots()), gate.meanRunTimes.overall())
+	slots := gate.usableSlots()
+	return lagoonlanding.NewDemand(gate.demand.value(now, slots), gate.meanRunTimes.overall()).
+		WithRecent(gate.demand.recent.value(now, slots, recentHalfLife))
 }
--- a/runner.go
+++ b/runner.go
@@ -52,6 +52,13 @@
 	Utilization(now time.Time, daemon string) (perSlot float64, meanRunTime time.Duration, ok bool)
 }
 
+// MoveMeter records moves of shard keys for load. A daemon whose LoadReports are a MoveMeter too plans moves from several backend servers to several
+// others at a time.
+type MoveMeter interface {
+	// Moved records a planned move of stripes with its expected gain and loss of service, in seconds of all slots of the backend server.
+	Moved(stripes int, gain, loss float64)
+}
+
 // TaskMeter records metrics of clients' requests.
 type TaskMeter interface {
 	// Ended records the result of a request, its number of attempts and its duration.
