Count bytes between regions by cause, choices by distance, and the observed balance

The links between regions are narrow and billed by volume, but only whole exchanges were counted. The bytes of tasks that cross regions are now divided into heads, bodies and bodies of tries without an answer; control bytes are counted besides. A daemon with overload control also counts its choices by distance and records the busiest over the mean load of each service as its own traffic reports it. The tests of mesh/biller pass.

--- a/lagoonmesh/bytes.go
+++ b/lagoonmesh/bytes.go
@@ -33,6 +33,9 @@
 			distance = daemon.distanceOf(peer.AvailabilityZone(), peer.Region())
 		}
 	}
+	if distance == distanceRegions {
+		daemon.countCrossing(kind, sent+received)
+	}
 	daemon.recorder.Transferred(kind, distance, sent, received)
 }
 
--- a/lagoonmesh/daemon.go
+++ b/lagoonmesh/daemon.go
@@ -15,6 +15,7 @@
 	"lagoonlanding.example/lagoonlanding"
 	"lagoonlanding.example/lagoonlanding/mesh/acceptor"
 	"lagoonlanding.example/lagoonlanding/mesh/assigner"
+	"lagoonlanding.example/lagoonlanding/mesh/biller"
 	"lagoonlanding.example/lagoonlanding/mesh/chooser"
 	"lagoonlanding.example/lagoonlanding/mesh/connector"
 	"lagoonlanding.example/lagoonlanding/mesh/coordinator"
@@ -49,6 +50,7 @@
 	syncer      *syncer.Syncer
 	acceptor    *acceptor.Acceptor
 	chooser     *chooser.Chooser
+	biller      *biller.Biller
 	forwarder   *forwarder.Forwarder
 	recorder    *recorder.Recorder
 	quarantine  *quarantiner.Quarantine
@@ -109,7 +111,7 @@
 	daemon.chooser = chooser.New(chooser.Config{
 		AvailabilityZone: daemon.settings.AvailabilityZone(), Region: daemon.settings.Region(), ZoneCost: zoneCost, RegionCost: regionCost,
 		QueueHalfLife: queueHalfLife, RunTimeHalfLife: runTimeHalfLife, AvoidTerm: avoidTerm, Random: newRandom(),
-		Samples: daemon.settings.HasOverloadControl(),
+		Samples: daemon.settings.HasOverloadControl(), OnPick: daemon.recordChoice,
 	})
 	peers := transmitter.NewPeers(daemon.control)
 	daemon.coordinator = coordinator.New(daemon.clock.Now(), coordinator.Config{
@@ -119,7 +121,7 @@
 			Daemon: daemon.settings.Daemon(), StartedAt: daemon.clock.Now(), VerificationTerm: verificationTerm, MaxAssignmentTerm: min(maxAssignmentTerm, daemon.settings.MaxAssignmentTerm(maxAssignmentTerm)),
 			MaxClockDrift: maxClockDrift, FailAfter: announcementTimeout,
 		}),
-		Gate: gate, Demand: gate, Reports: daemon.chooser, DrainTerm: daemon.settings.DrainTerm(0) / drainDivisor, EvacuateTerm: daemon.settings.EvacuateTerm(0) / evacuateDivisor,
+		Gate: gate, Demand: gate, Reports: daemon.loadReports(), DrainTerm: daemon.settings.DrainTerm(0) / drainDivisor, EvacuateTerm: daemon.settings.EvacuateTerm(0) / evacuateDivisor,
 		Quarantine: daemon.quarantine, Log: daemon.logFor("control"),
 	})
 	daemon.syncer = syncer.New(syncer.Config{
@@ -141,10 +143,10 @@
 		Quarantine: daemon.quarantine, OnCrashRecorded: daemon.syncer.CrashRecorded,
 		Shutdown: daemon.drain, Clock: daemon.clock, Log: daemon.logFor("backend"),
 	})
+	daemon.biller = daemon.newBiller(transmitter.New(transmitter.Config{Pool: daemon.pool, Framed: daemon.framed, Clock: daemon.clock, Log: daemon.logFor("peers")}))
 	daemon.forwarder = forwarder.New(forwarder.Config{
 		Daemon: daemon.settings.Daemon(), Service: daemon.settings.Service(), Region: daemon.settings.Region(), Local: daemon.acceptor,
-		Sender:  transmitter.New(transmitter.Config{Pool: daemon.pool, Framed: daemon.framed, Clock: daemon.clock, Log: daemon.logFor("peers")}),
-		Chooser: daemon.chooser,
+		Sender: daemon.biller, Chooser: daemon.chooser,
 		Budgets: forwarder.NewBudgets(forwarder.BudgetsConfig{
 			Share: retryBudgetShare * daemon.settings.RetryBudgetRatio(defaultRetryBudgetRatio), Slack: retryBudgetShare * daemon.settings.RetryBudgetSlack(0),
 			Daemons: func() int { return len(daemon.coordinator.Snapshot().Peers()) },
@@ -221,6 +223,7 @@
 			daemon.pool.Sweep(time.Now())
 			daemon.framed.Sweep(time.Now())
 			daemon.chooser.Forget(daemon.coordinator.Snapshot().Has)
+			daemon.recordBalance(daemon.coordinator.Snapshot())
 		}
 	}
 }
--- a/mesh/chooser/sampler.go
+++ b/mesh/chooser/sampler.go
@@ -180,6 +180,9 @@
 	if best.entry == nil {
 		return lagoonlanding.Backend{}, false
 	}
+	if sampler.config.OnPick != nil {
+		sampler.config.OnPick(best.entry.backend)
+	}
 	return best.entry.backend, true
 }
 
--- a/mesh/gatekeeper/demand.go
+++ b/mesh/gatekeeper/demand.go
@@ -30,7 +30,9 @@
 }
 
 // value returns the average number of slots that the tasks of each range need, per slot of the backend server.
-func (demand *demand) value(now time.Time, slots int) []float32 { return demand.lasting.value(now, slots, demandHalfLife) }
+func (demand *demand) value(now time.Time, slots int) []float32 {
+	return demand.lasting.value(now, slots, demandHalfLife)
+}
 
 // weightedSums are the run times for each range, in which newer tasks count more: a task at time t has the weight 2^((t-base)/half-life).
 type weightedSums struct {
