--- a/lagoonmesh/daemon_test.go
+++ b/lagoonmesh/daemon_test.go
@@ -73,7 +73,12 @@
 
 func startDaemon(t *testing.T, name, zone, service, store string) *testDaemon {
 	t.Helper()
-	deployed := newDeployment(name, zone, service, store)
+	return startDeployment(t, newDeployment(name, zone, service, store))
+}
+
+// startDeployment starts a deployment in the test process.
+func startDeployment(t *testing.T, deployed deployment) *testDaemon {
+	t.Helper()
 	settings, err := platform.ParseSettings(deployed.settings)
 	if err != nil {
 		t.Fatal(err)
--- a/mesh/forwarder/delivery.go
+++ b/mesh/forwarder/delivery.go
@@ -84,7 +84,11 @@
 			coldRate = policy.ColdRate()
 		}
 	}
-	return lagoonlanding.NewNeed(delivery.task.Objective(), delivery.task.BodyLength(), coldRate)
+	answerBy := delivery.task.Objective()
+	if answerBy.IsZero() {
+		answerBy = delivery.task.Deadline()
+	}
+	return lagoonlanding.NewNeed(answerBy, delivery.task.BodyLength(), coldRate)
 }
 
 // isKeyMoving reports whether the owner of the shard key is unknown, moving or unavailable, so that a later lookup may find the next owner.
