--- a/mesh/chooser/sampler.go
+++ b/mesh/chooser/sampler.go
@@ -72,7 +72,7 @@
 
 // entry is a candidate with what is known about it.
 type entry struct {
-	backend lagoonlanding.Backend
+	backend *lagoonlanding.Backend
 	track   *track
 	// average is the average of the candidate's zone.
 	average *average
@@ -105,12 +105,25 @@
 	if known := pointer.Load(); known.isOf(candidates) {
 		return known
 	}
-	sampler.rebuilding.Lock()
+	if !sampler.rebuilding.TryLock() {
+		// Another request prepares the candidates; until it is done, those of the previous snapshot do.
+		if known := pointer.Load(); known != nil {
+			return known
+		}
+		sampler.rebuilding.Lock()
+	}
 	defer sampler.rebuilding.Unlock()
 	known := pointer.Load()
 	if known.isOf(candidates) {
 		return known
 	}
+	if known != nil && slices.Equal(known.source, candidates) {
+		// The snapshot has changed in other respects.
+		same := *known
+		same.source = candidates
+		pointer.Store(&same)
+		return &same
+	}
 	prepared := sampler.prepare(now, candidates, known == nil)
 	pointer.Store(prepared)
 	return prepared
@@ -125,7 +138,8 @@
 func (sampler *sampler) prepare(now time.Time, candidates []lagoonlanding.Backend, isFirst bool) *view {
 	prepared := &view{source: candidates}
 	remotes := map[string]int{}
-	for _, backend := range candidates {
+	for index := range candidates {
+		backend := &candidates[index]
 		key := tierKey{service: backend.Service(), zone: backend.AvailabilityZone(), region: backend.Region()}
 		if sampler.averages[key] == nil {
 			sampler.averages[key] = &average{}
@@ -137,18 +151,18 @@
 		}
 		entry.track.id = backend.ID()
 		switch {
-		case backend.AvailabilityZone() == sampler.config.AvailabilityZone:
+		case key.zone == sampler.config.AvailabilityZone:
 			prepared.near.entries = append(prepared.near.entries, entry)
-		case backend.Region() == sampler.config.Region:
+		case key.region == sampler.config.Region:
 			prepared.region.entries = append(prepared.region.entries, entry)
 		default:
-			index, ok := remotes[backend.Region()]
+			number, ok := remotes[key.region]
 			if !ok {
-				index = len(prepared.remote)
-				remotes[backend.Region()] = index
-				prepared.remote = append(prepared.remote, tier{region: backend.Region()})
+				number = len(prepared.remote)
+				remotes[key.region] = number
+				prepared.remote = append(prepared.remote, tier{region: key.region})
 			}
-			prepared.remote[index].entries = append(prepared.remote[index].entries, entry)
+			prepared.remote[number].entries = append(prepared.remote[number].entries, entry)
 		}
 	}
 	prepared.near.region, prepared.region.region = sampler.config.Region, sampler.config.Region
@@ -183,9 +197,9 @@
 		return lagoonlanding.Backend{}, false
 	}
 	if sampler.config.OnPick != nil {
-		sampler.config.OnPick(best.entry.backend)
+		sampler.config.OnPick(*best.entry.backend)
 	}
-	return best.entry.backend, true
+	return *best.entry.backend, true
 }
 
 // regionDistance returns the distance of another region, with the time that the task's bytes take on the link.
@@ -208,7 +222,7 @@
 		index := sampler.draw(drawn[:number], count)
 		drawn[number] = index
 		entry := &tier.entries[index]
-		if !filter.Allows(entry.backend) {
+		if !filter.Allows(*entry.backend) {
 			continue
 		}
 		if !sampler.takesShare(now, need, entry) {
@@ -225,7 +239,7 @@
 	first := sampler.intN(count)
 	for offset := range count {
 		index := (first + offset) % count
-		if entry := &tier.entries[index]; index != cold && filter.Allows(entry.backend) {
+		if entry := &tier.entries[index]; index != cold && filter.Allows(*entry.backend) {
 			sampler.compare(best, now, need, entry, distance)
 			return
 		}
--- a/mesh/chooser/sampler_test.go
+++ b/mesh/chooser/sampler_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -191,3 +193,57 @@
 		})
 	}
 }
+
+// TestChoicesRunConcurrently guards against races between choices, results, new snapshots and the removal of daemons; it needs the race detector.
+func TestChoicesRunConcurrently(t *testing.T) {
+	chooser := New(Config{
+		AvailabilityZone: "near", Region: "home", QueueHalfLife: time.Second, RunTimeHalfLife: time.Second, AvoidTerm: time.Second, Samples: true,
+	})
+	snapshots := [][]lagoonlanding.Backend{
+		candidates([2]string{"home", "near"}, [2]string{"home", "next"}, [2]string{"far", "other"}),
+		candidates([2]string{"home", "near"}, [2]string{"home", "next"}),
+	}
+	var group sync.WaitGroup
+	for worker := range 4 {
+		group.Go(func() {
+			for round := range 500 {
+				now := start.Add(time.Duration(round) * time.Millisecond)
+				backend, ok := chooser.Pick(now, lagoonlanding.NewNeed(now.Add(time.Second), 0, 5), snapshots[(round+worker)%2], excluding{})
+				if !ok {
+					t.Error("no candidate was chosen")
+					return
+				}
+				report(chooser, now, backend.ID().Daemon(), 100*time.Millisecond, round%8)
+				chooser.Utilization(now, "d1")
+				if round%50 == 0 {
+					chooser.Forget(func(daemon string) bool { return daemon != "d2" })
+				}
+			}
+		})
+	}
+	group.Wait()
+	for _, daemon := range []string{"d0", "d1"} {
+		if got := chooser.sampler.track(daemon).inFlight.Load(); got != 0 {
+			t.Errorf("%d tasks of %s are in flight at the end", got, daemon)
+		}
+	}
+}
+
+// BenchmarkPrepare shows what a new snapshot of 2,900 servers costs the first choice after it, with the same servers and with a changed one.
+func BenchmarkPrepare(b *testing.B) {
+	var locations [][2]string
+	for number := range 2900 {
+		locations = append(locations, [2]string{fmt.Sprint("home", number%3), fmt.Sprint("zone", number%9)})
+	}
+	first := candidates(locations...)
+	locations[2899][1] = "zone9"
+	for name, second := range map[string][]lagoonlanding.Backend{"same": slices.Clone(first), "changed": candidates(locations...)} {
+		b.Run(name, func(b *testing.B) {
+			snapshots := [][]lagoonlanding.Backend{first, second}
+			chooser := New(Config{AvailabilityZone: "zone0", Region: "home0", QueueHalfLife: time.Second, RunTimeHalfLife: time.Second, Samples: true})
+			for number := 0; b.Loop(); number++ {
+				chooser.Pick(start, lagoonlanding.Need{}, snapshots[number%2], excluding{})
+			}
+		})
+	}
+}
