Log choices of another region with what they are based on

A metric showed that tasks cross regions, but not why. At most once a second a line now has the expected wait and run time there and the age of the report. The test of two regions passes with the race detector.

--- a/lagoonmesh/balancing.go
+++ b/lagoonmesh/balancing.go
@@ -1,8 +1,13 @@
 package main
 
 import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
 	"lagoonlanding.example/lagoonlanding"
 	"lagoonlanding.example/lagoonlanding/mesh/biller"
+	"lagoonlanding.example/lagoonlanding/mesh/chooser"
 	"lagoonlanding.example/lagoonlanding/mesh/coordinator"
 )
 
@@ -40,9 +45,29 @@
 	}
 }
 
-// recordChoice counts a choice by distance.
-func (daemon *daemon) recordChoice(backend lagoonlanding.Backend) {
-	daemon.recorder.Chose(backend.Service(), daemon.distanceOf(backend.AvailabilityZone(), backend.Region()))
+// crossingLogInterval is the shortest time between two log lines of choices of another region: in a peak there are hundreds a second.
+const crossingLogInterval = time.Second
+
+// recordChoice counts a choice by distance, and logs some of those of another region.
+func (daemon *daemon) recordChoice(choice chooser.Choice) {
+	backend := choice.Backend()
+	distance := daemon.distanceOf(backend.AvailabilityZone(), backend.Region())
+	daemon.recorder.Chose(backend.Service(), distance)
+	if distance != distanceRegions {
+		return
+	}
+	now := daemon.clock.Now()
+	if next := daemon.nextCrossingLog.Load(); now.UnixNano() < next || !daemon.nextCrossingLog.CompareAndSwap(next, now.Add(crossingLogInterval).UnixNano()) {
+		return
+	}
+	fields := logrus.Fields{
+		"service": backend.Service(), "backend-server": backend.ID().String(), "region": backend.Region(), "expected-wait-ms": choice.Wait().Milliseconds(),
+		"expected-run-ms": choice.RunTime().Milliseconds(), "in-time": choice.IsInTime(), "fleet-revision": daemon.coordinator.Snapshot().Revision(),
+	}
+	if !choice.ReportedAt().IsZero() {
+		fields["report-age-ms"] = now.Sub(choice.ReportedAt()).Milliseconds()
+	}
+	daemon.logFor("balancing").WithFields(fields).Info("Task goes to a backend server of another region.")
 }
 
 // minBalanceReports is the number of recent reports from which the balance of a service is recorded.
--- a/lagoonmesh/daemon.go
+++ b/lagoonmesh/daemon.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/signal"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -57,6 +58,9 @@
 	drain       *drainer.Drain
 	fleet       *relayer.Journal
 	directives  *relayer.Journal
+
+	// nextCrossingLog is the time in Unix nanoseconds from which a choice of another region is logged again.
+	nextCrossingLog atomic.Int64
 }
 
 func newDaemon(settings platform.Settings, settingsPath string, log *logrus.Logger, droppedLines func() uint64) *daemon {
--- a/mesh/chooser/chooser.go
+++ b/mesh/chooser/chooser.go
@@ -29,8 +29,8 @@
 	Samples bool
 	// IntN returns a random number from 0 to n-1 for the draw, and may be called concurrently; nil selects the runtime's generator.
 	IntN func(n int) int
-	// OnPick is called with each candidate that Pick chooses; nil if they are not counted.
-	OnPick func(backend lagoonlanding.Backend)
+	// OnPick is called with each choice of Pick; nil if they are not counted.
+	OnPick func(choice Choice)
 }
 
 // initialTasksPerSlot is the assumed number of tasks per slot of a backend server that has not reported its load yet.
--- a/mesh/chooser/sampler.go
+++ b/mesh/chooser/sampler.go
@@ -175,6 +175,14 @@
 	// cost is the expected response time with the cost of the distance, and inTime whether the answer is expected by the objective.
 	cost   time.Duration
 	inTime bool
+	// wait and runTime are the expected times at the candidate.
+	wait, runTime time.Duration
+}
+
+func (option *option) choice() Choice {
+	return Choice{
+		backend: *option.entry.backend, wait: option.wait, runTime: option.runTime, reportedAt: option.entry.track.current().reportedAt, inTime: option.inTime,
+	}
 }
 
 // pick returns the best of the candidates drawn; it returns false if the filter excludes all.
@@ -197,7 +205,7 @@
 		return lagoonlanding.Backend{}, false
 	}
 	if sampler.config.OnPick != nil {
-		sampler.config.OnPick(*best.entry.backend)
+		sampler.config.OnPick(best.choice())
 	}
 	return *best.entry.backend, true
 }
@@ -261,7 +269,7 @@
 // compare replaces the best candidate if the other one is better: in time before late, then by cost.
 func (sampler *sampler) compare(best *option, now time.Time, need lagoonlanding.Need, entry *entry, distance distance) {
 	wait, runTime, pressure := sampler.expect(now, entry)
-	other := option{entry: entry, cost: wait + pressure + time.Duration(runTimeWeight*float64(runTime)) + distance.cost, inTime: true}
+	other := option{entry: entry, cost: wait + pressure + time.Duration(runTimeWeight*float64(runTime)) + distance.cost, inTime: true, wait: wait, runTime: runTime}
 	if !need.Objective().IsZero() {
 		left := need.Objective().Sub(now) - wait - distance.latency
 		other.inTime = left >= runTime && (wait == 0 || left >= runTimeReserve*runTime)
