--- a/lagoonmesh/daemon.go
+++ b/lagoonmesh/daemon.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/signal"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -16,6 +17,7 @@
 	"lagoonlanding.example/lagoonlanding/mesh/acceptor"
 	"lagoonlanding.example/lagoonlanding/mesh/admitter"
 	"lagoonlanding.example/lagoonlanding/mesh/assigner"
+	"lagoonlanding.example/lagoonlanding/mesh/biller"
 	"lagoonlanding.example/lagoonlanding/mesh/budgeter"
 	"lagoonlanding.example/lagoonlanding/mesh/chooser"
 	"lagoonlanding.example/lagoonlanding/mesh/connector"
@@ -55,6 +57,7 @@
 	chooser     *chooser.Chooser
 	// admission holds the admission levels of other daemons, nil without overload control.
 	admission   *admitter.Table
+	biller      *biller.Biller
 	forwarder   *forwarder.Forwarder
 	recorder    *recorder.Recorder
 	quarantine  *quarantiner.Quarantine
@@ -65,6 +68,9 @@
 	directives  *relayer.Journal
 	throttler   *throttler.Throttler
 	distributor *distributor.Distributor
+
+	// nextCrossingLog is the time in Unix nanoseconds from which a choice of another region is logged again.
+	nextCrossingLog atomic.Int64
 }
 
 func newDaemon(settings platform.Settings, settingsPath string, log *logrus.Logger, droppedLines func() uint64) *daemon {
@@ -125,6 +131,7 @@
 	daemon.chooser = chooser.New(chooser.Config{
 		AvailabilityZone: daemon.settings.AvailabilityZone(), Region: daemon.settings.Region(), ZoneCost: zoneCost, RegionCost: regionCost,
 		QueueHalfLife: queueHalfLife, RunTimeHalfLife: runTimeHalfLife, AvoidTerm: avoidTerm, Random: newRandom(),
+		Samples: daemon.settings.HasOverloadControl(), OnPick: daemon.recordChoice,
 	})
 	peers := transmitter.NewPeers(daemon.control)
 	daemon.coordinator = coordinator.New(daemon.clock.Now(), coordinator.Config{
@@ -134,7 +141,7 @@
 			Daemon: daemon.settings.Daemon(), StartedAt: daemon.clock.Now(), VerificationTerm: verificationTerm, MaxAssignmentTerm: min(maxAssignmentTerm, daemon.settings.MaxAssignmentTerm(maxAssignmentTerm)),
 			MaxClockDrift: maxClockDrift, FailAfter: announcementTimeout,
 		}),
-		Gate: gate, Demand: gate, Reports: daemon.chooser, DrainTerm: daemon.settings.DrainTerm(0) / drainDivisor, EvacuateTerm: daemon.settings.EvacuateTerm(0) / evacuateDivisor,
+		Gate: gate, Demand: gate, Reports: daemon.loadReports(), DrainTerm: daemon.settings.DrainTerm(0) / drainDivisor, EvacuateTerm: daemon.settings.EvacuateTerm(0) / evacuateDivisor,
 		Quarantine: daemon.quarantine, Log: daemon.logFor("control"),
 	})
 	daemon.syncer = syncer.New(syncer.Config{
@@ -158,10 +165,10 @@
 		ServerBytes: daemon.serverBytes,
 		Shutdown:    daemon.drain, Clock: daemon.clock, Log: daemon.logFor("backend"),
 	})
+	daemon.biller = daemon.newBiller(transmitter.New(transmitter.Config{Pool: daemon.pool, Framed: daemon.framed, Clock: daemon.clock, Log: daemon.logFor("peers")}))
 	daemon.forwarder = forwarder.New(forwarder.Config{
 		Daemon: daemon.settings.Daemon(), Service: daemon.settings.Service(), Region: daemon.settings.Region(), Local: daemon.acceptor,
-		Sender:  transmitter.New(transmitter.Config{Pool: daemon.pool, Framed: daemon.framed, Clock: daemon.clock, Log: daemon.logFor("peers")}),
-		Chooser: daemon.chooser,
+		Sender: daemon.biller, Chooser: daemon.chooser,
 		Budgets: forwarder.NewBudgets(forwarder.BudgetsConfig{
 			Share: retryBudgetShare * daemon.settings.RetryBudgetRatio(defaultRetryBudgetRatio), Slack: retryBudgetShare * daemon.settings.RetryBudgetSlack(0),
 			Daemons: func() int { return len(daemon.coordinator.Snapshot().Peers()) },
@@ -244,6 +251,7 @@
 			if daemon.admission != nil {
 				daemon.admission.Forget(daemon.coordinator.Snapshot().Has)
 			}
+			daemon.recordBalance(daemon.coordinator.Snapshot())
 		}
 	}
 }
--- a/lagoonmesh/daemon_test.go
+++ b/lagoonmesh/daemon_test.go
@@ -73,7 +73,12 @@
 
 func startDaemon(t *testing.T, name, zone, service, store string, extraSettings ...string) *testDaemon {
 	t.Helper()
-	deployed := newDeployment(name, zone, service, store)
+	return startDeployment(t, newDeployment(name, zone, service, store), extraSettings...)
+}
+
+// startDeployment starts a deployment in the test process; the extra settings are lines of the settings file.
+func startDeployment(t *testing.T, deployed deployment, extraSettings ...string) *testDaemon {
+	t.Helper()
 	settings, err := platform.ParseSettings(strings.Join(extraSettings, "\n") + deployed.settings)
 	if err != nil {
 		t.Fatal(err)
--- a/lagoonmesh/memory_test.go
+++ b/lagoonmesh/memory_test.go
@@ -76,7 +76,7 @@
 	deployed.backend = simulator.NewServer(simulator.ServerConfig{
 		Name: "i-" + name, Service: service, Address: reserver.Address(), AnnouncementAddress: control, Slots: 3000, HeartbeatInterval: 100 * time.Millisecond,
 	})
-	return startDeployment(t, program, deployed)
+	return startProgram(t, program, deployed)
 }
 
 // answerBytes reads the request and answers with the number of bytes at the end of the path; an answer that is not read in time is cut off.
--- a/lagoonmesh/stop_test.go
+++ b/lagoonmesh/stop_test.go
@@ -40,11 +40,11 @@
 
 func startProcess(t *testing.T, name, zone, service, store string) *testProcess {
 	t.Helper()
-	return startDeployment(t, os.Args[0], newDeployment(name, zone, service, store))
+	return startProgram(t, os.Args[0], newDeployment(name, zone, service, store))
 }
 
-// startDeployment starts a program, which is the daemon or the test program, as a daemon.
-func startDeployment(t *testing.T, program string, deployed deployment) *testProcess {
+// startProgram starts a program, which is the daemon or the test program, as a daemon.
+func startProgram(t *testing.T, program string, deployed deployment) *testProcess {
 	t.Helper()
 	started := &testProcess{deployment: deployed}
 	path := filepath.Join(t.TempDir(), "node.toml")
--- a/mesh/admitter/table.go
+++ b/mesh/admitter/table.go
@@ -104,6 +104,20 @@
 	return admitting
 }
 
+// Admits reports whether the level of a daemon admits the rank.
+func (table *Table) Admits(now time.Time, rank Rank, daemon string) bool {
+	table.mutex.Lock()
+	defer table.mutex.Unlock()
+	return rank.IsAdmitted(table.level(now, daemon))
+}
+
+// Probes reports whether a task beyond all levels is sent nevertheless.
+func (table *Table) Probes() bool {
+	table.mutex.Lock()
+	defer table.mutex.Unlock()
+	return table.random() < probeShare
+}
+
 // level returns the level of a daemon at its age, zero if all ranks are admitted or none is known.
 func (table *Table) level(now time.Time, daemon string) lagoonlanding.AdmissionLevel {
 	report, ok := table.daemons[daemon]
--- a/mesh/forwarder/admission.go
+++ b/mesh/forwarder/admission.go
@@ -23,26 +23,76 @@
 	asks := map[string]bool{}
 	likely := make([]lagoonlanding.Backend, 0, len(candidates))
 	for _, candidate := range candidates {
-		region := candidate.Region()
-		asksMore, ok := asks[region]
+		asksMore, ok := asks[candidate.Region()]
 		if !ok {
-			refusals := delivery.refusals[region]
-			asksMore = refusals == 0 && region == forwarder.config.Region || delivery.task.ShardKey() != lagoonlanding.NoShardKey ||
-				forwarder.config.Admission.AsksMore(now, delivery.task.Service(), region, refusals)
-			asks[region] = asksMore
+			asksMore = forwarder.asksMore(now, delivery, candidate.Region())
+			asks[candidate.Region()] = asksMore
 		}
 		if asksMore {
 			likely = append(likely, candidate)
 		}
 	}
 	likely = forwarder.config.Admission.Admitting(now, delivery.rank, likely)
-	if len(likely) == 0 && len(candidates) > 0 && delivery.result.Outcome() == 0 {
-		delivery.result, delivery.atOrigin = lagoonlanding.NotRun(lagoonlanding.ReasonQueueFull, now), true
-		delivery.asked = candidates
+	if len(likely) == 0 {
+		delivery.refuseAtOrigin(now, candidates)
 	}
 	return likely
 }
 
+// asksMore reports whether the request asks a further backend server of the region, according to the share of refusals there.
+func (forwarder *Forwarder) asksMore(now time.Time, delivery *delivery, region string) bool {
+	refusals := delivery.refusals[region]
+	return refusals == 0 && region == forwarder.config.Region || delivery.task.ShardKey() != lagoonlanding.NoShardKey ||
+		forwarder.config.Admission.AsksMore(now, delivery.task.Service(), region, refusals)
+}
+
+// refuseAtOrigin refuses the request before any hop, unless there are no candidates or one was asked already.
+func (delivery *delivery) refuseAtOrigin(now time.Time, candidates []lagoonlanding.Backend) {
+	if len(candidates) > 0 && delivery.result.Outcome() == 0 {
+		delivery.result, delivery.atOrigin, delivery.asked = lagoonlanding.NotRun(lagoonlanding.ReasonQueueFull, now), true, candidates
+	}
+}
+
+// sample picks one of the candidates that are likely to admit the request, from some drawn at random; if there are none, the request is refused here.
+func (forwarder *Forwarder) sample(delivery *delivery, need lagoonlanding.Need, candidates []lagoonlanding.Backend) (lagoonlanding.Backend, bool) {
+	now := forwarder.config.Clock.Now()
+	if !forwarder.limits(delivery) {
+		return forwarder.config.Chooser.Pick(now, need, candidates, delivery)
+	}
+	filter := &levelFilter{forwarder: forwarder, delivery: delivery, now: now}
+	picked, ok := forwarder.config.Chooser.Pick(now, need, candidates, filter)
+	if !ok && forwarder.config.Admission.Probes() {
+		filter.ignoresLevels = true
+		picked, ok = forwarder.config.Chooser.Pick(now, need, candidates, filter)
+	}
+	if !ok {
+		delivery.refuseAtOrigin(now, delivery.eligible(candidates))
+	}
+	return picked, ok
+}
+
+// levelFilter excludes the backend servers that are not likely to admit a request.
+type levelFilter struct {
+	forwarder *Forwarder
+	delivery  *delivery
+	now       time.Time
+	// ignoresLevels means that the request probes for room that has appeared since the levels were returned.
+	ignoresLevels bool
+}
+
+var _ lagoonlanding.CandidateFilter = (*levelFilter)(nil)
+
+// AllowsRegion reports whether the request may be sent to backend servers of the region.
+func (levelfilter *levelFilter) AllowsRegion(region string) bool {
+	return levelfilter.delivery.AllowsRegion(region) && levelfilter.forwarder.asksMore(levelfilter.now, levelfilter.delivery, region)
+}
+
+// Allows reports whether the request may be sent to the backend server, if its region is allowed.
+func (levelfilter *levelFilter) Allows(candidate lagoonlanding.Backend) bool {
+	return levelfilter.delivery.Allows(candidate) &&
+		(levelfilter.ignoresLevels || levelfilter.forwarder.config.Admission.Admits(levelfilter.now, levelfilter.delivery.rank, candidate.ID().Daemon()))
+}
+
 // setReturn sets when the client of a request that was refused because of the load is told to return.
 func (forwarder *Forwarder) setReturn(delivery *delivery) {
 	if forwarder.config.Admission == nil || delivery.result.Outcome() != lagoonlanding.OutcomeNotRun || !isBusy(delivery.result) {
--- a/mesh/forwarder/delivery.go
+++ b/mesh/forwarder/delivery.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"lagoonlanding.example/lagoonlanding"
+	"lagoonlanding.example/lagoonlanding/mesh/coordinator"
 )
 
 // recordRefusal counts a refusal by a busy backend server; one outside the daemon's region ends the tries there. It keeps the earliest time at which a retry may succeed.
@@ -30,7 +31,18 @@
 
 // isEligible reports whether the request may be sent to the backend server.
 func (delivery *delivery) isEligible(candidate lagoonlanding.Backend) bool {
-	return delivery.allows(candidate.Region()) && delivery.isNew(candidate) && delivery.refusals[candidate.Region()] < maxRefusals
+	return delivery.AllowsRegion(candidate.Region()) && delivery.isNew(candidate)
+}
+
+// eligible returns the candidates to which the request may be sent.
+func (delivery *delivery) eligible(candidates []lagoonlanding.Backend) []lagoonlanding.Backend {
+	var eligible []lagoonlanding.Backend
+	for _, candidate := range candidates {
+		if delivery.isEligible(candidate) {
+			eligible = append(eligible, candidate)
+		}
+	}
+	return eligible
 }
 
 // isBusy reports whether the gate of a backend server refused the task because it was busy.
@@ -42,6 +54,18 @@
 	return false
 }
 
+var _ lagoonlanding.CandidateFilter = (*delivery)(nil)
+
+// AllowsRegion reports whether the request may be sent to backend servers of the region.
+func (delivery *delivery) AllowsRegion(region string) bool {
+	return delivery.allows(region) && delivery.refusals[region] < maxRefusals
+}
+
+// Allows reports whether the request may be sent to the backend server, if its region is allowed.
+func (delivery *delivery) Allows(candidate lagoonlanding.Backend) bool {
+	return delivery.isNew(candidate)
+}
+
 // isNew reports whether the request has not been sent to the daemon since the last wait, and has never reached its backend server.
 func (delivery *delivery) isNew(candidate lagoonlanding.Backend) bool {
 	return !delivery.tried[candidate.ID().Daemon()] && !delivery.received[candidate.ID()]
@@ -55,12 +79,10 @@
 		ok = ok && delivery.allows(owner.Region()) && delivery.isNew(owner)
 		return owner, ok && (!forwarder.limits(delivery) || len(forwarder.admitting(delivery, []lagoonlanding.Backend{owner})) > 0)
 	}
-	var candidates []lagoonlanding.Backend
-	for _, candidate := range snapshot.Candidates(delivery.task.Service()) {
-		if delivery.isEligible(candidate) {
-			candidates = append(candidates, candidate)
-		}
+	if forwarder.config.Chooser.Samples() {
+		return forwarder.sample(delivery, need(snapshot, delivery), snapshot.Candidates(delivery.task.Service()))
 	}
+	candidates := delivery.eligible(snapshot.Candidates(delivery.task.Service()))
 	if forwarder.limits(delivery) {
 		candidates = forwarder.admitting(delivery, candidates)
 	}
@@ -71,6 +93,21 @@
 	return candidates[index], true
 }
 
+// need returns what the choice of a backend server depends on.
+func need(snapshot *coordinator.Snapshot, delivery *delivery) lagoonlanding.Need {
+	coldRate := 0.0
+	if snapshot.Routing() != nil {
+		if policy, ok := snapshot.Routing().Service(delivery.task.Service()); ok {
+			coldRate = policy.ColdRate()
+		}
+	}
+	answerBy := delivery.task.Objective()
+	if answerBy.IsZero() {
+		answerBy = delivery.task.Deadline()
+	}
+	return lagoonlanding.NewNeed(answerBy, delivery.task.BodyLength(), coldRate)
+}
+
 // isKeyMoving reports whether the owner of the shard key is unknown, moving or unavailable, so that a later lookup may find the next owner.
 func (delivery *delivery) isKeyMoving() bool {
 	if delivery.task.ShardKey() == lagoonlanding.NoShardKey {
