Zones without a supported arbiter meet at the first daemon by name

After repeated partitions into halves, zones could wait for different arbiters: 92 of 946 requests within the quotas were refused from 7 s after the last one.

--- a/mesh/apportioner/arbiter.go
+++ b/mesh/apportioner/arbiter.go
@@ -27,8 +27,8 @@
 	removed map[string]time.Time
 }
 
-// createInterval is the shortest interval at which credits are created: with 10,000 workspaces, each time takes about a millisecond.
-const createInterval = 50 * time.Millisecond
+// createInterval is the shortest interval at which credits are created: with 10,000 workspaces, each time takes about half a millisecond.
+const createInterval = 20 * time.Millisecond
 
 // arbiterSpreadShare is the fraction of unwanted credits that the arbiter gives to zones beforehand; the rest goes to the zone whose demand rises.
 const arbiterSpreadShare = 0.75
--- a/mesh/apportioner/changes.go
+++ b/mesh/apportioner/changes.go
@@ -43,6 +43,10 @@
 		return
 	}
 	changes.acknowledged = changes.pending
+	for name, line := range changes.acknowledged {
+		// What was given up has been stated, and the same number may be given up again.
+		changes.acknowledged[name] = line.WithGivenUp(0)
+	}
 	for _, grant := range answer.Grants() {
 		// The next report states the result, whatever it is.
 		changes.acknowledged[grant.Workspace()] = lagoonlanding.NewQuotaLine(grant.Workspace(), -1, 0)
--- a/mesh/distributor/distributor.go
+++ b/mesh/distributor/distributor.go
@@ -50,7 +50,9 @@
 	// avoidTerm is how long a recipient that does not answer is not asked again.
 	avoidTerm = 3 * time.Second
 	// supportTerm is how long a zone waits for the support of its arbiter: daemons are bound to another one for the term of votes.
-	supportTerm = 4 * time.Second
+	supportTerm = 3500 * time.Millisecond
+	// probeTerm is how long a zone then looks whether the next daemon by name knows the arbiter.
+	probeTerm = 700 * time.Millisecond
 	// takeoverTerm is how long a link reports early while it gets no lease: the time in which another arbiter takes over.
 	takeoverTerm = 8 * time.Second
 )
@@ -277,7 +279,10 @@
 		distributor.preferred = answer.Arbiter()
 	case now.Sub(distributor.unsupportedSince) > supportTerm:
 		distributor.preferred, distributor.unsupportedSince = "", time.Time{}
-		distributor.avoidedArbiters[recipient] = now.Add(avoidTerm)
+		// All zones meet at the first daemon by name; if that is not supported, the next one may have a lease from the arbiter.
+		if first, ok := distributor.arbiterRecipient(now); ok && first.ID().Daemon() == recipient {
+			distributor.avoidedArbiters[recipient] = now.Add(probeTerm)
+		}
 	}
 }
 
--- a/mesh/throttler/throttler.go
+++ b/mesh/throttler/throttler.go
@@ -12,7 +12,7 @@
 	// demandHalfLife is the time in which the measured demand of a workspace halves: demand that moves between zones is followed within a second.
 	demandHalfLife = 700 * time.Millisecond
 	// horizon is the time for which a daemon wants credits: a report, and what its demand varies.
-	horizon = 800 * time.Millisecond
+	horizon = time.Second
 	// wantedStep is the precision of what a daemon wants, so that a report seldom changes.
 	wantedStep = 0.25
 	// maxInFlight is how long a request counts as one that may still be refused without having run.
