Counters and log lines for late and throttled tasks and for cuts of the concurrency

Cause: an operator could not see why a gate runs fewer tasks than the slots of its server.

Change: totals in the metrics, and one log line for each cut that changes the number of slots, with its cause and the slowdown, at most ten a second. The rank of a task is computed with overload control only.

--- a/admission.go
+++ b/admission.go
@@ -20,3 +20,22 @@
 	// ReachedServer records how long after its arrival a request was sent to the first backend server that received it.
 	ReachedServer(task Task, after time.Duration)
 }
+
+// AdmissionCounts are totals of the overload control of a gate.
+type AdmissionCounts struct {
+	late, throttled, cuts int64
+}
+
+// NewAdmissionCounts returns the totals of late tasks, of refused tasks of failing routes and of cuts of the concurrency.
+func NewAdmissionCounts(late, throttled, cuts int64) AdmissionCounts {
+	return AdmissionCounts{late: late, throttled: throttled, cuts: cuts}
+}
+
+// Late returns the number of tasks that could not start in time and waited for room that no other task needs.
+func (admissioncounts AdmissionCounts) Late() int64 { return admissioncounts.late }
+
+// Throttled returns the number of tasks that were refused because the tasks of their route fail at the backend server.
+func (admissioncounts AdmissionCounts) Throttled() int64 { return admissioncounts.throttled }
+
+// Cuts returns how often the number of tasks that may run at once was lowered.
+func (admissioncounts AdmissionCounts) Cuts() int64 { return admissioncounts.cuts }
--- a/lagoonmesh/daemon.go
+++ b/lagoonmesh/daemon.go
@@ -78,12 +78,12 @@
 	controlConfig.SilenceTimeout, controlConfig.SilenceProbes, controlConfig.RespondsPromptly = controlSilenceTimeout, controlSilenceProbes, true
 	controlConfig.OnEnd = func(address string, sent, received int) { daemon.countBytes(kindControl, address, sent, received) }
 	daemon.control = connector.NewPool(controlConfig)
-	gate := gatekeeper.NewGate(gatekeeper.Config{Clock: daemon.clock, MaxWaiting: maxWaitingTasks, MaxFirst: maxFirstTasks, OverloadControl: settings.HasOverloadControl()})
+	gate := gatekeeper.NewGate(gatekeeper.Config{Clock: daemon.clock, MaxWaiting: maxWaitingTasks, MaxFirst: maxFirstTasks, OverloadControl: settings.HasOverloadControl(), OnCut: daemon.recordCut})
 	if settings.HasOverloadControl() {
 		daemon.admission = admitter.NewTable(rand.Float64)
 	}
 	daemon.recorder = recorder.New(recorder.Config{
-		Load: gate.Load, DroppedLines: droppedLines,
+		Load: gate.Load, Admission: gate.AdmissionCounts, DroppedLines: droppedLines,
 		OnError: func(err error) { daemon.logFor("metrics").WithError(err).Warn("Cannot register metric.") },
 	})
 	daemon.quarantine = quarantiner.NewQuarantine(quarantiner.Config{Random: newRandom()})
@@ -98,6 +98,12 @@
 	daemon.logFor("connections").WithField("address", address).WithField("waited", time.Since(sent).String()).Info("Connection went silent.")
 }
 
+// recordCut records that fewer tasks may run at once at the backend server.
+func (daemon *daemon) recordCut(cause string, previous, current int, slowdown float64) {
+	daemon.logFor("backend").WithField("cause", cause).WithField("previous-slots", previous).WithField("slots", current).
+		WithField("slowdown", slowdown).Info("Fewer tasks may run at the backend server.")
+}
+
 // logFor returns the log of one component of the daemon.
 func (daemon *daemon) logFor(name string) *logrus.Entry {
 	return daemon.log.WithField("part", name)
--- a/mesh/forwarder/forwarder.go
+++ b/mesh/forwarder/forwarder.go
@@ -155,9 +155,13 @@
 	}
 	forwarder.config.Budgets.Earn(task.Service())
 	wait := time.Duration(float64(task.Objective().Sub(task.Received())) * ownerWaitShare)
+	rank := admitter.Rank(0)
+	if forwarder.config.Admission != nil {
+		rank = admitter.RankOf(task)
+	}
 	return &delivery{
 		task: task, route: route, tried: map[string]bool{}, received: map[lagoonlanding.BackendID]bool{}, refusals: map[string]int{},
-		waitUntil: now.Add(wait), rank: admitter.RankOf(task),
+		waitUntil: now.Add(wait), rank: rank,
 	}, lagoonlanding.Result{}
 }
 
--- a/mesh/gatekeeper/concurrency.go
+++ b/mesh/gatekeeper/concurrency.go
@@ -46,12 +46,13 @@
 	return min(max(int(concurrency.limit), 1), slots)
 }
 
-// cut lowers the limit to the given number of tasks, unless it has just been cut.
-func (concurrency *concurrency) cut(now time.Time, to float64) {
+// cut lowers the limit to the given number of tasks; it returns false if it has just been cut.
+func (concurrency *concurrency) cut(now time.Time, to float64) bool {
 	if now.Sub(concurrency.cutAt) < cutInterval {
-		return
+		return false
 	}
 	concurrency.limit, concurrency.cutAt, concurrency.grownAt = max(to, 1), now, now
+	return true
 }
 
 // pause holds the last open slot as long as the refused task would have run.
--- a/mesh/gatekeeper/gate.go
+++ b/mesh/gatekeeper/gate.go
@@ -36,6 +36,9 @@
 	// OverloadControl bounds the wait of all tasks by their objectives, follows the load that the backend server reports and returns admission
 	// levels; without it the gate bounds the wait of urgent tasks by their deadlines only.
 	OverloadControl bool
+	// OnCut is called with the cause, the slots before and now, and the slowdown of the machine when overload control lowers the number of tasks
+	// that may run at once, at most ten times a second; it must not block. It may be nil.
+	OnCut func(cause string, previous, current int, slowdown float64)
 }
 
 // Gate limits the concurrent tasks of one backend server; its count is exact because every task passes through it. It is safe for concurrent use.
--- a/mesh/gatekeeper/overload.go
+++ b/mesh/gatekeeper/overload.go
@@ -52,6 +52,8 @@
 	workAt time.Time
 	// credit is the run time in seconds that the longest waiting task has earned.
 	credit float64
+	// late, throttled and cuts count the tasks that became late, the tasks of failing routes that were refused, and the cuts of the concurrency.
+	late, throttled, cuts int64
 	// recent is the decayed ratio of measured to expected run times.
 	recent float64
 }
@@ -179,6 +181,7 @@
 	overload := gate.overload
 	overload.leveler.Arrived(now, admitter.RankOf(task))
 	if !overload.throttle.admits(now, task) {
+		overload.throttled++
 		return nil, nil, lagoonlanding.ReasonQueueFull, gate.retryAt(now, now, task)
 	}
 	if len(gate.waiting) == 0 && gate.hasFreeSlot(now, task.Priority()) && gate.allow(now) {
@@ -281,6 +284,7 @@
 		return false
 	}
 	waiter.startBy = latest
+	gate.overload.late++
 	gate.countRefused(now)
 	return true
 }
@@ -419,6 +423,36 @@
 	gate.countRunning(task)
 }
 
+// The causes of a cut of the concurrency.
+const (
+	cutShed   = "shed"
+	cutSilent = "silent"
+	cutSlow   = "slow"
+	cutQueue  = "queue-of-server"
+)
+
+// cut lowers the number of tasks that may run at once.
+func (gate *Gate) cut(now time.Time, to float64, cause string) {
+	previous := gate.overload.concurrency.slots(gate.slots)
+	if !gate.overload.concurrency.cut(now, to) {
+		return
+	}
+	gate.overload.cuts++
+	if current := gate.overload.concurrency.slots(gate.slots); gate.config.OnCut != nil && current != previous {
+		gate.config.OnCut(cause, previous, current, gate.overload.slowdown.value(now))
+	}
+}
+
+// AdmissionCounts returns what the overload control has done, the zero value without it.
+func (gate *Gate) AdmissionCounts() lagoonlanding.AdmissionCounts {
+	gate.mutex.Lock()
+	defer gate.mutex.Unlock()
+	if gate.overload == nil {
+		return lagoonlanding.AdmissionCounts{}
+	}
+	return lagoonlanding.NewAdmissionCounts(gate.overload.late, gate.overload.throttled, gate.overload.cuts)
+}
+
 // observeServerLoad records the load that the backend server reports.
 func (gate *Gate) observeServerLoad(load lagoonlanding.ServerLoad) {
 	if gate.overload == nil || load.IsZero() {
@@ -431,7 +465,7 @@
 	if load.Waiting() > 0 {
 		// What waits at the backend server waits in this gate instead, where it can be ordered.
 		current := gate.overload.concurrency.current(gate.slots)
-		gate.overload.concurrency.cut(now, min(current, float64(max(gate.running-load.Waiting(), 1))))
+		gate.cut(now, min(current, float64(max(gate.running-load.Waiting(), 1))), cutQueue)
 	}
 	if load.Slowdown() > before*noticeableSlowdown {
 		gate.review(now)
@@ -456,12 +490,12 @@
 	current := overload.concurrency.current(gate.slots)
 	switch {
 	case isShed(pass.result.Reason()), failed && float64(took) < quickFailure*float64(usual):
-		overload.concurrency.cut(now, current*shedFactor)
+		gate.cut(now, current*shedFactor, cutShed)
 		overload.concurrency.pause(now, usual)
 	case completed:
 		gate.observeRunTime(now, pass, took, failed)
 	case wasSilent:
-		overload.concurrency.cut(now, 1)
+		gate.cut(now, 1, cutSilent)
 	}
 }
 
@@ -476,7 +510,7 @@
 	}
 	if needed := expected.Seconds() * overload.recent; needed > max(maxOutstanding.Seconds(), 2*usual.Seconds()) {
 		// The backend server should not run more than it completes within two seconds.
-		overload.concurrency.cut(now, min(overload.concurrency.current(gate.slots), float64(gate.slots)*maxOutstanding.Seconds()/needed))
+		gate.cut(now, min(overload.concurrency.current(gate.slots), float64(gate.slots)*maxOutstanding.Seconds()/needed), cutSlow)
 		return
 	}
 	overload.concurrency.grow(now, gate.slots)
--- a/mesh/recorder/admission.go
+++ b/mesh/recorder/admission.go
@@ -22,8 +22,15 @@
 	}).Histogram("admission_first_server_seconds", latencyBuckets).RecordDuration(after)
 }
 
-// updateAdmission sets the gauges of the gate: the number of admitted ranks, zero for all, and the slowdown of the machine.
+// updateAdmission sets the gauges of the gate: the number of admitted ranks, zero for all, the slowdown of the machine, and totals.
 func (recorder *Recorder) updateAdmission(load lagoonlanding.Load) {
 	recorder.scope.Gauge("admission_level").Update(float64(load.Level()))
 	recorder.scope.Gauge("admission_slowdown").Update(load.Slowdown())
+	if recorder.config.Admission == nil {
+		return
+	}
+	counts := recorder.config.Admission()
+	recorder.scope.Gauge("admission_late_tasks").Update(float64(counts.Late()))
+	recorder.scope.Gauge("admission_throttled_tasks").Update(float64(counts.Throttled()))
+	recorder.scope.Gauge("admission_cuts").Update(float64(counts.Cuts()))
 }
--- a/mesh/recorder/recorder.go
+++ b/mesh/recorder/recorder.go
@@ -26,6 +26,8 @@
 type Config struct {
 	// Load returns the load of the backend server.
 	Load func() lagoonlanding.Load
+	// Admission returns the totals of the overload control.
+	Admission func() lagoonlanding.AdmissionCounts
 	// DroppedLines returns the number of dropped log lines.
 	DroppedLines func() uint64
 	// OnError is called when a metric cannot be registered.
