Wake waiting tasks for the end of a pause

Cause: a task that waited when its server refused the last running one slept until its latest start, unless another task arrived.

Result: TestWaitingTaskStartsAfterAPause passes.

--- a/mesh/gatekeeper/overload.go
+++ b/mesh/gatekeeper/overload.go
@@ -492,6 +492,10 @@
 	case isShed(pass.result.Reason()), failed && float64(took) < quickFailure*float64(usual):
 		gate.cut(now, current*shedFactor, cutShed)
 		overload.concurrency.pause(now, usual)
+		if len(gate.waiting) > 0 && gate.isPaused(now) {
+			// The waiting tasks must look again when the pause ends, although no other task ends or arrives then.
+			gate.signalChange()
+		}
 	case completed:
 		gate.observeRunTime(now, pass, took, failed)
 	case wasSilent:
--- a/mesh/gatekeeper/overload_test.go
+++ b/mesh/gatekeeper/overload_test.go
@@ -214,3 +214,30 @@
 		t.Errorf("%d of 1000 tasks are admitted ten seconds after the failures", got)
 	}
 }
+
+// Guards against a task that waits for the end of a pause and is not started then, although no other task arrives.
+func TestWaitingTaskStartsAfterAPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		gate := newControlledGate(1)
+		shed, _ := enter(t, gate, task(1, time.Second, 2*time.Second))
+		admitted := make(chan time.Time, 1)
+		go func() {
+			if pass, _ := enter(t, gate, task(1, time.Second, 2*time.Second)); pass != nil {
+				admitted <- time.Now()
+				pass.Finish(true)
+			}
+		}()
+		synctest.Wait()
+		ended := time.Now()
+		shed.Observe(lagoonlanding.NotRun(lagoonlanding.ReasonUpstreamRefused, ended))
+		shed.Finish(false)
+		select {
+		case at := <-admitted:
+			if waited := at.Sub(ended); waited < initialMeanRunTime || waited > initialMeanRunTime+10*time.Millisecond {
+				t.Errorf("the task started %v after the refusal", waited)
+			}
+		case <-time.After(2 * time.Second):
+			t.Error("the task was not started")
+		}
+	})
+}
