Plan moves two seconds after a load has risen

In a test with two daemons a server at its limit moved three of 128 keys in 20 s, since the average load with a half-life of 5 s took 17 s to show it, and load above 0.9 of the slots alone counted as gained. A load that has risen for two seconds now counts in full, and load above 0.75 is a gain. A tenth of the keys moves within the 20 s.

--- a/lagoonmesh/balancing_test.go
+++ b/lagoonmesh/balancing_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"net/http/httptest"
 	"strings"
@@ -11,6 +12,64 @@
 	"lagoonlanding.example/lagoonlanding/platform/simulator"
 )
 
+// startBalanced starts a daemon with overload control in each zone, whose server takes 150 ms for a task.
+func startBalanced(t *testing.T, service, store string) map[string]*testDaemon {
+	fleet := map[string]*testDaemon{}
+	for _, zone := range []string{"z1", "z2"} {
+		deployed := newDeployment(service+"-"+zone, zone, service, store)
+		deployed.settings = "overload-control = true\n" + deployed.settings
+		fleet[zone] = startDeployment(t, deployed)
+		fleet[zone].backend.SetRunTime(150 * time.Millisecond)
+	}
+	return fleet
+}
+
+// TestKeysOfAnOverloadedServerMove runs daemons with overload control, and guards against a server that refuses requests for its keys for as long as
+// another one has room.
+func TestKeysOfAnOverloadedServerMove(t *testing.T) {
+	store := simulator.NewStore()
+	server := httptest.NewServer(store)
+	t.Cleanup(server.Close)
+	put(t, store, "op/config", fmt.Sprintf(testConfig, 1))
+	fleet := startBalanced(t, "divided", server.Listener.Addr().String())
+	client := fleet["z1"].clientAddress
+	waitFor(t, "all keys have owners", 15*time.Second, func() bool {
+		for key := 0; key < 65536; key += 4096 {
+			if status, _, _ := request(client, "GET", "/keyed/x", fmt.Sprint("warm-", key), key, nil); status != 200 {
+				return false
+			}
+		}
+		return true
+	})
+	owned := map[bool][]int{}
+	for key := 0; key < 65536; key += 256 {
+		owner, _ := fleet["z1"].coordinator.Snapshot().Owner("divided", key)
+		owned[owner.ID().Daemon() == "divided-z1"] = append(owned[owner.ID().Daemon() == "divided-z1"], key)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	var clients sync.WaitGroup
+	defer clients.Wait()
+	defer cancel()
+	for number := range 20 {
+		clients.Go(func() {
+			for count := 0; ctx.Err() == nil; count++ {
+				// Nineteen of twenty requests are for the keys of one server; the others show its daemon the load of the other server.
+				keys := owned[(count+number)%20 != 0]
+				request(client, "GET", "/keyed/x", fmt.Sprint("k", number, "-", count), keys[(count*20+number)%len(keys)], nil)
+			}
+		})
+	}
+	waitFor(t, "keys of the overloaded server have moved", 20*time.Second, func() bool {
+		moved := 0
+		for _, key := range owned[true] {
+			if owner, ok := fleet["z1"].coordinator.Snapshot().Owner("divided", key); ok && owner.ID().Daemon() == "divided-z2" {
+				moved++
+			}
+		}
+		return moved > len(owned[true])/10
+	})
+}
+
 // TestRequestsCrossRegionsOnlyWithoutRoomInTheOwnOne runs daemons with overload control, and guards against traffic between regions while there is room,
 // requests that are refused while another region has room, and crossings that no metric shows.
 func TestRequestsCrossRegionsOnlyWithoutRoomInTheOwnOne(t *testing.T) {
@@ -18,13 +77,7 @@
 	server := httptest.NewServer(store)
 	t.Cleanup(server.Close)
 	put(t, store, "op/config", fmt.Sprintf(testConfig, 1))
-	fleet := map[string]*testDaemon{}
-	for _, zone := range []string{"z1", "z2"} {
-		deployed := newDeployment("plain-"+zone, zone, "plain", server.Listener.Addr().String())
-		deployed.settings = "overload-control = true\n" + deployed.settings
-		fleet[zone] = startDeployment(t, deployed)
-		fleet[zone].backend.SetRunTime(150 * time.Millisecond)
-	}
+	fleet := startBalanced(t, "plain", server.Listener.Addr().String())
 	client := fleet["z1"].clientAddress
 	waitFor(t, "both servers are candidates", 10*time.Second, func() bool {
 		status, _, _ := request(client, "GET", "/read/x", "warm", -1, nil)
--- a/mesh/allocator/spread.go
+++ b/mesh/allocator/spread.go
@@ -21,6 +21,10 @@
 	moveLoss = 1300 * time.Millisecond
 	// payoffMargin is by how much the expected gain of a move must exceed its loss, as both are estimates.
 	payoffMargin = 1.5
+	// minLoadAge is the age from which a load that has risen is taken for its new level: from then on a move of all of it pays.
+	minLoadAge = 2 * time.Second
+	// reliefUtilization is the load per slot from which moved load counts as gained: above it tasks wait for a slot.
+	reliefUtilization = 0.75
 	// maxLoadAge bounds the time for which a load is expected to last.
 	maxLoadAge = 20 * time.Second
 	// minRecentShare is the part of its lasting load that a hot stripe must still have in the last second; otherwise its load is ending.
@@ -145,13 +149,18 @@
 			last.lasts = 0
 		}
 	}
-	slices.SortStableFunc(stripes, func(a, b spreadStripe) int { return cmp.Compare(b.load, a.load) })
+	age, scale := ageOf(lasting, recent, config.HalfLife), 1.0
+	if recent > lasting && lasting > 0 && age >= minLoadAge {
+		// The load has risen to what arrived in the last second, of which the lasting average shows only a part yet.
+		scale = recent / lasting
+	}
 	for index := range stripes {
 		if !stripes[index].isHot {
-			stripes[index].lasts = ageOf(lasting, recent, config.HalfLife)
+			stripes[index].lasts, stripes[index].load = age, stripes[index].load*scale
 		}
 	}
-	return stripes, lasting
+	slices.SortStableFunc(stripes, func(a, b spreadStripe) int { return cmp.Compare(b.load, a.load) })
+	return stripes, lasting * scale
 }
 
 // ageOf estimates how long a load has lasted: a constant load reaches the part 1-2^(-age/half-life) of the lasting average.
@@ -220,8 +229,8 @@
 			return
 		}
 		receiver := mostRoom(others)
-		// What the donor could have run itself is no gain.
-		relief := min(stripe.load, max(spreading.utilization-spreading.load-minSpreadUtilization, 0))
+		// What the donor could have run itself without delay is no gain.
+		relief := min(stripe.load, max(spreading.utilization-spreading.load-reliefUtilization, 0))
 		gain, loss := relief*stripe.lasts.Seconds(), stripe.load*moveLoss.Seconds()
 		if !receiver.fits(stripe, donor, excess) || gain < loss*payoffMargin {
 			continue
