--- a/mesh/biller/biller.go
+++ b/mesh/biller/biller.go
@@ -61,9 +61,9 @@
 		biller.countBody(CauseRetry, sent.count.Load())
 		return result
 	}
-	return result.With(func(config *lagoonlanding.ResultConfig) {
-		config.Answer = config.Answer.WithBody(&countingBody{countingReader: countingReader{reader: result.Answer().Body()}, closer: result.Answer().Body(), biller: biller, sent: sent})
-	})
+	received := result.Answer().Body()
+	body := &countingBody{countingReader: countingReader{reader: received}, closer: received, biller: biller, sent: sent}
+	return result.With(func(config *lagoonlanding.ResultConfig) { config.Answer = config.Answer.WithBody(body) })
 }
 
 // countBody counts the bytes of a body.
--- a/mesh/chooser/sampler.go
+++ b/mesh/chooser/sampler.go
@@ -188,7 +188,9 @@
 // pick returns the best of the candidates drawn; it returns false if the filter excludes all.
 //
 // Other regions are considered only if no candidate of the daemon's own region is expected to answer in time.
-func (sampler *sampler) pick(now time.Time, need lagoonlanding.Need, candidates []lagoonlanding.Backend, filter lagoonlanding.CandidateFilter) (lagoonlanding.Backend, bool) {
+func (sampler *sampler) pick(
+	now time.Time, need lagoonlanding.Need, candidates []lagoonlanding.Backend, filter lagoonlanding.CandidateFilter,
+) (lagoonlanding.Backend, bool) {
 	if len(candidates) == 0 {
 		return lagoonlanding.Backend{}, false
 	}
