Prepare candidates again after a server was forgotten

A server that left the fleet and returned unchanged while no request asked for its service kept what was known of it before, and its new reports went elsewhere. Reports that come before the preparation are also kept now. The new test failed without these changes.

--- a/mesh/chooser/sampler.go
+++ b/mesh/chooser/sampler.go
@@ -48,6 +48,9 @@
 	tracks sync.Map // from the daemon's name to its *track
 	views  sync.Map // from the service to its *atomic.Pointer[view]
 
+	// forgotten counts the tracks that were removed: views from before may still have them.
+	forgotten atomic.Int64
+
 	// rebuilding serializes the preparation of views.
 	rebuilding sync.Mutex
 	averages   map[tierKey]*average
@@ -59,6 +62,8 @@
 // view holds the candidates of a service, prepared for choices; it is immutable.
 type view struct {
 	source []lagoonlanding.Backend
+	// forgotten is the number of tracks that had been removed when it was prepared.
+	forgotten int64
 	// near are the candidates in the daemon's zone, region those in the rest of its region, and remote those in each other region.
 	near, region tier
 	remote       []tier
@@ -117,7 +122,7 @@
 	if known.isOf(candidates) {
 		return known
 	}
-	if known != nil && slices.Equal(known.source, candidates) {
+	if known != nil && known.forgotten == sampler.forgotten.Load() && slices.Equal(known.source, candidates) {
 		// The snapshot has changed in other respects.
 		same := *known
 		same.source = candidates
@@ -136,7 +141,7 @@
 
 // prepare returns the view of the candidates; processes that have not been seen before are cold, except in the first view of a service.
 func (sampler *sampler) prepare(now time.Time, candidates []lagoonlanding.Backend, isFirst bool) *view {
-	prepared := &view{source: candidates}
+	prepared := &view{source: candidates, forgotten: sampler.forgotten.Load()}
 	remotes := map[string]int{}
 	for index := range candidates {
 		backend := &candidates[index]
@@ -147,7 +152,7 @@
 		entry := entry{backend: backend, track: sampler.track(backend.ID().Daemon()), average: sampler.averages[key]}
 		entry.track.average.Store(entry.average)
 		if entry.track.id != backend.ID() && !isFirst {
-			entry.track.restart(now)
+			entry.track.start(now)
 		}
 		entry.track.id = backend.ID()
 		switch {
@@ -351,11 +356,12 @@
 
 // forget removes what is known of daemons that are no longer in the fleet.
 //
-// A view that is in use keeps its tracks; a daemon that returns gets a new one with the next view.
+// A view that is in use keeps its tracks; a daemon that returns gets a new one with the next snapshot.
 func (sampler *sampler) forget(isKnown func(daemon string) bool) {
 	sampler.tracks.Range(func(daemon, known any) bool {
 		if known.(*track).inFlight.Load() == 0 && !isKnown(daemon.(string)) {
 			sampler.tracks.Delete(daemon)
+			sampler.forgotten.Add(1)
 		}
 		return true
 	})
--- a/mesh/chooser/sampler_test.go
+++ b/mesh/chooser/sampler_test.go
@@ -194,6 +194,21 @@
 	}
 }
 
+// TestReturningServerIsKnownByItsNewReports guards against choices by what was known of a server before it left the fleet for a while.
+func TestReturningServerIsKnownByItsNewReports(t *testing.T) {
+	chooser := newSampling()
+	all := candidates([2]string{"home", "near"}, [2]string{"home", "near"})
+	need := lagoonlanding.NewNeed(start.Add(time.Hour), 0, 0)
+	chooser.Pick(start, need, all, excluding{})
+	report(chooser, start, "d0", 200*time.Millisecond, 0)
+	chooser.Forget(func(daemon string) bool { return daemon != "d0" })
+	report(chooser, start, "d0", 200*time.Millisecond, 12)
+	report(chooser, start, "d1", 200*time.Millisecond, 2)
+	if got := shares(chooser, start, need, slices.Clone(all)); got["d0"] != 0 {
+		t.Errorf("a server that reported a queue after its return was chosen: %v", got)
+	}
+}
+
 // TestChoicesRunConcurrently guards against races between choices, results, new snapshots and the removal of daemons; it needs the race detector.
 func TestChoicesRunConcurrently(t *testing.T) {
 	chooser := New(Config{
--- a/mesh/chooser/track.go
+++ b/mesh/chooser/track.go
@@ -107,12 +107,13 @@
 	track.state.Store(&next)
 }
 
-// restart discards what is known of an earlier process; the new one is cold.
-func (track *track) restart(now time.Time) {
+// start records that a process is a candidate for the first time: it is cold, and what is known of an earlier one is discarded.
+func (track *track) start(now time.Time) {
 	track.update(func(state *trackState) {
-		usual := state.usualRunTime
-		*state = *unknownState
-		state.usualRunTime, state.coldUntil = usual, now.Add(coldTerm)
+		if !track.id.IsZero() {
+			*state = trackState{slowdown: 1, usualRunTime: state.usualRunTime}
+		}
+		state.coldUntil = now.Add(coldTerm)
 	})
 }
 
