--- a/mesh/chooser/sampler.go
+++ b/mesh/chooser/sampler.go
@@ -23,6 +23,9 @@
 	runTimeReserve = 2
 	// shortfallWeight is the cost of the time that is missing to that reserve.
 	shortfallWeight = 0.25
+	// maxRemoteLoad is the average load per slot up to which a zone of another region has spare room: single reports of free slots are too old under
+	// overload, and led to tries that were refused there too.
+	maxRemoteLoad = 0.9
 	// avoidCost is the cost of a backend server that is avoided.
 	avoidCost = time.Minute
 	// regionLatency is the time that a request and its answer take between regions; the one-way latency is 8 ms.
@@ -35,6 +38,8 @@
 // distance is what a tier adds to the response time, and what it costs besides.
 type distance struct {
 	latency, cost time.Duration
+	// isRemote means that the tier is in another region.
+	isRemote bool
 }
 
 // sampler chooses by power of d choices: it compares the requests in progress, and the latency that goes with them, of some candidates drawn at
@@ -220,7 +225,7 @@
 // regionDistance returns the distance of another region, with the time that the task's bytes take on the link.
 func (sampler *sampler) regionDistance(need lagoonlanding.Need) distance {
 	transfer := time.Duration(float64(need.Bytes()) / regionBytesPerSecond * float64(time.Second))
-	return distance{latency: regionLatency + transfer, cost: sampler.config.RegionCost + transfer}
+	return distance{latency: regionLatency + transfer, cost: sampler.config.RegionCost + transfer, isRemote: true}
 }
 
 // consider compares some candidates of a tier, drawn at random without repetition, with the best so far.
@@ -275,6 +280,9 @@
 
 // compare replaces the best candidate if the other one is better: in time before late, then by cost.
 func (sampler *sampler) compare(best *option, now time.Time, need lagoonlanding.Need, entry *entry, distance distance) {
+	if distance.isRemote && best.entry != nil && entry.average.at(now).tasksPerSlot >= maxRemoteLoad {
+		return
+	}
 	wait, runTime, pressure := sampler.expect(now, entry)
 	other := option{entry: entry, cost: wait + pressure + time.Duration(runTimeWeight*float64(runTime)) + distance.cost, inTime: true, wait: wait, runTime: runTime}
 	if !need.Objective().IsZero() {
