--- a/mesh/chooser/sampler.go
+++ b/mesh/chooser/sampler.go
@@ -23,6 +23,9 @@
 	runTimeReserve = 2
 	// shortfallWeight is the cost of the time that is missing to that reserve.
 	shortfallWeight = 0.25
+	// maxRemoteLoad is the average load per slot up to which a zone of another region has spare room: single reports of free slots are too old under
+	// overload, and led to tries that were refused there too.
+	maxRemoteLoad = 0.9
 	// avoidCost is the cost of a backend server that is avoided.
 	avoidCost = time.Minute
 	// regionLatency is the time that a request and its answer take between regions; the one-way latency is 8 ms.
@@ -35,6 +38,8 @@
 // distance is what a tier adds to the response time, and what it costs besides.
 type distance struct {
 	latency, cost time.Duration
+	// isRemote means that the tier is in another region.
+	isRemote bool
 }
 
 // sampler chooses by power of d choices: it compares the requests in progress, and the latency that goes with them, of some candidates drawn at
@@ -48,6 +53,9 @@
 	tracks sync.Map // from the daemon's name to its *track
 	views  sync.Map // from the service to its *atomic.Pointer[view]
 
+	// forgotten counts the tracks that were removed: views from before may still have them.
+	forgotten atomic.Int64
+
 	// rebuilding serializes the preparation of views.
 	rebuilding sync.Mutex
 	averages   map[tierKey]*average
@@ -59,6 +67,8 @@
 // view holds the candidates of a service, prepared for choices; it is immutable.
 type view struct {
 	source []lagoonlanding.Backend
+	// forgotten is the number of tracks that had been removed when it was prepared.
+	forgotten int64
 	// near are the candidates in the daemon's zone, region those in the rest of its region, and remote those in each other region.
 	near, region tier
 	remote       []tier
@@ -117,7 +127,7 @@
 	if known.isOf(candidates) {
 		return known
 	}
-	if known != nil && slices.Equal(known.source, candidates) {
+	if known != nil && known.forgotten == sampler.forgotten.Load() && slices.Equal(known.source, candidates) {
 		// The snapshot has changed in other respects.
 		same := *known
 		same.source = candidates
@@ -136,7 +146,7 @@
 
 // prepare returns the view of the candidates; processes that have not been seen before are cold, except in the first view of a service.
 func (sampler *sampler) prepare(now time.Time, candidates []lagoonlanding.Backend, isFirst bool) *view {
-	prepared := &view{source: candidates}
+	prepared := &view{source: candidates, forgotten: sampler.forgotten.Load()}
 	remotes := map[string]int{}
 	for index := range candidates {
 		backend := &candidates[index]
@@ -147,7 +157,7 @@
 		entry := entry{backend: backend, track: sampler.track(backend.ID().Daemon()), average: sampler.averages[key]}
 		entry.track.average.Store(entry.average)
 		if entry.track.id != backend.ID() && !isFirst {
-			entry.track.restart(now)
+			entry.track.start(now)
 		}
 		entry.track.id = backend.ID()
 		switch {
@@ -188,7 +198,9 @@
 // pick returns the best of the candidates drawn; it returns false if the filter excludes all.
 //
 // Other regions are considered only if no candidate of the daemon's own region is expected to answer in time.
-func (sampler *sampler) pick(now time.Time, need lagoonlanding.Need, candidates []lagoonlanding.Backend, filter lagoonlanding.CandidateFilter) (lagoonlanding.Backend, bool) {
+func (sampler *sampler) pick(
+	now time.Time, need lagoonlanding.Need, candidates []lagoonlanding.Backend, filter lagoonlanding.CandidateFilter,
+) (lagoonlanding.Backend, bool) {
 	if len(candidates) == 0 {
 		return lagoonlanding.Backend{}, false
 	}
@@ -213,7 +225,7 @@
 // regionDistance returns the distance of another region, with the time that the task's bytes take on the link.
 func (sampler *sampler) regionDistance(need lagoonlanding.Need) distance {
 	transfer := time.Duration(float64(need.Bytes()) / regionBytesPerSecond * float64(time.Second))
-	return distance{latency: regionLatency + transfer, cost: sampler.config.RegionCost + transfer}
+	return distance{latency: regionLatency + transfer, cost: sampler.config.RegionCost + transfer, isRemote: true}
 }
 
 // consider compares some candidates of a tier, drawn at random without repetition, with the best so far.
@@ -268,6 +280,9 @@
 
 // compare replaces the best candidate if the other one is better: in time before late, then by cost.
 func (sampler *sampler) compare(best *option, now time.Time, need lagoonlanding.Need, entry *entry, distance distance) {
+	if distance.isRemote && best.entry != nil && entry.average.at(now).tasksPerSlot >= maxRemoteLoad {
+		return
+	}
 	wait, runTime, pressure := sampler.expect(now, entry)
 	other := option{entry: entry, cost: wait + pressure + time.Duration(runTimeWeight*float64(runTime)) + distance.cost, inTime: true, wait: wait, runTime: runTime}
 	if !need.Objective().IsZero() {
@@ -349,11 +364,12 @@
 
 // forget removes what is known of daemons that are no longer in the fleet.
 //
-// A view that is in use keeps its tracks; a daemon that returns gets a new one with the next view.
+// A view that is in use keeps its tracks; a daemon that returns gets a new one with the next snapshot.
 func (sampler *sampler) forget(isKnown func(daemon string) bool) {
 	sampler.tracks.Range(func(daemon, known any) bool {
 		if known.(*track).inFlight.Load() == 0 && !isKnown(daemon.(string)) {
 			sampler.tracks.Delete(daemon)
+			sampler.forgotten.Add(1)
 		}
 		return true
 	})
