--- a/mesh/apportioner/pool.go
+++ b/mesh/apportioner/pool.go
@@ -265,11 +265,11 @@
 // wanted returns how many credits all holders want.
 func (account *account) wanted() float64 { return account.wants }
 
-// spare returns how many requests a holder may relay to the pool until its next report, rounded to a power of two, so that it seldom changes. One
+// spare returns how many requests a holder may relay to the pool until its next report, rounded up to a power of four, so that it seldom changes. One
 // is worth a try also while the pool is empty, since credits may arrive any time.
 func (account *account) spare() int {
-	if account.free > 0 {
-		return 1 << (bits.Len(uint(account.free)) - 1)
+	if account.free > 1 {
+		return 1 << ((bits.Len(uint(account.free-1)) + 1) &^ 1)
 	}
 	return min(account.total(), 1)
 }
@@ -297,10 +297,6 @@
 	return change
 }
 
-// seedFloor is the fraction of unwanted credits that stays in the pool if there are too few for all holders: a holder without one relays its
-// requests, and one that has a credit which it does not use keeps it from others.
-const seedFloor = 0.8
-
 // lowFloor is the fraction of unwanted credits below which the pool takes credits back from holders that exceed their share.
 const lowFloor = 0.3
 
@@ -321,10 +317,6 @@
 	if config.RoundsUp {
 		return int(math.Ceil(share))
 	}
-	if share < 1 && float64(account.free) > seedFloor*(total-wanted) {
-		// Too few credits for all holders: those that report first receive one.
-		return 1
-	}
 	return int(share)
 }
 
--- a/mesh/distributor/distributor.go
+++ b/mesh/distributor/distributor.go
@@ -335,7 +335,10 @@
 	}()
 }
 
-// answered records the answer of a report; credits that the holder gives up are reported early, since others wait for them.
+// manyGivenUp is the number of credits from which a holder that gives them up reports this early, since others wait for them.
+const manyGivenUp = 3
+
+// answered records the answer of a report.
 func (distributor *Distributor) answered(link *link, sent time.Time, answer lagoonlanding.QuotaAnswer) {
 	link.changes.Answered(answer)
 	if answer.ValidUntil(sent).After(sent) {
@@ -347,7 +350,7 @@
 			link.lastValid = sent
 		}
 	}
-	link.isShort = link.isShort || slices.ContainsFunc(answer.Grants(), func(grant lagoonlanding.QuotaGrant) bool { return grant.Change() < 0 })
+	link.isShort = link.isShort || slices.ContainsFunc(answer.Grants(), func(grant lagoonlanding.QuotaGrant) bool { return grant.Change() <= -manyGivenUp })
 }
 
 // failed records a report without an answer.
--- a/mesh/distributor/fleet_test.go
+++ b/mesh/distributor/fleet_test.go
@@ -82,7 +82,7 @@
 }
 
 func newTestFleet(t *testing.T, seed uint64, rates []float64) *testFleet {
-	fleet := &testFleet{t: t, random: rand.New(rand.NewPCG(seed, seed)), arrivals: map[string][]time.Time{}, refusals: map[string][]time.Time{}}
+	fleet := &testFleet{t: t, random: rand.New(&lockedSource{source: rand.NewPCG(seed, seed)}), arrivals: map[string][]time.Time{}, refusals: map[string][]time.Time{}}
 	for index, rate := range rates {
 		fleet.workspaces = append(fleet.workspaces, lagoonlanding.NewWorkspace(lagoonlanding.WorkspaceConfig{
 			Name: fmt.Sprintf("w%02d", index), Rate: rate, Burst: rate,
@@ -101,14 +101,27 @@
 		defer fleet.mutex.Unlock()
 		return coordinator.NewSnapshot(coordinator.SnapshotConfig{Routing: fleet.routing, Backends: backends})
 	}
-	for index, backend := range backends {
-		daemon := &testDaemon{name: backend.ID().Daemon(), fleet: fleet}
-		fleet.daemons = append(fleet.daemons, daemon)
+	for _, backend := range backends {
+		fleet.daemons = append(fleet.daemons, &testDaemon{name: backend.ID().Daemon(), fleet: fleet})
+	}
+	for index, daemon := range fleet.daemons {
 		daemon.start(snapshot, zoneOf(index))
 	}
 	return fleet
 }
 
+// lockedSource is a source of random numbers for several goroutines.
+type lockedSource struct {
+	mutex  sync.Mutex
+	source rand.Source
+}
+
+func (lockedsource *lockedSource) Uint64() uint64 {
+	lockedsource.mutex.Lock()
+	defer lockedsource.mutex.Unlock()
+	return lockedsource.source.Uint64()
+}
+
 func zoneOf(index int) string { return fmt.Sprint("z", index%zones) }
 
 func (fleet *testFleet) route(workspaces []lagoonlanding.Workspace) {
--- a/mesh/throttler/throttler.go
+++ b/mesh/throttler/throttler.go
@@ -13,8 +13,8 @@
 	demandHalfLife = 700 * time.Millisecond
 	// horizon is the time for which a daemon wants credits: a report, and what its demand varies.
 	horizon = time.Second
-	// wantedStep is the precision of what a daemon wants, so that a report seldom changes.
-	wantedStep = 0.25
+	// wantedStep is the precision of what a daemon wants, so that a report seldom changes. A single request is not a demand for a credit to hold.
+	wantedStep = 0.5
 	// maxInFlight is how long a request counts as one that may still be refused without having run.
 	maxInFlight = 1500 * time.Millisecond
 	// minRetryDelay is the shortest delay after which a refused request may find room: a report and its answer.
@@ -223,7 +223,7 @@
 // signal asks for an early report when a bucket is empty and needs clearly more than the last report said. A workspace that is refused all the
 // time causes no further reports.
 func (throttler *Throttler) signal(now time.Time, bucket *bucket) {
-	if bucket.held > 0 || bucket.spare > 1 || bucket.wanted(now) <= bucket.reported*5/4+wantedStep {
+	if bucket.held > 0 || bucket.spare > 1 || bucket.wanted(now) <= bucket.reported*5/4+1 {
 		return
 	}
 	select {
@@ -259,7 +259,7 @@
 
 // wanted returns the credits that the bucket expects to use until the next reports have been answered.
 func (bucket *bucket) wanted(now time.Time) float64 {
-	return math.Round(bucket.demand.perSecond(now)*horizon.Seconds()/wantedStep) * wantedStep
+	return math.Floor(bucket.demand.perSecond(now)*horizon.Seconds()/wantedStep) * wantedStep
 }
 
 // change applies a grant; credits that are taken away are reported as given up.
