Keep a failure readable until another try replaces it, and relay a request once

The body was closed before another backend server was found, and there is none for a key. Answers that are still received fail once closed, which the answers read in advance did not.

Change: the body is closed when the next try begins. A refusal doesn't replace an answer that is there. The mark is removed by the daemon that handles the request.

Result: TestFailureWithoutAnotherServerIsReturnedWhole and TestRelayedRequestIsSentToAServerAsAnyOther pass.

--- a/mesh/forwarder/delivery.go
+++ b/mesh/forwarder/delivery.go
@@ -22,6 +22,13 @@
 	delivery.result = delivery.result.With(func(config *lagoonlanding.ResultConfig) { config.RetryAt = delivery.retryAt })
 }
 
+// end sets the result of a request that is not tried again, unless there is an answer to return.
+func (delivery *delivery) end(result lagoonlanding.Result) {
+	if delivery.result.Outcome() != lagoonlanding.OutcomeAnswered {
+		delivery.result = result
+	}
+}
+
 // correctOutcome replaces the refusal of the last try if an earlier try may have run the request.
 func (delivery *delivery) correctOutcome() {
 	if delivery.task.IsRepeated() && delivery.result.Outcome() == lagoonlanding.OutcomeNotRun {
@@ -131,7 +138,7 @@
 	}
 	select {
 	case <-ctx.Done():
-		delivery.result = lagoonlanding.NotRun(lagoonlanding.ReasonDeadline, now)
+		delivery.end(lagoonlanding.NotRun(lagoonlanding.ReasonDeadline, now))
 		return false
 	case <-forwarder.config.Clock.Until(now.Add(ownerPollInterval)):
 	}
--- a/mesh/forwarder/forwarder.go
+++ b/mesh/forwarder/forwarder.go
@@ -222,13 +222,17 @@
 	}
 	delivery.task, ok = forwarder.config.Shutdown.Accept(delivery.task)
 	if !ok {
-		delivery.result = forwarder.shuttingDown()
+		delivery.end(forwarder.shuttingDown())
 		return false
 	}
 	if refusal := forwarder.identifyAgain(delivery); refusal.Outcome() != 0 {
-		delivery.result = refusal
+		delivery.end(refusal)
 		return false
 	}
+	if delivery.result.Outcome() == lagoonlanding.OutcomeAnswered {
+		// The answer stays readable until another try replaces it: there may be no other backend server.
+		delivery.result.Answer().Body().Close()
+	}
 	delivery.tries++
 	delivery.tried[backend.ID().Daemon()], delivery.lastBackend = true, backend.ID()
 	sentAt := forwarder.config.Clock.Now()
@@ -250,6 +254,8 @@
 
 func (forwarder *Forwarder) send(ctx context.Context, backend lagoonlanding.Backend, task lagoonlanding.Task) lagoonlanding.Result {
 	daemon := backend.ID().Daemon()
+	// The daemon beside the backend server must not take the task for one that is relayed to it.
+	task = task.With(func(config *lagoonlanding.TaskConfig) { config.Relayed = false })
 	forwarder.config.Chooser.Sent(daemon)
 	var result lagoonlanding.Result
 	if daemon == forwarder.config.Daemon {
@@ -298,9 +304,6 @@
 	if delivery.credit = credit; !forwarder.config.Budgets.Spend(delivery.task.Service()) {
 		return false
 	}
-	if result.Outcome() == lagoonlanding.OutcomeAnswered {
-		result.Answer().Body().Close()
-	}
 	if result.Outcome() != lagoonlanding.OutcomeNotRun {
 		delivery.task = delivery.task.With(func(config *lagoonlanding.TaskConfig) { config.Repeated = true })
 	}
--- a/mesh/forwarder/forwarder_test.go
+++ b/mesh/forwarder/forwarder_test.go
@@ -377,3 +377,43 @@
 		}
 	}
 }
+
+// closingBody fails once it has been closed, as the body of an answer that is still received does.
+type closingBody struct {
+	io.Reader
+	isClosed bool
+}
+
+func (closingbody *closingBody) Read(data []byte) (int, error) {
+	if closingbody.isClosed {
+		return 0, io.ErrClosedPipe
+	}
+	return closingbody.Reader.Read(data)
+}
+
+func (closingbody *closingBody) Close() error {
+	closingbody.isClosed = true
+	return nil
+}
+
+// TestFailureWithoutAnotherServerIsReturnedWhole guards against a connection that is closed without an answer: the owner of a key fails a request, and
+// there is no other backend server to which it can be sent.
+func TestFailureWithoutAnotherServerIsReturnedWhole(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		body := &closingBody{Reader: strings.NewReader("failed")}
+		fixture := newFixture(divided, func(string, lagoonlanding.Task) lagoonlanding.Result {
+			return lagoonlanding.NewResult(lagoonlanding.ResultConfig{
+				Outcome: lagoonlanding.OutcomeAnswered, Delivered: true,
+				Answer: lagoonlanding.NewAnswer(lagoonlanding.AnswerConfig{Status: 500, Header: http.Header{}, Body: body}),
+			})
+		})
+		fixture.assignShards(lagoonlanding.NewBackendID("owner", "server-owner", 1))
+		result := fixture.send(func(task *lagoonlanding.TaskConfig) { task.ShardKey = 7 })
+		if result.Outcome() != lagoonlanding.OutcomeAnswered || result.Answer().Status() != 500 {
+			t.Fatalf("got %v", result.Outcome())
+		}
+		if text, err := io.ReadAll(result.Answer().Body()); string(text) != "failed" || err != nil {
+			t.Errorf("got %q, %v", text, err)
+		}
+	})
+}
--- a/mesh/forwarder/workspace_test.go
+++ b/mesh/forwarder/workspace_test.go
@@ -127,3 +127,18 @@
 		t.Errorf("got %v after a relayed request was sent to %v", result.Reason(), fixture.sender.sentTo)
 	}
 }
+
+// TestRelayedRequestIsSentToAServerAsAnyOther guards against a relayed request that the daemon beside the backend server takes for one relayed to itself: it
+// would look for a credit again, and refuse the request.
+func TestRelayedRequestIsSentToAServerAsAnyOther(t *testing.T) {
+	var sent lagoonlanding.Task
+	fixture := newFixture(unchanged, func(_ string, task lagoonlanding.Task) lagoonlanding.Result {
+		sent = task
+		return answered(200)
+	})
+	fixture.identify(1, "k")
+	result := fixture.send(func(task *lagoonlanding.TaskConfig) { task.Workspace, task.Relayed, task.Caller = "w", true, "theirs" })
+	if result.Outcome() != lagoonlanding.OutcomeAnswered || sent.IsRelayed() || sent.Caller() != "theirs" || sent.Workspace() != "w" {
+		t.Errorf("got %v, %s; sent with relayed %v for the caller %q of workspace %q", result.Outcome(), result.Reason(), sent.IsRelayed(), sent.Caller(), sent.Workspace())
+	}
+}
