Objective of the first attempt for clients that return

Cause: a client that returned got a new objective and precedence, so tasks that were late already displaced first attempts; and late tasks took the slots of tasks in time, which then seemed to need less.

Change: the origin gives a returning client the objective of its first attempt. Room for late tasks follows from the work that arrives, not from the work that starts.

--- a/mesh/admitter/returns.go
+++ b/mesh/admitter/returns.go
@@ -33,6 +33,8 @@
 // refusal is the last refusal of a request of one client.
 type refusal struct {
 	returnAt time.Time
+	// objective is that of the first attempt: a repeated request has not more time than the first one.
+	objective time.Time
 	// early counts the returns in a row that came before their time.
 	early int
 }
@@ -50,10 +52,21 @@
 	return hash.Sum64()
 }
 
-// Precedence returns how the client of a task that has just arrived came back.
-func (returns *Returns) Precedence(now time.Time, task lagoonlanding.Task) lagoonlanding.Precedence {
+// Arrived returns a task that has just arrived with the precedence of its client, and with the objective of the first attempt if the client returned
+// as told.
+func (returns *Returns) Arrived(now time.Time, task lagoonlanding.Task) lagoonlanding.Task {
+	precedence, objective := returns.precedence(now, task)
+	return task.With(func(config *lagoonlanding.TaskConfig) {
+		config.Precedence = precedence
+		if !objective.IsZero() && objective.Before(config.Objective) {
+			config.Objective = objective
+		}
+	})
+}
+
+func (returns *Returns) precedence(now time.Time, task lagoonlanding.Task) (lagoonlanding.Precedence, time.Time) {
 	if task.Client() == "" {
-		return lagoonlanding.PrecedenceNone
+		return lagoonlanding.PrecedenceNone, time.Time{}
 	}
 	returns.mutex.Lock()
 	defer returns.mutex.Unlock()
@@ -61,21 +74,21 @@
 	known, ok := returns.refused[key]
 	switch {
 	case !ok:
-		return lagoonlanding.PrecedenceNone
+		return lagoonlanding.PrecedenceNone, time.Time{}
 	case now.After(known.returnAt.Add(returnTerm)):
 		delete(returns.refused, key)
-		return lagoonlanding.PrecedenceNone
+		return lagoonlanding.PrecedenceNone, time.Time{}
 	case now.Before(known.returnAt.Add(-earlyTolerance)):
 		known.early++
 		returns.refused[key] = known
 		if known.early >= impatientRefusals {
-			return lagoonlanding.PrecedenceImpatient
+			return lagoonlanding.PrecedenceImpatient, known.objective
 		}
-		return lagoonlanding.PrecedenceNone
+		return lagoonlanding.PrecedenceNone, time.Time{}
 	}
 	// One refusal lets one request return.
 	delete(returns.refused, key)
-	return lagoonlanding.PrecedenceReturned
+	return lagoonlanding.PrecedenceReturned, known.objective
 }
 
 // Refused records that a task was refused and when its client was told to return.
@@ -93,6 +106,9 @@
 			return
 		}
 	}
+	if !ok {
+		known.objective = task.Objective()
+	}
 	if returnAt.After(known.returnAt) {
 		known.returnAt = returnAt
 	}
--- a/mesh/forwarder/forwarder.go
+++ b/mesh/forwarder/forwarder.go
@@ -150,8 +150,7 @@
 		return nil, forwarder.shuttingDown()
 	}
 	if forwarder.config.Admission != nil {
-		precedence := forwarder.config.Returns.Precedence(now, task)
-		task = task.With(func(config *lagoonlanding.TaskConfig) { config.Precedence = precedence })
+		task = forwarder.config.Returns.Arrived(now, task)
 	}
 	forwarder.config.Budgets.Earn(task.Service())
 	wait := time.Duration(float64(task.Objective().Sub(task.Received())) * ownerWaitShare)
--- a/mesh/gatekeeper/overload.go
+++ b/mesh/gatekeeper/overload.go
@@ -12,9 +12,9 @@
 )
 
 const (
-	// workHalfLife is the age at which started work has half its weight in the utilization by tasks that are in time.
+	// workHalfLife is the age at which arrived work has half its weight in the utilization.
 	workHalfLife = 500 * time.Millisecond
-	// fullUtilization is the utilization by tasks in time from which late tasks are refused: what is left completes none before its deadline.
+	// fullUtilization is the utilization by arriving tasks from which late tasks are refused: what is left completes none before its deadline.
 	fullUtilization = 0.95
 	// oldestShare is the share of the work that goes to the task that has waited longest, so that no priority and no caller starves.
 	oldestShare = 0.1
@@ -47,7 +47,8 @@
 	throttle    throttle
 	// reported is the number of slots in the last report of the backend server, zero before the first.
 	reported int
-	// work is the decayed run time in seconds of the tasks in time that have started, and workAt when it was decayed.
+	// work is the decayed run time in seconds of the tasks that have arrived, and workAt when it was decayed. If it counted those that started,
+	// late tasks would take the slots of tasks in time and so seem to leave room.
 	work   float64
 	workAt time.Time
 	// credit is the run time in seconds that the longest waiting task has earned.
@@ -67,7 +68,7 @@
 	overload.slowdown, overload.concurrency, overload.reported, overload.recent = slowdown{}, concurrency{}, 0, 1
 }
 
-// addWork counts the run time of a task in time that starts.
+// addWork counts the run time of a task that arrives.
 func (overload *overload) addWork(now time.Time, runTime time.Duration) {
 	overload.work = overload.workNow(now) + runTime.Seconds()
 	overload.workAt = now
@@ -77,7 +78,7 @@
 	return overload.work * math.Exp2(-now.Sub(overload.workAt).Seconds()/workHalfLife.Seconds())
 }
 
-// utilization returns the share of the slots that tasks in time have needed recently.
+// utilization returns the share of the slots that the tasks which arrived recently need.
 func (overload *overload) utilization(now time.Time, slots int) float64 {
 	return overload.workNow(now) * math.Ln2 / workHalfLife.Seconds() / float64(max(slots, 1))
 }
@@ -184,8 +185,9 @@
 		overload.throttled++
 		return nil, nil, lagoonlanding.ReasonQueueFull, gate.retryAt(now, now, task)
 	}
+	overload.addWork(now, gate.prolonged(gate.meanRunTimes.ofRoute(task.Route())))
 	if len(gate.waiting) == 0 && gate.hasFreeSlot(now, task.Priority()) && gate.allow(now) {
-		gate.start(now, task, now.After(gate.startBy(task)))
+		gate.start(now, task)
 		gate.keyCounts.increment(task.ShardKey())
 		return nil, gate.pass(task, now), lagoonlanding.ReasonNone, time.Time{}
 	}
@@ -364,7 +366,7 @@
 		waiter := gate.waiting[index]
 		gate.waiting = slices.Delete(gate.waiting, index, index+1)
 		gate.settle(waiter)
-		gate.start(now, waiter.task, waiter.late)
+		gate.start(now, waiter.task)
 		waiter.decision <- lagoonlanding.ReasonNone
 	}
 	if len(gate.waiting) == 0 && gate.running < gate.openSlots() {
@@ -408,7 +410,7 @@
 }
 
 // start counts a task that starts.
-func (gate *Gate) start(now time.Time, task lagoonlanding.Task, late bool) {
+func (gate *Gate) start(now time.Time, task lagoonlanding.Task) {
 	overload := gate.overload
 	if gate.running == 0 {
 		overload.concurrency.answeredAt = now
@@ -416,10 +418,6 @@
 	if gate.isSilent(now) {
 		overload.concurrency.probedAt = now
 	}
-	runTime := gate.meanRunTimes.ofRoute(task.Route())
-	if !late {
-		overload.addWork(now, runTime)
-	}
 	gate.countRunning(task)
 }
 
--- a/trials/measure/experimenter/overload.go
+++ b/trials/measure/experimenter/overload.go
@@ -27,6 +27,8 @@
 	impatient bool
 	// herd clients send a request each at the same moment.
 	herd int
+	// keyed means that only one server, drawn at random by its speed, can run a request.
+	keyed bool
 	// calls means that each request calls a service that is 1.5 times as loaded as it can be.
 	calls bool
 }
@@ -77,6 +79,8 @@
 		}),
 		with("Clients that retry at once, load of 1.3", func(variant *overloadVariant) { variant.load, variant.impatient = within(1.3, 1.3), true }),
 		with("A herd of 300 clients at once", func(variant *overloadVariant) { variant.herd = herdSize }),
+		with("Shard keys, load of 1.3", func(variant *overloadVariant) { variant.load, variant.keyed = within(1.3, 1.3), true }),
+		with("Shard keys, load of 0.8", func(variant *overloadVariant) { variant.load, variant.keyed = within(0.8, 0.8), true }),
 		with("Calls into a service with 1.5 times its capacity", func(variant *overloadVariant) { variant.calls = true }),
 	}
 }
