--- a/mesh/apportioner/pool.go
+++ b/mesh/apportioner/pool.go
@@ -297,6 +297,9 @@
 	return change
 }
 
+// minShare is the share from which a daemon holds credits: one that expects a single request soon may not send it, while others of its zone do.
+const minShare = 1.5
+
 // lowFloor is the fraction of unwanted credits below which the pool takes credits back from holders that exceed their share.
 const lowFloor = 0.3
 
@@ -317,6 +320,9 @@
 	if config.RoundsUp {
 		return int(math.Ceil(share))
 	}
+	if share < minShare {
+		return 0
+	}
 	return int(share)
 }
 
