--- a/mesh/distributor/fleet_test.go
+++ b/mesh/distributor/fleet_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -41,7 +42,7 @@
 	workspaces []lagoonlanding.Workspace
 
 	mutex    sync.Mutex
-	messages int
+	messages atomic.Int64
 	relays   int
 	// losesReports means that one report in 200 arrives too late to be answered.
 	losesReports bool
@@ -63,10 +64,10 @@
 func (testdaemon *testDaemon) Report(ctx context.Context, address string, report lagoonlanding.QuotaReport) (lagoonlanding.QuotaAnswer, error) {
 	fleet := testdaemon.fleet
 	fleet.mutex.Lock()
-	fleet.messages++
+	fleet.messages.Add(1)
 	index := slices.IndexFunc(fleet.daemons, func(daemon *testDaemon) bool { return daemon.name == address })
 	other := fleet.daemons[index]
-	isCut, delay := other.side != testdaemon.side, time.Duration(1+fleet.random.IntN(12))*time.Millisecond
+	recipient, isCut, delay := other.Distributor, other.side != testdaemon.side, time.Duration(1+fleet.random.IntN(12))*time.Millisecond
 	if fleet.losesReports && fleet.random.IntN(200) == 0 {
 		delay = 900 * time.Millisecond
 	}
@@ -76,7 +77,7 @@
 		return lagoonlanding.QuotaAnswer{}, errCut
 	}
 	time.Sleep(delay)
-	answer := other.OnReport(report)
+	answer := recipient.OnReport(report)
 	time.Sleep(time.Millisecond)
 	return answer, ctx.Err()
 }
@@ -136,6 +137,8 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	clock := timekeeper.Clock{}
+	testdaemon.fleet.mutex.Lock()
+	defer testdaemon.fleet.mutex.Unlock()
 	testdaemon.throttler = throttler.New(throttler.Config{Rules: testRules, StartedAt: clock.Now(), Daemons: func() int { return zones * zoneDaemons }})
 	testdaemon.Distributor = New(Config{
 		Daemon: testdaemon.name, Instance: rand.Uint64(), Zone: zone, Throttler: testdaemon.throttler, Peers: testdaemon, Snapshot: snapshot, Rules: testRules,
@@ -257,6 +260,7 @@
 		fleet.t.Logf("%s with %v/s: %d of %d refused", workspace.Name(), workspace.Rate(), own, total)
 		refused, sent = refused+own, sent+total
 	}
+	fleet.t.Logf("%d of %d refused", refused, sent)
 	if refused*permitted > sent {
 		fleet.t.Errorf("%d of %d requests within the quotas were refused", refused, sent)
 	}
@@ -267,9 +271,9 @@
 		fleet := newTestFleet(t, 1, usual)
 		defer fleet.end()
 		fleet.send(8*time.Second, evenly)
-		since, messages, relays := time.Now(), fleet.messages, fleet.relays
+		since, messages, relays := time.Now(), fleet.messages.Load(), fleet.relays
 		fleet.send(30*time.Second, evenly)
-		t.Logf("%.2f messages per daemon and second, %.1f relayed requests per second", float64(fleet.messages-messages)/30/zones/zoneDaemons, float64(fleet.relays-relays)/30)
+		t.Logf("%.2f messages per daemon and second, %.1f relayed requests per second", float64(fleet.messages.Load()-messages)/30/zones/zoneDaemons, float64(fleet.relays-relays)/30)
 		fleet.check(time.Time{})
 		fleet.refusedAfter(100, func(_ string, at time.Time) bool { return at.After(since) })
 	})
