--- a/mesh/gatekeeper/overload.go
+++ b/mesh/gatekeeper/overload.go
@@ -13,7 +13,7 @@
 
 const (
 	// workHalfLife is the age at which arrived work has half its weight in the utilization.
-	workHalfLife = time.Second
+	workHalfLife = 800 * time.Millisecond
 	// fullUtilization is the utilization by arriving tasks from which late tasks are refused: what is left completes none before its deadline.
 	fullUtilization = 0.95
 	// oldestShare is the share of the work that goes to the task that has waited longest, so that no priority and no caller starves.
