Divide a part of each quota equally among the daemons

Change: each daemon uses an equal part of three tenths of what a window permits, counted in a sliding window, and leases only what exceeds it. The arbiter creates credits at the rate and with the capacity that this leaves, so the sum stays within the limit in touch or not. The number of daemons is the greatest of the last 15 s.

--- a/mesh/apportioner/arbiter.go
+++ b/mesh/apportioner/arbiter.go
@@ -146,7 +146,7 @@
 		}
 	}
 	room := fleet.Rules.Capacity(workspace, fleet.Daemons) - arbiter.pool.Outstanding(workspace.Name())
-	rate := workspace.Rate()
+	rate := fleet.Rules.LeasedRate(workspace, fleet.Daemons)
 	if now.Before(arbiter.halfUntil) {
 		rate /= 2
 	}
--- a/mesh/throttler/throttler.go
+++ b/mesh/throttler/throttler.go
@@ -17,6 +17,8 @@
 	wantedStep = 0.5
 	// maxInFlight is how long a request counts as one that may still be refused without having run.
 	maxInFlight = 1500 * time.Millisecond
+	// fleetTerm is how long a greater fleet counts after daemons have left it: restarts and lost registrations last some seconds.
+	fleetTerm = 15 * time.Second
 	// minRetryDelay is the shortest delay after which a refused request may find room: a report and its answer.
 	minRetryDelay = 250 * time.Millisecond
 )
@@ -43,6 +45,9 @@
 	buckets map[string]*bucket
 	// until is when the lease of the credits ends.
 	until time.Time
+	// mostDaemons is the greatest number of daemons that the fleet had until mostUntil.
+	mostDaemons int
+	mostUntil   time.Time
 	// reporter is the daemon that answered the last report, empty if that was not answered.
 	reporter string
 }
@@ -69,14 +74,16 @@
 func (throttler *Throttler) Take(now time.Time, workspace lagoonlanding.Workspace) (lagoonlanding.Credit, time.Time, bool) {
 	throttler.mutex.Lock()
 	defer throttler.mutex.Unlock()
-	bucket := throttler.observe(now, workspace)
-	if credit := throttler.takeHeld(now, bucket, workspace); credit != nil {
-		return credit, time.Time{}, true
-	}
+	bucket := throttler.bucket(workspace.Name())
 	if reserve := throttler.reserve(now, workspace); reserve > 0 && bucket.reserveUsed(now, throttler.window()) < reserve {
 		throttler.record(workspace, decisionReserve)
 		return bucket.newCredit(throttler, now, true), time.Time{}, true
 	}
+	// Only what exceeds the reserve is leased by demand.
+	throttler.observe(now, bucket)
+	if credit := throttler.takeHeld(now, bucket, workspace); credit != nil {
+		return credit, time.Time{}, true
+	}
 	return nil, throttler.retryAt(now, bucket, workspace), false
 }
 
@@ -113,12 +120,10 @@
 	return throttler.reporter, true
 }
 
-// observe counts a request of a workspace.
-func (throttler *Throttler) observe(now time.Time, workspace lagoonlanding.Workspace) *bucket {
-	bucket := throttler.bucket(workspace.Name())
+// observe counts a request that needs a lease.
+func (throttler *Throttler) observe(now time.Time, bucket *bucket) {
 	bucket.demand.observe(now)
 	throttler.signal(now, bucket)
-	return bucket
 }
 
 // takeHeld returns a credit that the daemon holds, nil if there is none.
@@ -141,7 +146,17 @@
 	if now.Before(throttler.config.StartedAt.Add(throttler.window())) {
 		return 0
 	}
-	return throttler.config.Rules.Reserve(workspace, throttler.config.Daemons())
+	return throttler.config.Rules.Reserve(workspace, throttler.daemons(now))
+}
+
+// daemons returns the greatest number of daemons that the fleet had recently: while registrations are lost, the same limit must not be divided among
+// fewer daemons than use it.
+func (throttler *Throttler) daemons(now time.Time) int {
+	current := throttler.config.Daemons()
+	if current >= throttler.mostDaemons || now.After(throttler.mostUntil) {
+		throttler.mostDaemons, throttler.mostUntil = current, now.Add(fleetTerm)
+	}
+	return throttler.mostDaemons
 }
 
 func (throttler *Throttler) window() time.Duration {
--- a/workspace.go
+++ b/workspace.go
@@ -86,30 +86,54 @@
 	return (workspace.Rate()*quotarules.config.WindowSeconds+workspace.Burst())*(1+quotarules.config.Overage) + quotarules.config.Slack
 }
 
-// reserveShare is the fraction of the permitted overage that daemons may use without a share; the rest is leased by demand.
-const reserveShare = 0.5
-
-// overageShare is the fraction of the permitted overage that is used at all; the rest covers requests that take longer than usual to arrive.
-const overageShare = 0.95
+const (
+	// equalShare is the fraction of what a window permits that is divided equally among the daemons, for use without a lease; the rest is leased by
+	// demand. The usual demand of a workspace is well below what a window permits, so that most requests need no lease, and a fleet whose arbiter is
+	// lost still serves most of them.
+	equalShare = 0.3
+	// maxEqualShare is that fraction for a workspace of which each daemon gets a single request in a window. Smaller ones have no reserve: with less than
+	// the rest, demand that moves to another zone could not be leased.
+	maxEqualShare = 0.5
+	// overageShare is the fraction of the permitted overage that is used at all; the rest covers requests that take longer than usual to arrive.
+	overageShare = 0.95
+)
 
-// Reserve returns how many requests of the workspace each of the daemons may send in one window without a share.
+// Reserve returns how many requests of the workspace each of the daemons may send in one window without a lease.
 func (quotarules QuotaRules) Reserve(workspace Workspace, daemons int) int {
 	if daemons <= 0 {
 		return 0
 	}
-	return int(reserveShare * quotarules.overage(workspace) / float64(daemons))
+	usable := quotarules.usable(workspace)
+	if reserve := int(equalShare * usable / float64(daemons)); reserve > 0 {
+		return reserve
+	}
+	if float64(daemons) <= maxEqualShare*usable {
+		return 1
+	}
+	return 0
+}
+
+// LeasedRate returns how many credits a second of the workspace are created for leases: the part of its rate that the reserves of all daemons leave.
+func (quotarules QuotaRules) LeasedRate(workspace Workspace, daemons int) float64 {
+	return workspace.Rate() * quotarules.leasedShare(workspace, daemons)
 }
 
-// Capacity returns how many credits of the workspace may exist at the same time in a fleet of the given size: with those that its rate adds in
+// Capacity returns how many credits of the workspace may exist at the same time in a fleet of the given size: with those that the leased rate adds in
 // a window, and with the reserves of all daemons, they do not exceed the limit.
 func (quotarules QuotaRules) Capacity(workspace Workspace, daemons int) int {
-	permitted := workspace.Burst() + overageShare*quotarules.overage(workspace)
-	if quotarules.Reserve(workspace, max(daemons*9/10, 1)) > 0 {
-		// Daemons that know a somewhat smaller fleet still use a reserve.
-		permitted -= reserveShare * quotarules.overage(workspace)
-	}
+	permitted := quotarules.usable(workspace) - workspace.Rate()*quotarules.config.WindowSeconds
 	// A window may begin with up to one credit that has been earned but not created.
-	return max(int(math.Floor(permitted))-1, 1)
+	return max(int(math.Floor(permitted*quotarules.leasedShare(workspace, daemons)))-1, 0)
+}
+
+// leasedShare returns the fraction of what a window permits that the reserves of all daemons leave.
+func (quotarules QuotaRules) leasedShare(workspace Workspace, daemons int) float64 {
+	return max(1-float64(quotarules.Reserve(workspace, daemons)*daemons)/quotarules.usable(workspace), 0)
+}
+
+// usable returns how many requests of the workspace the fleet sends in a window at most.
+func (quotarules QuotaRules) usable(workspace Workspace) float64 {
+	return workspace.Rate()*quotarules.config.WindowSeconds + workspace.Burst() + overageShare*quotarules.overage(workspace)
 }
 
 // overage returns the number of requests that a window may contain beyond the quota.
