Take no status outside 200 to 599 for an answer

Change: a status that is neither final (200 to 599) nor interim ends the exchange at once, with the outcome unknown. 101 counts as invalid, since no request asks for another protocol. The decoders between daemons and the writers of both codecs reject such a status.

--- a/adapters/encoder/forward.go
+++ b/adapters/encoder/forward.go
@@ -103,6 +103,9 @@
 	if err != nil {
 		return lagoonlanding.Reply{}, fmt.Errorf("outcome of request %s: %w", reply.RequestID, err)
 	}
+	if outcome == lagoonlanding.OutcomeAnswered && !lagoonlanding.IsFinalStatus(reply.Status) {
+		return lagoonlanding.Reply{}, fmt.Errorf("answer to request %s has the invalid status %d", reply.RequestID, reply.Status)
+	}
 	return lagoonlanding.NewReply(lagoonlanding.ReplyConfig{
 		RequestID: reply.RequestID, Outcome: outcome, Reason: lagoonlanding.Reason(reply.Reason),
 		Status: reply.Status, Headers: toHeaders(reply.Headers), Body: reply.Body,
--- a/adapters/invoker/invoker.go
+++ b/adapters/invoker/invoker.go
@@ -19,6 +19,8 @@
 var (
 	// ErrAnswerMismatched means that the answer carries the ID of another request or none.
 	ErrAnswerMismatched = errors.New("answer does not match the request")
+	// ErrAnswerStatus means that the status of the answer is not that of a final response.
+	ErrAnswerStatus = errors.New("answer has an invalid status")
 	// ErrAnswerTooLarge means that the answer exceeds the size limit.
 	ErrAnswerTooLarge = errors.New("answer exceeds the size limit")
 )
@@ -123,6 +125,9 @@
 }
 
 func (invoker *Invoker) readReply(request lagoonlanding.Request, response *http.Response) (lagoonlanding.Reply, error) {
+	if !lagoonlanding.IsFinalStatus(response.StatusCode) {
+		return lagoonlanding.Reply{}, fmt.Errorf("status %03d from %s: %w", response.StatusCode, invoker.config.Address, ErrAnswerStatus)
+	}
 	if id := response.Header.Get(HeaderRequestID); id != request.ID() {
 		return lagoonlanding.Reply{}, fmt.Errorf("answer with request ID %q to request %q: %w", id, request.ID(), ErrAnswerMismatched)
 	}
--- a/mesh/connector/connection.go
+++ b/mesh/connector/connection.go
@@ -30,6 +30,7 @@
 	errSending       = errors.New("the request is still being sent")
 	errHeadTooLarge  = errors.New("response head too large")
 	errInformational = errors.New("too many informational responses")
+	errStatus        = errors.New("invalid status")
 )
 
 // connection is a TCP connection that serves one request at a time.
@@ -185,13 +186,23 @@
 	}
 	for range maxInformational {
 		response, err := http.ReadResponse(connection.reader, request)
-		if err != nil || response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
-			return response, err
+		switch {
+		case err != nil:
+			return nil, err
+		case lagoonlanding.IsFinalStatus(response.StatusCode):
+			return response, nil
+		case !isInterim(response.StatusCode):
+			return nil, fmt.Errorf("%w: %03d", errStatus, response.StatusCode)
 		}
 	}
 	return nil, errInformational
 }
 
+// isInterim reports whether a final response follows one with the status. No request asks for another protocol, so none may follow status 101.
+func isInterim(status int) bool {
+	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
+}
+
 // isReusable reports whether an idle connection has received nothing: neither a close nor bytes that belong to no request.
 func (connection *connection) isReusable() bool {
 	if connection.reader.Buffered() > 0 {
--- a/mesh/framer/decoder.go
+++ b/mesh/framer/decoder.go
@@ -86,7 +86,7 @@
 		return nil, err
 	}
 	status, err := strconv.Atoi(head.line[fieldStatus])
-	if err != nil || status < 100 || status > 999 {
+	if err != nil || !lagoonlanding.IsFinalStatus(status) {
 		return nil, fmt.Errorf("%w: invalid status", ErrMalformed)
 	}
 	response := &http.Response{
--- a/mesh/framer/framer_test.go
+++ b/mesh/framer/framer_test.go
@@ -161,3 +161,17 @@
 		}
 	})
 }
+
+// TestInvalidStatusIsMalformed guards against a status of a daemon of an earlier release that is passed on as an answer.
+func TestInvalidStatusIsMalformed(t *testing.T) {
+	for status, isValid := range map[int]bool{0: false, 99: false, 100: false, 101: false, 200: true, 599: true, 600: false, 999: false} {
+		head, err := NewEncoder().Response(status, http.Header{}, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, err = NewDecoder(1<<10).Response(bufio.NewReader(bytes.NewReader(head)), http.MethodGet)
+		if isValid != (err == nil) || !isValid && !errors.Is(err, ErrMalformed) {
+			t.Errorf("status %d: got %v", status, err)
+		}
+	}
+}
--- a/mesh/receiver/head.go
+++ b/mesh/receiver/head.go
@@ -16,6 +16,7 @@
 	errHeadTooLarge = errors.New("head too large")
 	errMalformed    = errors.New("malformed request")
 	errVersion      = errors.New("unsupported HTTP version")
+	errStatus       = errors.New("invalid status of a response")
 )
 
 var (
@@ -105,6 +106,9 @@
 
 // WriteHead writes the status line and the header.
 func (textcodec *textCodec) WriteHead(writer *bufio.Writer, status int, header http.Header, length int64) error {
+	if !lagoonlanding.IsFinalStatus(status) {
+		return fmt.Errorf("%w: %03d", errStatus, status)
+	}
 	switch {
 	case length >= 0:
 		header.Set("Content-Length", strconv.FormatInt(length, 10))
@@ -138,6 +142,9 @@
 
 // WriteHead writes the compact head of a response.
 func (framedcodec *framedCodec) WriteHead(writer *bufio.Writer, status int, header http.Header, length int64) error {
+	if !lagoonlanding.IsFinalStatus(status) {
+		return fmt.Errorf("%w: %03d", errStatus, status)
+	}
 	head, err := framedcodec.encoder.Response(status, header, length)
 	if err != nil {
 		return err
