--- a/adapters/messenger/messenger_test.go
+++ b/adapters/messenger/messenger_test.go
@@ -233,7 +233,7 @@
 
 func TestReplyWithAnotherRequestIDIsAnError(t *testing.T) {
 	handler := &handler{forward: func(context.Context, lagoonlanding.Request) lagoonlanding.Reply {
-		return lagoonlanding.NewReply(lagoonlanding.ReplyConfig{RequestID: "r2", Outcome: lagoonlanding.OutcomeAnswered})
+		return lagoonlanding.NewReply(lagoonlanding.ReplyConfig{RequestID: "r2", Outcome: lagoonlanding.OutcomeAnswered, Status: 200})
 	}}
 	messenger, to, _ := start(t, handler)
 	if _, err := messenger.Forward(testContext(t), to, request(nil)); !errors.Is(err, lagoonlanding.ErrMismatched) {
