--- a/mesh/chooser/track.go
+++ b/mesh/chooser/track.go
@@ -118,27 +118,27 @@
 }
 
 // report records a reported load.
-func (state *trackState) report(now time.Time, load lagoonlanding.Load, inFlight int64) {
-	age := now.Sub(state.reportedAt)
-	isFirst := state.reportedAt.IsZero() || age > maxReportAge
+func (trackstate *trackState) report(now time.Time, load lagoonlanding.Load, inFlight int64) {
+	age := now.Sub(trackstate.reportedAt)
+	isFirst := trackstate.reportedAt.IsZero() || age > maxReportAge
 	tasksPerSlot := tasksPerSlotOf(load)
 	if isFirst {
-		state.utilization = tasksPerSlot
+		trackstate.utilization = tasksPerSlot
 	}
-	state.utilization += (tasksPerSlot - state.utilization) * (1 - decay(age, utilizationHalfLife))
-	state.slowdown = load.Slowdown()
+	trackstate.utilization += (tasksPerSlot - trackstate.utilization) * (1 - decay(age, utilizationHalfLife))
+	trackstate.slowdown = load.Slowdown()
 	// What the machine's slowdown of this moment adds to the mean run time is taken off: it is applied while it lasts.
-	runTime := time.Duration(float64(load.MeanRunTime()) / max(state.slowdown, 1))
-	if state.usualRunTime <= 0 {
-		state.usualRunTime = load.MeanRunTime()
+	runTime := time.Duration(float64(load.MeanRunTime()) / max(trackstate.slowdown, 1))
+	if trackstate.usualRunTime <= 0 {
+		trackstate.usualRunTime = load.MeanRunTime()
 	}
 	if runTime > 0 {
 		weight := max(1-decay(age, usualRunTimeHalfLife), minUsualWeight)
-		state.usualRunTime += time.Duration(float64(load.MeanRunTime()-state.usualRunTime) * min(weight, 1))
+		trackstate.usualRunTime += time.Duration(float64(load.MeanRunTime()-trackstate.usualRunTime) * min(weight, 1))
 		// A server that reports no slowdown shows it by run times beyond the usual.
-		state.slowdown = max(state.slowdown, min(load.MeanRunTime().Seconds()/state.usualRunTime.Seconds(), maxInferredSlowdown))
+		trackstate.slowdown = max(trackstate.slowdown, min(load.MeanRunTime().Seconds()/trackstate.usualRunTime.Seconds(), maxInferredSlowdown))
 	}
-	state.load, state.inFlightAtReport, state.reportedAt = load, inFlight, now
+	trackstate.load, trackstate.inFlightAtReport, trackstate.reportedAt = load, inFlight, now
 }
 
 // maxInferredSlowdown bounds the slowdown that is inferred from run times, which also vary with the mix of routes.
--- a/mesh/forwarder/forwarder.go
+++ b/mesh/forwarder/forwarder.go
@@ -154,23 +154,7 @@
 		return nil, lagoonlanding.NotRun(lagoonlanding.ReasonUnknownKey, time.Time{})
 	}
 	task = forwarder.identified(task, routing, workspace)
-	task = task.With(func(config *lagoonlanding.TaskConfig) {
-		config.Route, config.Priority = route.Name(), route.Priority()
-		if !task.IsRelayed() {
-			config.Caller = forwarder.config.Service
-		}
-		if !workspace.IsZero() {
-			config.Priority = workspace.Priority()
-		}
-		config.Service = forwarder.drawService(route)
-		config.Objective, config.AtMostOnce = route.Objective(task.Received()), !route.IsIdempotent()
-		if at := route.TimeoutAt(task.Received()); !at.IsZero() && at.Before(task.Deadline()) {
-			config.Deadline = at
-		}
-	})
-	if policy, ok := routing.Service(task.Service()); !ok || !policy.IsDivided() {
-		task = task.With(func(config *lagoonlanding.TaskConfig) { config.ShardKey = lagoonlanding.NoShardKey })
-	}
+	task = forwarder.routed(task, routing, route, workspace)
 	task, ok = forwarder.config.Shutdown.Accept(task)
 	if !ok {
 		return nil, forwarder.shuttingDown()
@@ -194,6 +178,30 @@
 	}, lagoonlanding.Result{}
 }
 
+// routed returns the task with what the route and the workspace decide.
+func (forwarder *Forwarder) routed(
+	task lagoonlanding.Task, routing *lagoonlanding.Routing, route lagoonlanding.PathRoute, workspace lagoonlanding.Workspace,
+) lagoonlanding.Task {
+	task = task.With(func(config *lagoonlanding.TaskConfig) {
+		config.Route, config.Priority = route.Name(), route.Priority()
+		if !task.IsRelayed() {
+			config.Caller = forwarder.config.Service
+		}
+		if !workspace.IsZero() {
+			config.Priority = workspace.Priority()
+		}
+		config.Service = forwarder.drawService(route)
+		config.Objective, config.AtMostOnce = route.Objective(task.Received()), !route.IsIdempotent()
+		if at := route.TimeoutAt(task.Received()); !at.IsZero() && at.Before(task.Deadline()) {
+			config.Deadline = at
+		}
+	})
+	if policy, ok := routing.Service(task.Service()); !ok || !policy.IsDivided() {
+		task = task.With(func(config *lagoonlanding.TaskConfig) { config.ShardKey = lagoonlanding.NoShardKey })
+	}
+	return task
+}
+
 // drawService picks a service of the route at random by weight.
 func (forwarder *Forwarder) drawService(route lagoonlanding.PathRoute) string {
 	shares := route.Shares()
