--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,6 @@
+#!/bin/sh
+# Builds the stand-ins of the cases 6 to 10; the daemon itself is built by the deploy file.
+set -eu
+cd "$(dirname "$0")/.."
+mkdir -p target/review-2
+go build -o target/review-2/probe ./review/probe
--- /dev/null
+++ b/review/probe/upstream.go
@@ -0,0 +1,156 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// run is what an upstream received and began to work on.
+type run struct {
+	id, target, body, caller string
+	at                       time.Time
+}
+
+// upstream is a server of the platform: it announces itself to the daemon beside it and runs requests.
+type upstream struct {
+	record                    *record
+	name, service             string
+	address, control          string
+	slots                     int
+	work                      time.Duration
+	born                      int64
+	mutex                     sync.Mutex
+	sequence                  int
+	state                     string
+	runs                      []run
+	server                    *http.Server
+	cancel                    context.CancelFunc
+	lastAcknowledged, drained time.Time
+}
+
+// start serves requests and sends heartbeats until stop is called.
+func (upstream *upstream) start() error {
+	listener, err := net.Listen("tcp4", upstream.address)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	upstream.born, upstream.state, upstream.cancel = time.Now().UnixMilli(), "ready", cancel
+	upstream.server = &http.Server{Handler: upstream, IdleTimeout: 10 * time.Second}
+	go func() { _ = upstream.server.Serve(listener) }()
+	go upstream.announce(ctx)
+	return nil
+}
+
+func (upstream *upstream) stop() {
+	upstream.cancel()
+	_ = upstream.server.Close()
+}
+
+// announce sends a heartbeat about every 0.87 s, as the settings say.
+func (upstream *upstream) announce(ctx context.Context) {
+	for ctx.Err() == nil {
+		upstream.beat(ctx)
+		select {
+		case <-ctx.Done():
+		case <-time.After(870 * time.Millisecond):
+		}
+	}
+}
+
+func (upstream *upstream) beat(ctx context.Context) {
+	upstream.mutex.Lock()
+	upstream.sequence++
+	state := upstream.state
+	text, err := json.Marshal(map[string]any{
+		"address": upstream.address, "born": upstream.born,
+		"info":   map[string]any{"service": upstream.service, "version": "v1", "zone": "piraeus", "slots": upstream.slots},
+		"status": map[string]any{"state": state, "sequence": upstream.sequence, "coldRemainingS": 0},
+	})
+	upstream.mutex.Unlock()
+	if err != nil {
+		return
+	}
+	status, err := upstream.call(ctx, "instances.heartbeat", text)
+	upstream.mutex.Lock()
+	defer upstream.mutex.Unlock()
+	if err == nil && status == http.StatusOK {
+		upstream.lastAcknowledged = time.Now()
+		if state == "draining" && upstream.drained.IsZero() {
+			upstream.drained = time.Now()
+		}
+	}
+}
+
+// call makes a call to the daemon beside the upstream; an answer after a second does not count.
+func (upstream *upstream) call(ctx context.Context, name string, body []byte) (int, error) {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://%s/rpc?call=%s&of=%s", upstream.control, name, upstream.name), bytes.NewReader(body))
+	if err != nil {
+		return 0, err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, err
+	}
+	defer response.Body.Close()
+	_, err = io.Copy(io.Discard, response.Body)
+	return response.StatusCode, err
+}
+
+// ServeHTTP runs a request once its whole body has arrived.
+func (upstream *upstream) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	id := request.Header.Get("X-Request-Id")
+	writer.Header().Set("X-Request-Id", id)
+	if request.URL.Path == "/health" {
+		writer.Header().Set("X-Instance-Id", upstream.name)
+		return
+	}
+	if request.Header.Get("X-Target-Instance") != upstream.name {
+		writer.Header().Set("X-Not-Executed", "1")
+		writer.Header().Set("X-Instance-Id", upstream.name)
+		writer.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	body, err := io.ReadAll(request.Body)
+	if err != nil {
+		upstream.record.note("%s does not run %s: its body broke off after %d bytes: %v", upstream.name, id, len(body), err)
+		panic(http.ErrAbortHandler)
+	}
+	upstream.addRun(run{id: id, target: request.RequestURI, body: string(body), caller: request.Header.Get("X-Caller-Service"), at: time.Now()})
+	upstream.record.note("%s runs %s: %s %s, %d bytes %.60q", upstream.name, id, request.Method, request.RequestURI, len(body), body)
+	deadline, _ := strconv.Atoi(request.Header.Get("X-Deadline-Ms"))
+	if time.Duration(deadline)*time.Millisecond < upstream.work {
+		time.Sleep(time.Duration(deadline) * time.Millisecond)
+		writer.Header().Set("X-Server-Signature", "signed-by-"+upstream.name)
+		writer.WriteHeader(http.StatusGatewayTimeout)
+		return
+	}
+	time.Sleep(upstream.work)
+	writer.Header().Set("X-Server-Signature", "signed-by-"+upstream.name)
+	writer.Header().Set("X-Server-Load", fmt.Sprintf("1,0,%d,100", upstream.slots))
+	_, _ = fmt.Fprintf(writer, "done %s", id)
+}
+
+func (upstream *upstream) addRun(added run) {
+	upstream.mutex.Lock()
+	defer upstream.mutex.Unlock()
+	upstream.runs = append(upstream.runs, added)
+}
+
+// ran returns the runs so far.
+func (upstream *upstream) ran() []run {
+	upstream.mutex.Lock()
+	defer upstream.mutex.Unlock()
+	return append([]run(nil), upstream.runs...)
+}
