--- a/review/probe/client.go
+++ b/review/probe/client.go
@@ -21,20 +21,29 @@
 	took      time.Duration
 }
 
+// openUpload sends the head of a request whose body comes in chunks.
+func openUpload(record *record, outbound, id, path string) (net.Conn, error) {
+	connection, err := net.Dial("tcp4", outbound)
+	if err != nil {
+		return nil, err
+	}
+	if err := connection.SetDeadline(time.Now().Add(deadline + time.Second)); err != nil {
+		return nil, err
+	}
+	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: tags.example\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\nTransfer-Encoding: chunked\r\n\r\n", path, id, deadline.Milliseconds())
+	record.note("client sends the head of %s", id)
+	_, err = io.WriteString(connection, head)
+	return connection, err
+}
+
 // upload sends a request in chunks, with a pause before each, and returns the answer.
 func upload(record *record, outbound, id, path string, pieces []string, pause time.Duration) answer {
 	began := time.Now()
-	connection, err := net.Dial("tcp4", outbound)
+	connection, err := openUpload(record, outbound, id, path)
 	if err != nil {
 		return answer{}
 	}
 	defer connection.Close()
-	_ = connection.SetDeadline(time.Now().Add(deadline + time.Second))
-	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: tags.example\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\nTransfer-Encoding: chunked\r\n\r\n", path, id, deadline.Milliseconds())
-	if _, err := io.WriteString(connection, head); err != nil {
-		return answer{}
-	}
-	record.note("client sends the head of %s", id)
 	for _, piece := range pieces {
 		time.Sleep(pause)
 		if _, err := fmt.Fprintf(connection, "%x\r\n%s\r\n", len(piece), piece); err != nil {
--- a/review/probe/fleet.go
+++ b/review/probe/fleet.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -17,6 +19,7 @@
 // configuration is the operator's configuration of the scripts.
 const configuration = `{"version":7,"routes":{
  "release":{"host":"tags.example","prefix":"/release/","routeType":"non_idempotent","timeoutS":8,"targetLatencyS":0.8,"priority":1,"service":"ledger","attempts":2,"allowedRegions":[]},
+ "history":{"host":"tags.example","prefix":"/history/","routeType":"idempotent","timeoutS":8,"targetLatencyS":4,"priority":2,"service":"ledger","attempts":2,"allowedRegions":[]},
  "status":{"host":"tags.example","prefix":"/status/","routeType":"idempotent","timeoutS":8,"targetLatencyS":0.6,"priority":2,"service":"ledger","attempts":2,"allowedRegions":[]}},
  "services":{"ledger":{"healthCheckPath":"/health","maxConnections":110,"protocol":"h1","tls":false,"coldStartS":3.0,"coldPerS":50},
  "front":{"healthCheckPath":"/health","maxConnections":110,"protocol":"h1","tls":false,"coldStartS":3.0,"coldPerS":50}},
@@ -105,14 +108,18 @@
 	return created, created.store.Put("op/config", configuration)
 }
 
+// The ports of the scripts lie below those that the system gives to outgoing connections.
+const firstPort, portCount = 20000, 12000
+
 // freePort returns a loopback port that nothing uses now.
 func freePort() (int, error) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		return 0, err
+	for range portCount {
+		port := firstPort + rand.IntN(portCount)
+		if listener, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", port)); err == nil {
+			return port, listener.Close()
+		}
 	}
-	defer listener.Close()
-	return listener.Addr().(*net.TCPAddr).Port, nil
+	return 0, errors.New("no free port")
 }
 
 // add starts a machine; with a proxy, other daemons reach its daemon through it.
--- a/review/probe/main.go
+++ b/review/probe/main.go
@@ -20,6 +20,7 @@
 // probes are the cases by name.
 var probes = map[string]func(ctx context.Context, fleet *fleet, hasTrouble bool) error{
 	"streams": probeStreams,
+	"leavers": probeLeavers,
 }
 
 func main() { os.Exit(play()) }
--- a/review/probe/upstream.go
+++ b/review/probe/upstream.go
@@ -19,6 +19,12 @@
 	at                       time.Time
 }
 
+// arrival is a request whose head has reached an upstream.
+type arrival struct {
+	id string
+	at time.Time
+}
+
 // upstream is a server of the platform: it announces itself to the daemon beside it and runs requests.
 type upstream struct {
 	record                    *record
@@ -31,6 +37,7 @@
 	sequence                  int
 	state                     string
 	runs                      []run
+	arrivals                  []arrival
 	server                    *http.Server
 	cancel                    context.CancelFunc
 	lastAcknowledged, drained time.Time
@@ -122,6 +129,7 @@
 		writer.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	upstream.arrive(id)
 	body, err := io.ReadAll(request.Body)
 	if err != nil {
 		upstream.record.note("%s does not run %s: its body broke off after %d bytes: %v", upstream.name, id, len(body), err)
@@ -129,19 +137,47 @@
 	}
 	upstream.addRun(run{id: id, target: request.RequestURI, body: string(body), caller: request.Header.Get("X-Caller-Service"), at: time.Now()})
 	upstream.record.note("%s runs %s: %s %s, %d bytes %.60q", upstream.name, id, request.Method, request.RequestURI, len(body), body)
+	work := upstream.workTime()
 	deadline, _ := strconv.Atoi(request.Header.Get("X-Deadline-Ms"))
-	if time.Duration(deadline)*time.Millisecond < upstream.work {
+	if time.Duration(deadline)*time.Millisecond < work {
 		time.Sleep(time.Duration(deadline) * time.Millisecond)
 		writer.Header().Set("X-Server-Signature", "signed-by-"+upstream.name)
 		writer.WriteHeader(http.StatusGatewayTimeout)
 		return
 	}
-	time.Sleep(upstream.work)
+	time.Sleep(work)
 	writer.Header().Set("X-Server-Signature", "signed-by-"+upstream.name)
-	writer.Header().Set("X-Server-Load", fmt.Sprintf("1,0,%d,100", upstream.slots))
 	_, _ = fmt.Fprintf(writer, "done %s", id)
 }
 
+func (upstream *upstream) arrive(id string) {
+	upstream.record.note("%s gets the head of %s", upstream.name, id)
+	upstream.mutex.Lock()
+	defer upstream.mutex.Unlock()
+	upstream.arrivals = append(upstream.arrivals, arrival{id: id, at: time.Now()})
+}
+
+// arrived returns the arrivals so far.
+func (upstream *upstream) arrived() []arrival {
+	upstream.mutex.Lock()
+	defer upstream.mutex.Unlock()
+	return append([]arrival(nil), upstream.arrivals...)
+}
+
+// set changes the number of slots that the upstream announces, and how long a request takes.
+func (upstream *upstream) set(slots int, work time.Duration) {
+	upstream.mutex.Lock()
+	defer upstream.mutex.Unlock()
+	upstream.slots, upstream.work = slots, work
+}
+
+// workTime returns how long a request takes.
+func (upstream *upstream) workTime() time.Duration {
+	upstream.mutex.Lock()
+	defer upstream.mutex.Unlock()
+	return upstream.work
+}
+
 func (upstream *upstream) addRun(added run) {
 	upstream.mutex.Lock()
 	defer upstream.mutex.Unlock()
