--- a/review/probe/fleet.go
+++ b/review/probe/fleet.go
@@ -111,10 +111,17 @@
 // The ports of the scripts lie below those that the system gives to outgoing connections.
 const firstPort, portCount = 20000, 12000
 
-// freePort returns a loopback port that nothing uses now.
+// givenPorts are the ports that freePort has returned.
+var givenPorts = map[int]bool{}
+
+// freePort returns a loopback port that nothing uses now, each one once.
 func freePort() (int, error) {
 	for range portCount {
 		port := firstPort + rand.IntN(portCount)
+		if givenPorts[port] {
+			continue
+		}
+		givenPorts[port] = true
 		if listener, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", port)); err == nil {
 			return port, listener.Close()
 		}
--- a/review/probe/main.go
+++ b/review/probe/main.go
@@ -21,6 +21,7 @@
 var probes = map[string]func(ctx context.Context, fleet *fleet, hasTrouble bool) error{
 	"streams": probeStreams,
 	"leavers": probeLeavers,
+	"poison":  probePoison,
 }
 
 func main() { os.Exit(play()) }
