Review case 9: requests with Expect get 502 from a stopping daemon while their upstream is at work

Cause: the interim response is written as text on a connection with compact heads, and the sender gives the exchange up. Case 8 now has three rounds of stops.

--- a/review/probe/main.go
+++ b/review/probe/main.go
@@ -15,13 +15,14 @@
 )
 
 // timeout bounds a run.
-const timeout = 100 * time.Second
+const timeout = 110 * time.Second
 
 // probes are the cases by name.
 var probes = map[string]func(ctx context.Context, fleet *fleet, hasTrouble bool) error{
 	"streams": probeStreams,
 	"leavers": probeLeavers,
 	"poison":  probePoison,
+	"expects": probeExpects,
 }
 
 func main() { os.Exit(play()) }
--- a/review/probe/poison.go
+++ b/review/probe/poison.go
@@ -16,9 +16,9 @@
 	// poisonText is the body of the request that crashes each upstream that begins to run it, and poisonPause the time between two of its copies.
 	poisonText, poisonPause = "poison", 400 * time.Millisecond
 	// rolls is how often the daemons are stopped and started in turn, and rollGap the least time between two stops.
-	rolls, rollGap = 2, 2 * time.Second
-	// poisonTime is how long the copies come, before the first stop and after each round of stops.
-	poisonTime = 12 * time.Second
+	rolls, rollGap = 3, 2 * time.Second
+	// firstTime is how long the copies come before the first stop, and poisonTime that after each round of stops.
+	firstTime, poisonTime = 6 * time.Second, 11 * time.Second
 	// contactTime is the bound contactS, and maxRetries how many retries may reach upstreams that long after the third crash.
 	contactTime, maxRetries = 3 * time.Second, 3
 )
@@ -53,14 +53,14 @@
 		})
 	}
 	copies := 0
-	sendCopies := func() {
-		for end := time.Now().Add(poisonTime); time.Now().Before(end); time.Sleep(poisonPause) {
+	sendCopies := func(term time.Duration) {
+		for end := time.Now().Add(term); time.Now().Before(end); time.Sleep(poisonPause) {
 			copies++
 			id, outbound := fmt.Sprintf("poison-%d", copies), fleet.machines[copies%serverCount].outbound
 			clients.Go(func() { upload(fleet.record, outbound, id, "/release/poison", []string{poisonText}, 0) })
 		}
 	}
-	sendCopies()
+	sendCopies(firstTime)
 	for range rolls {
 		if hasTrouble {
 			if err := fleet.roll(ctx); err != nil {
@@ -69,7 +69,7 @@
 		}
 		// All daemons are in touch when the request comes again.
 		time.Sleep(contactTime + time.Second)
-		sendCopies()
+		sendCopies(poisonTime)
 	}
 	stop()
 	clients.Wait()
