--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins of the cases 6 to 10; the daemon itself is built by the deploy file.
+# Builds the stand-ins of the cases 6 to 9; the daemon itself is built by the deploy file.
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
--- a/review/probe/expects.go
+++ b/review/probe/expects.go
@@ -22,11 +22,11 @@
 
 // probeExpects sends requests with "Expect: 100-continue" to a daemon that was told to stop.
 func probeExpects(ctx context.Context, fleet *fleet, hasTrouble bool) error {
-	origin, err := fleet.add("origin", "front", false)
+	origin, err := fleet.add("origin", "front")
 	if err != nil {
 		return err
 	}
-	server, err := fleet.add("server", "ledger", false)
+	server, err := fleet.add("server", "ledger")
 	if err != nil {
 		return err
 	}
--- a/review/probe/fleet.go
+++ b/review/probe/fleet.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -25,7 +26,7 @@
  "front":{"healthCheckPath":"/health","maxConnections":110,"protocol":"h1","tls":false,"coldStartS":3.0,"coldPerS":50}},
  "limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeoutS":3,"idleTimeoutS":15},"baseVersion":5}`
 
-// settingsTemplate has the settings of a small deployment; only the advertised address, which leads through a proxy, is added.
+// settingsTemplate has the settings of a small deployment.
 const settingsTemplate = `nodeName = %q
 role = "router"
 machineClass = "sidecar"
@@ -35,7 +36,7 @@
 region = "attica"
 portRange = [%d,%d]
 metrics-port = 0
-%sseedNodes = []
+seedNodes = []
 bootstrap = true
 lossCounts = false
 discovery = "static"
@@ -77,11 +78,9 @@
 // machine is a daemon with the upstream beside it.
 type machine struct {
 	name, outbound, ready, control, settings string
-	// peer passes on the connections of other daemons, nil if they connect directly.
-	peer     *proxy
-	upstream *upstream
-	command  *exec.Cmd
-	ended    chan struct{}
+	upstream                                 *upstream
+	command                                  *exec.Cmd
+	ended                                    chan struct{}
 }
 
 // fleet is the platform's store and its machines.
@@ -104,10 +103,16 @@
 		return nil, err
 	}
 	created := &fleet{record: record, folder: folder, daemon: daemon, store: simulator.NewStore(), address: listener.Addr().String()}
-	go func() { _ = http.Serve(listener, created.store) }()
+	go func() { _ = http.Serve(listener, http.HandlerFunc(created.serveStore)) }()
 	return created, created.store.Put("op/config", configuration)
 }
 
+// serveStore answers a call to the store; all answers show its era.
+func (fleet *fleet) serveStore(writer http.ResponseWriter, request *http.Request) {
+	writer.Header().Set("Store-Era", strconv.FormatUint(fleet.store.Era(), 10))
+	fleet.store.ServeHTTP(writer, request)
+}
+
 // The ports of the scripts lie below those that the system gives to outgoing connections.
 const firstPort, portCount = 20000, 12000
 
@@ -129,8 +134,8 @@
 	return 0, errors.New("no free port")
 }
 
-// add starts a machine; with a proxy, other daemons reach its daemon through it.
-func (fleet *fleet) add(name, service string, hasProxy bool) (*machine, error) {
+// add starts a machine: a daemon with the upstream beside it.
+func (fleet *fleet) add(name, service string) (*machine, error) {
 	var ports [6]int
 	for number := range ports {
 		port, err := freePort()
@@ -141,15 +146,7 @@
 	}
 	address := func(number int) string { return fmt.Sprintf("127.0.0.1:%d", ports[number]) }
 	added := &machine{name: name, outbound: address(1), ready: address(2), control: address(3), settings: filepath.Join(fleet.folder, name+".toml")}
-	advertised := ""
-	if hasProxy {
-		var err error
-		if added.peer, err = newProxy(address(0)); err != nil {
-			return nil, err
-		}
-		advertised = fmt.Sprintf("advertised-peer-address = %q\n", added.peer.address())
-	}
-	text := fmt.Sprintf(settingsTemplate, name, ports[0], ports[0], advertised, address(4), service, address(5), added.outbound, added.ready, added.control, fleet.address)
+	text := fmt.Sprintf(settingsTemplate, name, ports[0], ports[0], address(4), service, address(5), added.outbound, added.ready, added.control, fleet.address)
 	if err := os.WriteFile(added.settings, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
@@ -201,6 +198,17 @@
 	return nil
 }
 
+// awaitService waits until requests from the machine are answered.
+func (fleet *fleet) awaitService(ctx context.Context, origin *machine) error {
+	for number := 0; ctx.Err() == nil; number++ {
+		if upload(fleet.record, origin.outbound, fmt.Sprintf("first-%d", number), "/release/first", []string{"x"}, 0).status == http.StatusOK {
+			return nil
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	return fmt.Errorf("requests are not served: %w", ctx.Err())
+}
+
 func isReady(ctx context.Context, machine *machine) bool {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+machine.ready+"/ready", nil)
 	if err != nil {
--- a/review/probe/leavers.go
+++ b/review/probe/leavers.go
@@ -21,11 +21,11 @@
 
 // probeLeavers lets clients leave in the middle of their uploads while the upstream is busy.
 func probeLeavers(ctx context.Context, fleet *fleet, hasTrouble bool) error {
-	origin, err := fleet.add("origin", "front", false)
+	origin, err := fleet.add("origin", "front")
 	if err != nil {
 		return err
 	}
-	server, err := fleet.add("server", "ledger", false)
+	server, err := fleet.add("server", "ledger")
 	if err != nil {
 		return err
 	}
--- a/review/probe/main.go
+++ b/review/probe/main.go
@@ -19,10 +19,10 @@
 
 // probes are the cases by name.
 var probes = map[string]func(ctx context.Context, fleet *fleet, hasTrouble bool) error{
-	"streams": probeStreams,
 	"leavers": probeLeavers,
 	"poison":  probePoison,
 	"expects": probeExpects,
+	"drill":   probeDrill,
 }
 
 func main() { os.Exit(play()) }
--- a/review/probe/poison.go
+++ b/review/probe/poison.go
@@ -26,7 +26,7 @@
 // probePoison sends a request that crashes upstreams again and again, while the daemons are stopped and started in turn.
 func probePoison(ctx context.Context, fleet *fleet, hasTrouble bool) error {
 	for number := range serverCount {
-		added, err := fleet.add(fmt.Sprintf("server-%d", number), "ledger", false)
+		added, err := fleet.add(fmt.Sprintf("server-%d", number), "ledger")
 		if err != nil {
 			return err
 		}
--- a/review/probe/upstream.go
+++ b/review/probe/upstream.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -110,16 +111,39 @@
 	}
 }
 
-func (upstream *upstream) beat(ctx context.Context) {
+// heartbeat returns the next heartbeat.
+func (upstream *upstream) heartbeat() (name, state string, text []byte, err error) {
 	upstream.mutex.Lock()
+	defer upstream.mutex.Unlock()
 	upstream.sequence++
-	state, name := upstream.state, upstream.name
-	text, err := json.Marshal(map[string]any{
+	text, err = json.Marshal(map[string]any{
 		"address": upstream.address, "born": upstream.born,
 		"info":   map[string]any{"service": upstream.service, "version": "v1", "zone": "piraeus", "slots": upstream.slots},
-		"status": map[string]any{"state": state, "sequence": upstream.sequence, "coldRemainingS": 0},
+		"status": map[string]any{"state": upstream.state, "sequence": upstream.sequence, "coldRemainingS": 0},
 	})
+	return upstream.name, upstream.state, text, err
+}
+
+// leave deregisters the upstream until that is acknowledged, and returns when it was. It sends no heartbeat any more, and goes on serving.
+func (upstream *upstream) leave(ctx context.Context) (time.Time, error) {
+	upstream.mutex.Lock()
+	upstream.cancel()
+	name := upstream.name
+	text, err := json.Marshal(map[string]any{"born": upstream.born})
 	upstream.mutex.Unlock()
+	for err == nil && ctx.Err() == nil {
+		status, failure := upstream.call(ctx, "instances.deregister", name, text)
+		if failure == nil && status == http.StatusOK {
+			upstream.record.note("the deregistration of %s is acknowledged", name)
+			return time.Now(), nil
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	return time.Time{}, fmt.Errorf("the deregistration is not acknowledged: %w", errors.Join(err, ctx.Err()))
+}
+
+func (upstream *upstream) beat(ctx context.Context) {
+	name, state, text, err := upstream.heartbeat()
 	if err != nil {
 		return
 	}
