--- a/review/probe/fleet.go
+++ b/review/probe/fleet.go
@@ -22,8 +22,8 @@
  "release":{"host":"tags.example","prefix":"/release/","routeType":"non_idempotent","timeoutS":8,"targetLatencyS":0.8,"priority":1,"service":"ledger","attempts":2,"allowedRegions":[]},
  "history":{"host":"tags.example","prefix":"/history/","routeType":"idempotent","timeoutS":8,"targetLatencyS":4,"priority":2,"service":"ledger","attempts":2,"allowedRegions":[]},
  "status":{"host":"tags.example","prefix":"/status/","routeType":"idempotent","timeoutS":8,"targetLatencyS":0.6,"priority":2,"service":"ledger","attempts":2,"allowedRegions":[]}},
- "services":{"ledger":{"healthCheckPath":"/health","maxConnections":110,"protocol":"h1","tls":false,"coldStartS":3.0,"coldPerS":50},
- "front":{"healthCheckPath":"/health","maxConnections":110,"protocol":"h1","tls":false,"coldStartS":3.0,"coldPerS":50}},
+ "services":{"ledger":{"healthCheckPath":"/health","maxConnections":110,"protocol":"h1","tls":false,"coldStartS":3.0,"coldPerS":3.9},
+ "front":{"healthCheckPath":"/health","maxConnections":110,"protocol":"h1","tls":false,"coldStartS":3.0,"coldPerS":3.9}},
  "limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeoutS":3,"idleTimeoutS":15},"baseVersion":5}`
 
 // settingsTemplate has the settings of a small deployment.
--- a/review/probe/upstream.go
+++ b/review/probe/upstream.go
@@ -19,6 +19,8 @@
 const (
 	// crashAfter is how long an upstream works on a request that crashes it, and backAfter how long it is down.
 	crashAfter, backAfter = 30 * time.Millisecond, 2 * time.Second
+	// coldTime is how long an upstream is cold after it has started during traffic.
+	coldTime = 3 * time.Second
 )
 
 // run is what an upstream received and began to work on.
@@ -116,10 +118,15 @@
 	upstream.mutex.Lock()
 	defer upstream.mutex.Unlock()
 	upstream.sequence++
+	cold := time.Duration(0)
+	if upstream.lives > 1 {
+		// It has started during traffic.
+		cold = max(coldTime-time.Since(time.UnixMilli(upstream.born)), 0)
+	}
 	text, err = json.Marshal(map[string]any{
 		"address": upstream.address, "born": upstream.born,
 		"info":   map[string]any{"service": upstream.service, "version": "v1", "zone": "piraeus", "slots": upstream.slots},
-		"status": map[string]any{"state": upstream.state, "sequence": upstream.sequence, "coldRemainingS": 0},
+		"status": map[string]any{"state": upstream.state, "sequence": upstream.sequence, "coldRemainingS": cold.Seconds()},
 	})
 	return upstream.name, upstream.state, text, err
 }
