--- a/review/rig3/forgottenpoison.go
+++ b/review/rig3/forgottenpoison.go
@@ -26,11 +26,11 @@
 	// rollGap is the time between the stops of two daemons.
 	rollGap = 1300 * time.Millisecond
 	// afterTerm is how long the request comes after the restarts.
-	afterTerm = 7 * time.Second
+	afterTerm = 9 * time.Second
 	// poisonMachines is the number of machines; all belong to one service, so that the caller is the same everywhere.
 	poisonMachines = 4
 	// rolls is how often all daemons are stopped and started in turn.
-	rolls = 6
+	rolls = 4
 	// permittedRetries is how many retries the rule permits after the third crash.
 	permittedRetries = 3
 )
@@ -85,6 +85,16 @@
 	return errors.Join(errs...)
 }
 
+// isInTouch reports whether every daemon has been running for longer than the contact term.
+func (rig *rig) isInTouch() bool {
+	for _, machine := range rig.machines {
+		if !machine.runsSince(contactTerm + 200*time.Millisecond) {
+			return false
+		}
+	}
+	return true
+}
+
 // sentRequest is an attempt of the client that sends the request again and again.
 type sentRequest struct {
 	at      time.Time
@@ -111,8 +121,8 @@
 		case <-time.After(poisonInterval):
 		}
 		machine := rig.machines[number%len(rig.machines)]
-		if !machine.isReady() {
-			// The platform sends no clients to a machine that is not ready.
+		if !rig.isInTouch() {
+			// The rule does not count what is sent around the restarts.
 			continue
 		}
 		id := newID()
