--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -19,6 +19,7 @@
 type scenario func(rig *rig) ([]string, error)
 
 var scenarios = map[string]scenario{
+	"changed-path":     changedPath,
 	"cut-body":         cutBody,
 	"reopened-zone":    reopenedZone,
 	"departed-client":  departedClient,
