--- /dev/null
+++ b/review/rig3/leftzone.go
@@ -0,0 +1,82 @@
+package main
+
+import (
+	"fmt"
+	"sync"
+	"time"
+)
+
+const (
+	// leaveDelay is the time from the acknowledgement of the evacuation to the moment at which an upstream of the zone leaves.
+	leaveDelay = 8 * time.Second
+	// leaveGap is the time between two upstreams that leave.
+	leaveGap = 3 * time.Second
+)
+
+// leftZone lets the upstreams of an evacuated zone leave one after the other.
+func leftZone(rig *rig) ([]string, error) {
+	if err := rig.publish(reopenedZoneConfig); err != nil {
+		return nil, err
+	}
+	if err := rig.addZones(); err != nil {
+		return nil, err
+	}
+	time.Sleep(contactTerm)
+	stop := make(chan struct{})
+	var clients sync.WaitGroup
+	clients.Go(func() { rig.machines[2].ask(stop) })
+	time.Sleep(time.Second)
+	evacuated, err := rig.evacuate()
+	if err != nil {
+		return nil, err
+	}
+	time.Sleep(leaveDelay)
+	acknowledged := true
+	for _, machine := range rig.machines[:2] {
+		if rig.trouble {
+			_, ok := machine.upstream.drain(leaveGap)
+			acknowledged = acknowledged && ok
+		}
+		time.Sleep(leaveGap)
+	}
+	close(stop)
+	clients.Wait()
+	if !acknowledged {
+		return nil, errNoAcknowledgement
+	}
+	return rig.checkEvacuation(evacuated), nil
+}
+
+// addZones starts two machines of the sharded service in one zone and a machine of another service in the other zone.
+func (rig *rig) addZones() error {
+	for _, place := range [][2]string{{"piraeus", "conditions"}, {"piraeus", "conditions"}, {"marousi", "bookings"}} {
+		config := upstreamConfig{service: place[1], sharded: place[1] == "conditions", slots: 6, work: 30 * time.Millisecond, keepAlive: 10 * time.Second}
+		if _, err := rig.addMachine(place[0], config); err != nil {
+			return err
+		}
+	}
+	return rig.awaitServing(map[string]string{"X-Shard-Key": "100"}, "/site/1")
+}
+
+// evacuate evacuates the zone of the sharded service and returns when the store acknowledged it.
+func (rig *rig) evacuate() (time.Time, error) {
+	if err := rig.store.Put("op/evacuate/piraeus", "{}"); err != nil {
+		return time.Time{}, err
+	}
+	rig.record.printf("operator evacuates piraeus; the store has acknowledged it")
+	return time.Now(), nil
+}
+
+// checkEvacuation returns the requests that reached the evacuated zone too late.
+func (rig *rig) checkEvacuation(evacuated time.Time) []string {
+	var broken []string
+	for _, machine := range rig.machines[:2] {
+		for _, arrival := range machine.upstream.seen() {
+			if late := arrival.headAt.Sub(evacuated); late > evacuateBound {
+				broken = append(broken, fmt.Sprintf("EVAC: %s in piraeus began %s %s (%s) %.2f s after the evacuation was acknowledged",
+					machine.upstream.config.id, arrival.method, arrival.target, arrival.id, late.Seconds()))
+			}
+		}
+	}
+	return broken
+}
--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -19,13 +19,11 @@
 type scenario func(rig *rig) ([]string, error)
 
 var scenarios = map[string]scenario{
-	"changed-path":     changedPath,
-	"cut-body":         cutBody,
-	"reopened-zone":    reopenedZone,
-	"departed-client":  departedClient,
-	"late-drain":       lateDrain,
-	"lost-behind":      lostBehind,
-	"forgotten-poison": forgottenPoison,
+	"left-zone":     leftZone,
+	"changed-path":  changedPath,
+	"reopened-zone": reopenedZone,
+	"late-drain":    lateDrain,
+	"lost-behind":   lostBehind,
 }
 
 func main() { os.Exit(run()) }
--- a/review/rig3/reopenedzone.go
+++ b/review/rig3/reopenedzone.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"fmt"
 	"net/http"
 	"strconv"
 	"sync"
@@ -33,13 +32,7 @@
 	if err := rig.publish(reopenedZoneConfig); err != nil {
 		return nil, err
 	}
-	for _, place := range [][2]string{{"piraeus", "conditions"}, {"piraeus", "conditions"}, {"marousi", "bookings"}} {
-		config := upstreamConfig{service: place[1], sharded: place[1] == "conditions", slots: 6, work: 30 * time.Millisecond, keepAlive: 10 * time.Second}
-		if _, err := rig.addMachine(place[0], config); err != nil {
-			return nil, err
-		}
-	}
-	if err := rig.awaitServing(map[string]string{"X-Shard-Key": "100"}, "/site/1"); err != nil {
+	if err := rig.addZones(); err != nil {
 		return nil, err
 	}
 	time.Sleep(contactTerm)
@@ -47,11 +40,10 @@
 	var clients sync.WaitGroup
 	clients.Go(func() { rig.machines[2].ask(stop) })
 	time.Sleep(time.Second)
-	if err := rig.store.Put("op/evacuate/piraeus", "{}"); err != nil {
+	evacuated, err := rig.evacuate()
+	if err != nil {
 		return nil, err
 	}
-	evacuated := time.Now()
-	rig.record.printf("operator evacuates piraeus; the store has acknowledged it")
 	time.Sleep(stopDelay)
 	if rig.trouble {
 		for _, machine := range rig.machines[:2] {
@@ -65,16 +57,7 @@
 	time.Sleep(time.Until(evacuated.Add(evacuationTime)))
 	close(stop)
 	clients.Wait()
-	var broken []string
-	for _, machine := range rig.machines[:2] {
-		for _, arrival := range machine.upstream.seen() {
-			if late := arrival.headAt.Sub(evacuated); late > evacuateBound {
-				broken = append(broken, fmt.Sprintf("EVAC: %s in piraeus began %s %s (%s) %.2f s after the evacuation was acknowledged",
-					machine.upstream.config.id, arrival.method, arrival.target, arrival.id, late.Seconds()))
-			}
-		}
-	}
-	return broken, nil
+	return rig.checkEvacuation(evacuated), nil
 }
 
 // ask sends requests with various keys until stop is closed.
--- a/review/rig3/upstream.go
+++ b/review/rig3/upstream.go
@@ -9,7 +9,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -32,9 +31,6 @@
 	answerBytes int
 	// garbleShare is the share of the answers that are broken off in the middle.
 	garbleShare float64
-	// poisonPath is the path of requests that crash the backend server, which then is down for crashedTerm; empty for none.
-	poisonPath  string
-	crashedTerm time.Duration
 	record      *record
 }
 
@@ -70,9 +66,6 @@
 	released   [][3]any
 	running    int
 	arrivals   []*arrival
-	// incarnations counts the restarts; ended means that there are no more.
-	incarnations int
-	ended        bool
 }
 
 func newUpstream(config upstreamConfig) *upstream { return &upstream{config: config} }
@@ -109,30 +102,6 @@
 	upstream.config.record.printf("upstream %s ended", upstream.config.id)
 }
 
-// restart starts the next incarnation under another ID, unless the case has ended.
-func (upstream *upstream) restart() {
-	upstream.mutex.Lock()
-	if upstream.ended {
-		upstream.mutex.Unlock()
-		return
-	}
-	upstream.incarnations++
-	base, _, _ := strings.Cut(upstream.config.id, "-life")
-	upstream.config.id = fmt.Sprintf("%s-life%d", base, upstream.incarnations)
-	upstream.mutex.Unlock()
-	if err := upstream.start(); err != nil {
-		upstream.config.record.printf("upstream %s cannot start: %v", upstream.config.id, err)
-	}
-}
-
-// end ends the backend server for good.
-func (upstream *upstream) end() {
-	upstream.mutex.Lock()
-	upstream.ended = true
-	upstream.mutex.Unlock()
-	upstream.crash()
-}
-
 // drain makes the backend server say at its next heartbeat that it leaves, and returns when that was acknowledged.
 func (upstream *upstream) drain(timeout time.Duration) (time.Time, bool) {
 	upstream.mutex.Lock()
@@ -162,11 +131,6 @@
 	return seen
 }
 
-// sortArrivals orders arrivals by time.
-func sortArrivals(arrivals []arrival) {
-	slices.SortFunc(arrivals, func(a, b arrival) int { return a.headAt.Compare(b.headAt) })
-}
-
 // holds reports whether the backend server holds a key; callers hold the mutex.
 func (upstream *upstream) holds(key int) bool {
 	if time.Now().After(upstream.heldUntil) {
@@ -213,12 +177,6 @@
 	upstream.arrivals = append(upstream.arrivals, arrived)
 	upstream.mutex.Unlock()
 	upstream.config.record.printf("%s begins %s %s (%s)", upstream.config.id, request.Method, request.RequestURI, id)
-	if upstream.config.poisonPath != "" && request.RequestURI == upstream.config.poisonPath {
-		upstream.config.record.printf("%s crashes on %s", upstream.config.id, id)
-		upstream.crash()
-		time.AfterFunc(upstream.config.crashedTerm, upstream.restart)
-		panic(http.ErrAbortHandler)
-	}
 	status, body := upstream.work(request)
 	upstream.mutex.Lock()
 	upstream.running--
