--- a/review/rig3/leftzone.go
+++ b/review/rig3/leftzone.go
@@ -2,23 +2,38 @@
 
 import (
 	"fmt"
+	"net/http"
+	"strconv"
 	"sync"
 	"time"
 )
 
+// siteConfig is the configuration of the case: site conditions are divided by key.
+const siteConfig = `{"version":3,"routes":{` +
+	`"r-site":{"host":"hulo84.example","prefix":"/site/","routeType":"idempotent","timeoutS":1,"targetLatencyS":0.3,"priority":1,"service":"conditions","attempts":2,"allowedRegions":[]}},` +
+	`"services":{"bookings":{"healthCheckPath":"/health","maxConnections":110,"protocol":"h1","tls":false,"coldStartS":3.0,"coldPerS":3.9},` +
+	`"conditions":{"healthCheckPath":"/health","maxConnections":110,"protocol":"h1","tls":false,"coldStartS":3.0,"coldPerS":3.9,"sharded":true,"warmupS":2.0,"grants":"heartbeat"}},` +
+	`"limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeoutS":3,"idleTimeoutS":15}}`
+
 const (
+	// evacuateBound is the bound evacuateS.
+	evacuateBound = 5 * time.Second
+	// contactTerm is the bound contactS.
+	contactTerm = 3 * time.Second
 	// leaveDelay is the time from the acknowledgement of the evacuation to the moment at which an upstream of the zone leaves.
 	leaveDelay = 8 * time.Second
+	// siteTime is how long a request for the conditions of a site takes.
+	siteTime = 30 * time.Millisecond
 	// leaveGap is the time between two upstreams that leave.
 	leaveGap = 3 * time.Second
 )
 
 // leftZone lets the upstreams of an evacuated zone leave one after the other.
 func leftZone(rig *rig) ([]string, error) {
-	if err := rig.publish(reopenedZoneConfig); err != nil {
+	if err := rig.publish(siteConfig); err != nil {
 		return nil, err
 	}
-	if err := rig.addZones(); err != nil {
+	if err := rig.addZones(siteTime); err != nil {
 		return nil, err
 	}
 	time.Sleep(contactTerm)
@@ -48,9 +63,9 @@
 }
 
 // addZones starts two machines of the sharded service in one zone and a machine of another service in the other zone.
-func (rig *rig) addZones() error {
+func (rig *rig) addZones(work time.Duration) error {
 	for _, place := range [][2]string{{"piraeus", "conditions"}, {"piraeus", "conditions"}, {"marousi", "bookings"}} {
-		config := upstreamConfig{service: place[1], sharded: place[1] == "conditions", slots: 6, work: 30 * time.Millisecond, keepAlive: 10 * time.Second}
+		config := upstreamConfig{service: place[1], sharded: place[1] == "conditions", slots: 6, work: work, keepAlive: 10 * time.Second}
 		if _, err := rig.addMachine(place[0], config); err != nil {
 			return err
 		}
@@ -80,3 +95,23 @@
 	}
 	return broken
 }
+
+// ask sends requests with various keys until stop is closed.
+func (machine *machine) ask(stop <-chan struct{}) {
+	var requests sync.WaitGroup
+	defer requests.Wait()
+	for number := 0; ; number++ {
+		select {
+		case <-stop:
+			return
+		case <-time.After(50 * time.Millisecond):
+		}
+		requests.Go(func() {
+			key := strconv.Itoa(number * 7919 % 65536)
+			status, _, err := machine.request(requestConfig{
+				method: http.MethodGet, path: "/site/" + key, deadlineMS: 1500, headers: map[string]string{"X-Shard-Key": key},
+			})
+			machine.rig.record.printf("client at %s gets %d for /site/%s %v", machine.name, status, key, err)
+		})
+	}
+}
--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -19,11 +19,11 @@
 type scenario func(rig *rig) ([]string, error)
 
 var scenarios = map[string]scenario{
-	"left-zone":     leftZone,
-	"changed-path":  changedPath,
-	"reopened-zone": reopenedZone,
-	"late-drain":    lateDrain,
-	"lost-behind":   lostBehind,
+	"queued-zone":  queuedZone,
+	"left-zone":    leftZone,
+	"changed-path": changedPath,
+	"late-drain":   lateDrain,
+	"lost-behind":  lostBehind,
 }
 
 func main() { os.Exit(run()) }
@@ -44,6 +44,7 @@
 		fmt.Fprintln(os.Stderr, "rig3:", err)
 		return exitNotRun
 	}
+	rig.closeWhenInterrupted()
 	broken, err := play(rig)
 	err = errors.Join(err, rig.close())
 	if err != nil {
--- a/review/rig3/rig.go
+++ b/review/rig3/rig.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -211,19 +212,10 @@
 	return nil
 }
 
-// stopDaemon sends SIGTERM, and SIGKILL after the grace time of six seconds.
-func (machine *machine) stopDaemon() {
-	machine.rig.record.printf("daemon of %s gets SIGTERM", machine.name)
-	_ = machine.process.Process.Signal(syscall.SIGTERM)
-	select {
-	case <-machine.exited:
-	case <-time.After(6 * time.Second):
-		machine.killDaemon()
-	}
-	machine.rig.record.printf("daemon of %s has ended", machine.name)
-}
-
 func (machine *machine) killDaemon() {
+	if machine.process == nil {
+		return
+	}
 	_ = machine.process.Process.Kill()
 	<-machine.exited
 }
@@ -274,6 +266,24 @@
 	return errNotServing
 }
 
+// timeLimit ends a case that hangs, with its processes.
+const timeLimit = 115 * time.Second
+
+// closeWhenInterrupted ends all processes and the case when it is interrupted or takes too long.
+func (rig *rig) closeWhenInterrupted() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		select {
+		case <-signals:
+		case <-time.After(timeLimit):
+		}
+		rig.record.printf("the case was interrupted or took too long")
+		_ = rig.close()
+		os.Exit(exitNotRun)
+	}()
+}
+
 // close ends all processes and removes the temporary folder.
 func (rig *rig) close() error {
 	for _, machine := range rig.machines {
