--- a/review/rig3/latedrain.go
+++ b/review/rig3/latedrain.go
@@ -25,8 +25,10 @@
 	reportTime = 500 * time.Millisecond
 	// outageTime is how long the store is down.
 	outageTime = 4500 * time.Millisecond
-	// askInterval is the time between two requests; half of them are for keys of the upstream that leaves, more than it can run at once.
-	askInterval = 25 * time.Millisecond
+	// shardedCount is the number of upstreams of the sharded service, of which one leaves.
+	shardedCount = 8
+	// askInterval is the time between two requests for keys of the upstream that leaves, which can run twelve a second.
+	askInterval = 50 * time.Millisecond
 	loadTime    = 8 * time.Second
 )
 
@@ -37,20 +39,28 @@
 	if err := rig.publish(lateDrainConfig); err != nil {
 		return nil, err
 	}
-	for _, place := range [][2]string{{"piraeus", "conditions"}, {"marousi", "conditions"}, {"piraeus", "bookings"}} {
-		config := upstreamConfig{service: place[1], sharded: place[1] == "conditions", slots: 6, work: reportTime, keepAlive: 10 * time.Second}
-		if _, err := rig.addMachine(place[0], config); err != nil {
+	for number := range shardedCount + 1 {
+		config := upstreamConfig{service: "conditions", sharded: true, slots: 6, work: reportTime, keepAlive: 10 * time.Second}
+		if number == shardedCount {
+			config.service, config.sharded = "bookings", false
+		}
+		if _, err := rig.addMachine([]string{"piraeus", "marousi"}[number%2], config); err != nil {
 			return nil, err
 		}
 	}
 	if err := rig.awaitServing(map[string]string{"X-Shard-Key": "100"}, "/site/1"); err != nil {
 		return nil, err
 	}
-	time.Sleep(contactTerm)
+	// The keys are spread over all upstreams by then.
+	time.Sleep(4 * contactTerm)
 	stop := make(chan struct{})
 	var clients sync.WaitGroup
 	leaving := rig.machines[0]
-	clients.Go(func() { leaving.askBusily(stop) })
+	keys := leaving.upstream.keys()
+	if len(keys) == 0 {
+		return nil, errNotServing
+	}
+	clients.Go(func() { leaving.askBusily(stop, keys) })
 	time.Sleep(loadTime)
 	acked, ok := leaving.upstream.drain(5 * time.Second)
 	if ok && rig.trouble {
@@ -76,8 +86,8 @@
 	return broken, nil
 }
 
-// askBusily sends requests with various keys until stop is closed.
-func (machine *machine) askBusily(stop <-chan struct{}) {
+// askBusily sends requests with the keys in turn until stop is closed.
+func (machine *machine) askBusily(stop <-chan struct{}, keys []int) {
 	var requests sync.WaitGroup
 	defer requests.Wait()
 	for number := 0; ; number++ {
@@ -87,7 +97,7 @@
 		case <-time.After(askInterval):
 		}
 		requests.Go(func() {
-			key, id := strconv.Itoa(number*7919%65536), newID()
+			key, id := strconv.Itoa(keys[number%len(keys)]), newID()
 			machine.remember(id)
 			status, _, err := machine.request(requestConfig{
 				method: http.MethodGet, path: "/site/" + key, deadlineMS: 8000, headers: map[string]string{"X-Shard-Key": key}, id: id,
--- a/review/rig3/leftzone.go
+++ b/review/rig3/leftzone.go
@@ -22,24 +22,28 @@
 	contactTerm = 3 * time.Second
 	// leaveDelay is the time from the acknowledgement of the evacuation to the moment at which an upstream of the zone leaves.
 	leaveDelay = 8 * time.Second
+	// askGap is the time between two requests of the clients.
+	askGap = 15 * time.Millisecond
 	// siteTime is how long a request for the conditions of a site takes.
 	siteTime = 30 * time.Millisecond
-	// leaveGap is the time between two upstreams that leave.
-	leaveGap = 3 * time.Second
+	// leaveWatchTime is how long the clients go on after that.
+	leaveWatchTime = 5 * time.Second
+	// zoneCount is the number of upstreams of the sharded service in the zone, of which one leaves.
+	zoneCount = 8
 )
 
-// leftZone lets the upstreams of an evacuated zone leave one after the other.
+// leftZone lets an upstream of an evacuated zone leave.
 func leftZone(rig *rig) ([]string, error) {
 	if err := rig.publish(siteConfig); err != nil {
 		return nil, err
 	}
-	if err := rig.addZones(siteTime); err != nil {
+	if err := rig.addZones(siteTime, zoneCount); err != nil {
 		return nil, err
 	}
 	time.Sleep(contactTerm)
 	stop := make(chan struct{})
 	var clients sync.WaitGroup
-	clients.Go(func() { rig.machines[2].ask(stop) })
+	clients.Go(func() { rig.machines[zoneCount].ask(stop) })
 	time.Sleep(time.Second)
 	evacuated, err := rig.evacuate()
 	if err != nil {
@@ -47,13 +51,10 @@
 	}
 	time.Sleep(leaveDelay)
 	acknowledged := true
-	for _, machine := range rig.machines[:2] {
-		if rig.trouble {
-			_, ok := machine.upstream.drain(leaveGap)
-			acknowledged = acknowledged && ok
-		}
-		time.Sleep(leaveGap)
+	if rig.trouble {
+		_, acknowledged = rig.machines[0].upstream.drain(leaveWatchTime)
 	}
+	time.Sleep(leaveWatchTime)
 	close(stop)
 	clients.Wait()
 	if !acknowledged {
@@ -62,11 +63,14 @@
 	return rig.checkEvacuation(evacuated), nil
 }
 
-// addZones starts two machines of the sharded service in one zone and a machine of another service in the other zone.
-func (rig *rig) addZones(work time.Duration) error {
-	for _, place := range [][2]string{{"piraeus", "conditions"}, {"piraeus", "conditions"}, {"marousi", "bookings"}} {
-		config := upstreamConfig{service: place[1], sharded: place[1] == "conditions", slots: 6, work: work, keepAlive: 10 * time.Second}
-		if _, err := rig.addMachine(place[0], config); err != nil {
+// addZones starts machines of the sharded service in one zone and a machine of another service in the other zone.
+func (rig *rig) addZones(work time.Duration, count int) error {
+	for number := range count + 1 {
+		zone, config := "piraeus", upstreamConfig{service: "conditions", sharded: true, slots: 6, work: work, keepAlive: 10 * time.Second}
+		if number == count {
+			zone, config.service, config.sharded = "marousi", "bookings", false
+		}
+		if _, err := rig.addMachine(zone, config); err != nil {
 			return err
 		}
 	}
@@ -85,7 +89,7 @@
 // checkEvacuation returns the requests that reached the evacuated zone too late.
 func (rig *rig) checkEvacuation(evacuated time.Time) []string {
 	var broken []string
-	for _, machine := range rig.machines[:2] {
+	for _, machine := range rig.machines[:len(rig.machines)-1] {
 		for _, arrival := range machine.upstream.seen() {
 			if late := arrival.headAt.Sub(evacuated); late > evacuateBound {
 				broken = append(broken, fmt.Sprintf("EVAC: %s in piraeus began %s %s (%s) %.2f s after the evacuation was acknowledged",
@@ -104,7 +108,7 @@
 		select {
 		case <-stop:
 			return
-		case <-time.After(50 * time.Millisecond):
+		case <-time.After(askGap):
 		}
 		requests.Go(func() {
 			key := strconv.Itoa(number * 7919 % 65536)
--- a/review/rig3/lostbehind.go
+++ b/review/rig3/lostbehind.go
@@ -23,6 +23,8 @@
 	mapBytes = 120 << 10
 	// garbleShare is the share of the answers that a garbling backend server breaks off.
 	garbleShare = 0.02
+	// garbleDelay and garbleTime are when it begins to do so and for how long.
+	garbleDelay, garbleTime = 3 * time.Second, 5 * time.Second
 	// browsers is the number of clients, each with a kept connection, and browseTime how long they browse.
 	browsers, browseTime = 16, 12 * time.Second
 	browsePause          = 40 * time.Millisecond
@@ -40,15 +42,12 @@
 	if err := rig.publish(lostBehindConfig); err != nil {
 		return nil, err
 	}
-	for number, service := range []string{"conditions", "bookings", "conditions", "bookings"} {
-		zone := []string{"piraeus", "marousi"}[number/2]
+	for number, service := range []string{"conditions", "bookings", "conditions", "bookings", "conditions"} {
+		zone := []string{"piraeus", "marousi"}[number%2]
 		config := upstreamConfig{service: service, slots: 12, work: 10 * time.Millisecond, keepAlive: 10 * time.Second}
 		if service == "conditions" {
 			config.answerBytes = mapBytes
 		}
-		if number == 0 && rig.trouble {
-			config.garbleShare = garbleShare
-		}
 		if _, err := rig.addMachine(zone, config); err != nil {
 			return nil, err
 		}
@@ -72,6 +71,13 @@
 			}
 		})
 	}
+	faulty := rig.machines[0].upstream
+	if rig.trouble {
+		time.Sleep(garbleDelay)
+		faulty.garble(garbleShare)
+		time.Sleep(garbleTime)
+		faulty.garble(0)
+	}
 	clients.Wait()
 	time.Sleep(time.Second)
 	return rig.checkLost(lost), nil
@@ -150,7 +156,8 @@
 func (rig *rig) checkLost(lost []lostAnswer) []string {
 	var broken []string
 	for _, machine := range rig.machines {
-		if machine.upstream.config.garbleShare > 0 {
+		if machine == rig.machines[0] {
+			// This one is not sound.
 			continue
 		}
 		for _, arrival := range machine.upstream.seen() {
--- a/review/rig3/queuedzone.go
+++ b/review/rig3/queuedzone.go
@@ -18,6 +18,8 @@
 const (
 	// unlockTime is how long a request takes at an upstream.
 	unlockTime = 500 * time.Millisecond
+	// busyCount is the number of upstreams of the sharded service in the zone.
+	busyCount = 2
 	// unlockInterval is the time between two requests; the two upstreams can run 24 a second.
 	unlockInterval = 25 * time.Millisecond
 	// queuedLoadTime is how long the load lasts before the evacuation, and queuedWatchTime after it.
@@ -29,13 +31,13 @@
 	if err := rig.publish(queuedZoneConfig); err != nil {
 		return nil, err
 	}
-	if err := rig.addZones(unlockTime); err != nil {
+	if err := rig.addZones(unlockTime, busyCount); err != nil {
 		return nil, err
 	}
 	time.Sleep(contactTerm)
 	stop := make(chan struct{})
 	var clients sync.WaitGroup
-	clients.Go(func() { rig.machines[2].unlock(stop) })
+	clients.Go(func() { rig.machines[busyCount].unlock(stop) })
 	time.Sleep(queuedLoadTime)
 	evacuated := time.Now().Add(time.Hour)
 	if rig.trouble {
--- a/review/rig3/upstream.go
+++ b/review/rig3/upstream.go
@@ -29,8 +29,6 @@
 	keepAlive time.Duration
 	// answerBytes is the length of an answer, zero for a short one.
 	answerBytes int
-	// garbleShare is the share of the answers that are broken off in the middle.
-	garbleShare float64
 	record      *record
 }
 
@@ -66,6 +64,8 @@
 	released   [][3]any
 	running    int
 	arrivals   []*arrival
+	// garbleShare is the share of the answers that are broken off in the middle.
+	garbleShare float64
 }
 
 func newUpstream(config upstreamConfig) *upstream { return &upstream{config: config} }
@@ -120,6 +120,20 @@
 	return time.Time{}, false
 }
 
+// garble sets the share of the answers that are broken off.
+func (upstream *upstream) garble(share float64) {
+	upstream.mutex.Lock()
+	defer upstream.mutex.Unlock()
+	upstream.garbleShare = share
+	upstream.config.record.printf("upstream %s breaks off %v of its answers from now on", upstream.config.id, share)
+}
+
+func (upstream *upstream) garbled() float64 {
+	upstream.mutex.Lock()
+	defer upstream.mutex.Unlock()
+	return upstream.garbleShare
+}
+
 // seen returns the requests that arrived and were not refused.
 func (upstream *upstream) seen() []arrival {
 	upstream.mutex.Lock()
@@ -144,6 +158,17 @@
 	return false
 }
 
+// keys returns a key of each range that the backend server holds.
+func (upstream *upstream) keys() []int {
+	upstream.mutex.Lock()
+	defer upstream.mutex.Unlock()
+	var keys []int
+	for _, held := range upstream.held {
+		keys = append(keys, held.first)
+	}
+	return keys
+}
+
 // enter takes a slot, or returns the status of the refusal.
 func (upstream *upstream) enter(request *http.Request) int {
 	upstream.mutex.Lock()
@@ -193,7 +218,7 @@
 	}
 	header.Set("Content-Length", strconv.Itoa(len(answer)))
 	writer.WriteHeader(status)
-	if rand.Float64() < upstream.config.garbleShare {
+	if rand.Float64() < upstream.garbled() {
 		upstream.config.record.printf("%s breaks off its answer to %s", upstream.config.id, id)
 		_, _ = io.WriteString(writer, answer[:len(answer)*3/4])
 		panic(http.ErrAbortHandler)
